--- /dev/null
+++ b/crates/core/src/fold.rs
@@ -0,0 +1,551 @@
+//! State derived from the control stream.
+//!
+//! Every instance folds the same records in offset order to the same state. No
+//! record takes effect because it was appended: the fold accepts or rejects it
+//! by its expected version or ballot, and remembers the outcome under its
+//! proposal id. That settles operator races, duplicate holders and appends
+//! whose answer was lost with one rule.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use medlarreel_macros::data;
+
+use crate::code::Code;
+use crate::ids::{Ballot, Club, Domain, Instance, Offset, Proposal, Service, Upstream};
+use crate::preset::Preset;
+use crate::record::{Author, Body, Change, Member, Record, Released, Server};
+
+pub mod audit;
+pub mod budget;
+mod operator;
+
+pub use audit::Entry;
+
+/// Number of proposals whose outcome is remembered.
+pub const OUTCOMES: usize = 4_096;
+
+/// Version and text of a published preset.
+#[data(value)]
+pub struct Published {
+    /// Version, from 1.
+    pub version: u32,
+    /// Checked form of the text.
+    pub preset: Arc<Preset>,
+    /// Text as the operator wrote it.
+    pub text: String,
+}
+
+/// The preset in force.
+#[data(value)]
+pub struct Active {
+    /// Number of activations so far.
+    pub count: u32,
+    /// Version of the preset.
+    pub version: u32,
+    /// Offset of the record that put it in force.
+    pub since: Offset,
+    /// The preset.
+    pub preset: Arc<Preset>,
+}
+
+/// What the log says about a club.
+#[data(value)]
+pub struct ClubState {
+    /// Name of the club.
+    pub name: String,
+    /// Offset after the last accepted `Reset`; 0 before the first.
+    pub term: Offset,
+    /// Highest ballot that wrote a record.
+    pub highest: Option<Ballot>,
+    /// Offset of the holder's last record.
+    pub heard: Offset,
+    /// Admitted members, in order of admission.
+    pub members: Vec<Member>,
+    /// Number of membership changes.
+    pub version: u32,
+    /// Slots that the club may still be using.
+    pub reserved: u32,
+}
+
+/// An enrolled upstream.
+#[data(value)]
+pub struct ServerState {
+    /// As enrolled.
+    pub server: Server,
+    /// Service that it belongs to.
+    pub service: Service,
+    /// Failure domain that it lives in.
+    pub domain: Domain,
+}
+
+/// Owner and standby of a shard, as agreed in the log.
+#[data(key)]
+#[derive(Default)]
+pub struct Place {
+    /// Upstream that shall own the shard.
+    pub owner: Option<Upstream>,
+    /// Upstream that takes over while the log is away.
+    pub standby: Option<Upstream>,
+}
+
+/// Shard plan of a service.
+#[data(value)]
+#[derive(Default)]
+pub struct Plan {
+    /// Number of accepted changes.
+    pub version: u32,
+    /// Place of each shard.
+    pub places: Vec<Place>,
+}
+
+/// Name and plan of a service.
+#[data(value)]
+pub struct ServiceState {
+    /// Name of the service.
+    pub name: String,
+    /// Shard plan; empty for services that are not keyed.
+    pub plan: Plan,
+}
+
+/// What became of a proposal.
+#[data(key)]
+pub struct Settled {
+    /// The proposal.
+    pub proposal: Proposal,
+    /// Offset of its record.
+    pub offset: Offset,
+    /// Why it was rejected; `None` if it was accepted.
+    pub rejected: Option<Code>,
+}
+
+/// An operator's word that upstreams are gone.
+#[data(value)]
+pub struct Release {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// What is gone.
+    pub released: Released,
+}
+
+/// Everything that the control stream says.
+#[data(value)]
+#[derive(Default)]
+pub struct State {
+    next: Offset,
+    presets: BTreeMap<String, Published>,
+    active: Option<Active>,
+    clubs: Vec<ClubState>,
+    domains: Vec<String>,
+    services: Vec<ServiceState>,
+    upstreams: Vec<ServerState>,
+    releases: VecDeque<Release>,
+    settled: VecDeque<Settled>,
+    audit: audit::Trail,
+}
+
+/// Queries.
+impl State {
+    /// Offset of the next record to apply.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Published presets, by name.
+    pub fn presets(&self) -> &BTreeMap<String, Published> {
+        &self.presets
+    }
+
+    /// Preset in force, if any was ever activated.
+    pub fn active(&self) -> Option<&Active> {
+        self.active.as_ref()
+    }
+
+    /// All clubs, indexed by `Club`.
+    pub fn clubs(&self) -> &[ClubState] {
+        &self.clubs
+    }
+
+    /// State of a club.
+    pub fn club(&self, club: Club) -> &ClubState {
+        &self.clubs[usize::from(club.0)]
+    }
+
+    /// Key of the named club.
+    pub fn club_named(&self, name: &str) -> Option<Club> {
+        let index = self.clubs.iter().position(|club| club.name == name)?;
+        Some(Club(index as u16))
+    }
+
+    /// All services, indexed by `Service`.
+    pub fn services(&self) -> &[ServiceState] {
+        &self.services
+    }
+
+    /// State of a service.
+    pub fn service(&self, service: Service) -> &ServiceState {
+        &self.services[usize::from(service.0)]
+    }
+
+    /// Key of the named service.
+    pub fn service_named(&self, name: &str) -> Option<Service> {
+        let index = self
+            .services
+            .iter()
+            .position(|service| service.name == name)?;
+        Some(Service(index as u16))
+    }
+
+    /// All upstreams, indexed by `Upstream`.
+    pub fn upstreams(&self) -> &[ServerState] {
+        &self.upstreams
+    }
+
+    /// State of an upstream.
+    pub fn upstream(&self, upstream: Upstream) -> &ServerState {
+        &self.upstreams[upstream.0 as usize]
+    }
+
+    /// Key of the named upstream.
+    pub fn upstream_named(&self, name: &str) -> Option<Upstream> {
+        let index = self
+            .upstreams
+            .iter()
+            .position(|entry| entry.server.name == name)?;
+        Some(Upstream(index as u32))
+    }
+
+    /// Keys of a service's upstreams.
+    pub fn upstreams_of(&self, service: Service) -> impl Iterator<Item = Upstream> + '_ {
+        let keys = (0..).map(Upstream).zip(&self.upstreams);
+        keys.filter(move |(_, entry)| entry.service == service)
+            .map(|(key, _)| key)
+    }
+
+    /// Name of a failure domain.
+    pub fn domain(&self, domain: Domain) -> &str {
+        &self.domains[usize::from(domain.0)]
+    }
+
+    /// Key of the named failure domain.
+    pub fn domain_named(&self, name: &str) -> Option<Domain> {
+        let index = self.domains.iter().position(|domain| domain == name)?;
+        Some(Domain(index as u16))
+    }
+
+    /// Operators' releases, oldest first.
+    pub fn releases(&self) -> impl Iterator<Item = &Release> {
+        self.releases.iter()
+    }
+
+    /// Outcome of a proposal, if it is among the newest `OUTCOMES`.
+    pub fn settled(&self, proposal: Proposal) -> Option<Settled> {
+        self.settled
+            .iter()
+            .rev()
+            .find(|entry| entry.proposal == proposal)
+            .copied()
+    }
+
+    /// Accepted changes, oldest first.
+    pub fn audit(&self) -> impl Iterator<Item = &Entry> {
+        self.audit.iter()
+    }
+
+    /// Owner and standby of a shard.
+    pub fn place(&self, shard: crate::ids::Shard) -> Place {
+        let plan = &self.service(shard.service).plan;
+        plan.places
+            .get(usize::from(shard.index))
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// Commands.
+impl State {
+    /// Applies the record at `offset`; older offsets change nothing.
+    ///
+    /// Returns the code under which the record was rejected.
+    pub fn apply(&mut self, offset: Offset, record: Record) -> Result<(), Code> {
+        if offset < self.next {
+            return Ok(());
+        }
+        self.next = offset.next();
+        if let Body::Checkpoint(_) = record.body {
+            return Ok(());
+        }
+        // A proposal that was appended twice keeps its first outcome.
+        if self.settled(record.proposal).is_some() {
+            return Err(Code::VersionConflict);
+        }
+        let outcome = self.decide(offset, record.body);
+        let rejected = outcome.err();
+        self.settled.push_back(Settled {
+            proposal: record.proposal,
+            offset,
+            rejected,
+        });
+        if self.settled.len() > OUTCOMES {
+            self.settled.pop_front();
+        }
+        outcome
+    }
+
+    /// Skips a record that cannot be decoded, the same at every instance.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = self.next.max(offset.next());
+    }
+
+    fn decide(&mut self, offset: Offset, body: Body) -> Result<(), Code> {
+        match body {
+            Body::Publish {
+                name,
+                expected,
+                text,
+            } => self.publish(offset, name, expected, text),
+            Body::Activate {
+                name,
+                version,
+                expected,
+            } => self.activate(offset, &name, version, expected),
+            Body::Release(released) => self.release(offset, released),
+            Body::Reset {
+                club,
+                expected,
+                voter,
+            } => self.reset(offset, &club, expected, voter),
+            Body::Lead(author) => self.lead(offset, &author),
+            Body::Admit(author, member) => self.admit(offset, &author, member),
+            Body::Remove {
+                author,
+                instance,
+                cause,
+            } => self.remove(offset, &author, instance, cause),
+            Body::Enroll(author, servers) => self.enroll(offset, &author, servers),
+            Body::Plan {
+                author,
+                service,
+                expected,
+                changes,
+                cause,
+            } => {
+                self.authorize(offset, &author)?;
+                self.plan(offset, service, expected, &changes, cause)
+            }
+            Body::Yield(author, activation) => self.yield_slots(offset, &author, activation),
+            Body::Alive(author) => self.authorize(offset, &author).map(|_| ()),
+            Body::Checkpoint(_) => Ok(()),
+        }
+    }
+
+    /// Checks that the author's ballot is the highest of its club so far.
+    fn authorize(&mut self, offset: Offset, author: &Author) -> Result<Club, Code> {
+        let key = self.club_named(&author.club).ok_or(Code::UnknownName)?;
+        let club = &mut self.clubs[usize::from(key.0)];
+        let stale = club.highest.is_some_and(|highest| author.ballot < highest);
+        if stale || author.ballot.term != club.term {
+            return Err(Code::StaleBallot);
+        }
+        club.highest = Some(author.ballot);
+        club.heard = offset;
+        Ok(key)
+    }
+
+    fn reset(
+        &mut self,
+        offset: Offset,
+        name: &str,
+        expected: Offset,
+        voter: Member,
+    ) -> Result<(), Code> {
+        let key = self.intern_club(name);
+        self.intern_domain(&voter.domain);
+        let club = &mut self.clubs[usize::from(key.0)];
+        if club.term != expected {
+            return Err(Code::VersionConflict);
+        }
+        // Terms start at 1, so that 0 means that the club has none.
+        club.term = offset.next();
+        club.highest = None;
+        club.heard = offset;
+        club.version += 1;
+        let after = voter.instance;
+        club.members = vec![voter];
+        self.audit
+            .note(offset, format!("club {name}"), "reset", expected.0, after.0);
+        Ok(())
+    }
+
+    fn lead(&mut self, offset: Offset, author: &Author) -> Result<(), Code> {
+        let key = self.club_named(&author.club).ok_or(Code::UnknownName)?;
+        let before = self.club(key).highest.map_or(0, |ballot| ballot.instance.0);
+        self.authorize(offset, author)?;
+        let after = author.ballot.instance.0;
+        self.audit.note(
+            offset,
+            format!("holder of {}", author.club),
+            "elected",
+            before,
+            after,
+        );
+        Ok(())
+    }
+
+    fn admit(&mut self, offset: Offset, author: &Author, member: Member) -> Result<(), Code> {
+        let key = self.authorize(offset, author)?;
+        self.intern_domain(&member.domain);
+        let club = &mut self.clubs[usize::from(key.0)];
+        if club
+            .members
+            .iter()
+            .any(|known| known.instance == member.instance)
+        {
+            return Err(Code::VersionConflict);
+        }
+        club.version += 1;
+        let after = format!("{} at {}", member.instance.0, member.peers);
+        club.members.push(member);
+        self.audit.note(
+            offset,
+            format!("members of {}", author.club),
+            "admitted",
+            "",
+            after,
+        );
+        Ok(())
+    }
+
+    fn remove(
+        &mut self,
+        offset: Offset,
+        author: &Author,
+        instance: Instance,
+        cause: String,
+    ) -> Result<(), Code> {
+        let key = self.authorize(offset, author)?;
+        let club = &mut self.clubs[usize::from(key.0)];
+        let known = club
+            .members
+            .iter()
+            .position(|member| member.instance == instance);
+        let index = known.ok_or(Code::UnknownName)?;
+        club.members.remove(index);
+        club.version += 1;
+        self.audit.note(
+            offset,
+            format!("members of {}", author.club),
+            cause,
+            instance.0,
+            "",
+        );
+        Ok(())
+    }
+
+    fn enroll(
+        &mut self,
+        offset: Offset,
+        author: &Author,
+        servers: Vec<Server>,
+    ) -> Result<(), Code> {
+        self.authorize(offset, author)?;
+        let unknown = servers
+            .iter()
+            .any(|server| self.service_named(&server.service).is_none());
+        if unknown {
+            return Err(Code::UnknownName);
+        }
+        for server in servers {
+            self.enroll_one(offset, server);
+        }
+        Ok(())
+    }
+
+    fn enroll_one(&mut self, offset: Offset, server: Server) {
+        let Some(service) = self.service_named(&server.service) else {
+            return;
+        };
+        let domain = self.intern_domain(&server.domain);
+        let subject = format!("upstream {}", server.name);
+        let address = server.address;
+        let known = self.upstream_named(&server.name);
+        let entry = ServerState {
+            server,
+            service,
+            domain,
+        };
+        match known {
+            Some(key) => {
+                let old = std::mem::replace(&mut self.upstreams[key.0 as usize], entry);
+                self.audit
+                    .note(offset, subject, "updated", old.server.address, address);
+            }
+            None => {
+                self.upstreams.push(entry);
+                self.audit.note(offset, subject, "enrolled", "", address);
+            }
+        }
+    }
+
+    fn plan(
+        &mut self,
+        offset: Offset,
+        service: Service,
+        expected: u32,
+        changes: &[Change],
+        cause: String,
+    ) -> Result<(), Code> {
+        let known = self.upstreams.len() as u32;
+        let entry = self
+            .services
+            .get_mut(usize::from(service.0))
+            .ok_or(Code::UnknownName)?;
+        if entry.plan.version != expected {
+            return Err(Code::VersionConflict);
+        }
+        let places = entry.plan.places.len();
+        let valid = |change: &Change| {
+            let standby = change.standby.is_none_or(|standby| standby.0 < known);
+            usize::from(change.index) < places && change.owner.0 < known && standby
+        };
+        if !changes.iter().all(valid) {
+            return Err(Code::UnknownName);
+        }
+        for change in changes {
+            let place = Place {
+                owner: Some(change.owner),
+                standby: change.standby,
+            };
+            entry.plan.places[usize::from(change.index)] = place;
+        }
+        entry.plan.version += 1;
+        let subject = format!("plan of {}", entry.name);
+        let after = format!("version {}, {} shards changed", expected + 1, changes.len());
+        self.audit
+            .note(offset, subject, cause, format!("version {expected}"), after);
+        Ok(())
+    }
+
+    fn intern_club(&mut self, name: &str) -> Club {
+        if let Some(key) = self.club_named(name) {
+            return key;
+        }
+        self.clubs.push(ClubState {
+            name: name.to_owned(),
+            term: Offset(0),
+            highest: None,
+            heard: Offset(0),
+            members: Vec::new(),
+            version: 0,
+            reserved: 0,
+        });
+        Club(self.clubs.len() as u16 - 1)
+    }
+
+    fn intern_domain(&mut self, name: &str) -> Domain {
+        self.domain_named(name).unwrap_or_else(|| {
+            self.domains.push(name.to_owned());
+            Domain(self.domains.len() as u16 - 1)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/fold/audit.rs
@@ -0,0 +1,61 @@
+//! Trail of accepted changes.
+
+use std::collections::VecDeque;
+use std::fmt::Display;
+
+use medlarreel_macros::data;
+
+use crate::ids::Offset;
+
+/// Number of entries that the trail keeps.
+pub const ENTRIES: usize = 1_024;
+
+/// One accepted change.
+#[data(value)]
+pub struct Entry {
+    /// Offset of the record that made the change.
+    pub offset: Offset,
+    /// What changed.
+    pub subject: String,
+    /// Why it changed.
+    pub cause: String,
+    /// Former value.
+    pub before: String,
+    /// New value.
+    pub after: String,
+}
+
+/// The newest `ENTRIES` changes.
+#[data(value)]
+#[derive(Default)]
+pub struct Trail(VecDeque<Entry>);
+
+impl Trail {
+    /// Entries, oldest first.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Entry> {
+        self.0.iter()
+    }
+
+    /// Adds a change and drops the oldest entry beyond the limit.
+    pub fn note(
+        &mut self,
+        offset: Offset,
+        subject: String,
+        cause: impl Into<String>,
+        before: impl Display,
+        after: impl Display,
+    ) {
+        let cause = cause.into();
+        let (before, after) = (before.to_string(), after.to_string());
+        self.0.push_back(Entry {
+            offset,
+            subject,
+            cause,
+            before,
+            after,
+        });
+        if self.0.len() > ENTRIES {
+            self.0.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fold/operator.rs
@@ -0,0 +1,135 @@
+//! Operators' records: publish, activate, release.
+
+use std::sync::Arc;
+
+use super::{Active, Place, Plan, Published, Release, ServiceState, State};
+use crate::code::Code;
+use crate::ids::Offset;
+use crate::preset::{Preset, ServiceLimits};
+use crate::record::Released;
+
+/// Number of releases that are kept.
+const RELEASES: usize = 256;
+
+impl State {
+    pub(super) fn publish(
+        &mut self,
+        offset: Offset,
+        name: String,
+        expected: u32,
+        text: String,
+    ) -> Result<(), Code> {
+        let current = self
+            .presets
+            .get(&name)
+            .map_or(0, |published| published.version);
+        if current != expected {
+            return Err(Code::VersionConflict);
+        }
+        let preset = Preset::parse(&text).map_err(|_| Code::InvalidPreset)?;
+        if preset.name != name || !self.keeps_shards(&preset) {
+            return Err(Code::InvalidPreset);
+        }
+        let version = current + 1;
+        let subject = format!("preset {name}");
+        let published = Published {
+            version,
+            preset: Arc::new(preset),
+            text,
+        };
+        self.presets.insert(name, published);
+        self.audit
+            .note(offset, subject, "published", current, version);
+        Ok(())
+    }
+
+    pub(super) fn activate(
+        &mut self,
+        offset: Offset,
+        name: &str,
+        version: u32,
+        expected: u32,
+    ) -> Result<(), Code> {
+        let count = self.active.as_ref().map_or(0, |active| active.count);
+        if count != expected {
+            return Err(Code::VersionConflict);
+        }
+        let published = self.presets.get(name).ok_or(Code::UnknownPreset)?;
+        if published.version != version {
+            return Err(Code::UnknownPreset);
+        }
+        let preset = Arc::clone(&published.preset);
+        if !self.keeps_shards(&preset) {
+            return Err(Code::InvalidPreset);
+        }
+        self.intern_preset(&preset);
+        let before = self
+            .active
+            .as_ref()
+            .map(|active| active.preset.name.clone());
+        self.active = Some(Active {
+            count: count + 1,
+            version,
+            since: offset,
+            preset,
+        });
+        self.grow_reservations();
+        let before = before.unwrap_or_default();
+        self.audit
+            .note(offset, "preset in force".into(), "activated", before, name);
+        Ok(())
+    }
+
+    pub(super) fn release(&mut self, offset: Offset, released: Released) -> Result<(), Code> {
+        let (known, after) = match &released {
+            Released::Upstream(name) => (self.upstream_named(name).is_some(), name.clone()),
+            Released::Domain(name) => (self.domain_named(name).is_some(), name.clone()),
+        };
+        if !known {
+            return Err(Code::UnknownName);
+        }
+        self.releases.push_back(Release { offset, released });
+        if self.releases.len() > RELEASES {
+            self.releases.pop_front();
+        }
+        self.audit
+            .note(offset, "release".into(), "operator", "", after);
+        Ok(())
+    }
+
+    /// Whether each known service keeps its number of shards.
+    ///
+    /// A different number would map keys to other shards while their old owners
+    /// still hold them.
+    fn keeps_shards(&self, preset: &Preset) -> bool {
+        preset.services.iter().all(|service| {
+            let known = self.service_named(&service.name);
+            let places = known.map(|key| self.service(key).plan.places.len());
+            places.is_none_or(|places| places == shard_count(service))
+        })
+    }
+
+    fn intern_preset(&mut self, preset: &Preset) {
+        for club in &preset.clubs {
+            self.intern_club(&club.name);
+        }
+        for service in &preset.services {
+            if self.service_named(&service.name).is_none() {
+                let places = vec![Place::default(); shard_count(service)];
+                let plan = Plan { version: 0, places };
+                self.services.push(ServiceState {
+                    name: service.name.clone(),
+                    plan,
+                });
+            }
+        }
+    }
+}
+
+fn shard_count(service: &ServiceLimits) -> usize {
+    if service.keyed {
+        usize::from(service.shards)
+    } else {
+        0
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,142 @@
+//! Messages between instances.
+//!
+//! Messages travel as UDP datagrams; `frame` gives their authenticated form.
+//! No message grows with the size of the fleet: the largest names the shards of
+//! one upstream.
+
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::ids::{Ballot, Epoch, Instance, Offset, Shard, Upstream, Version};
+use crate::record::Member;
+
+pub mod frame;
+
+pub use frame::Frame;
+
+/// Question of a candidate or holder to a voter.
+#[data(key)]
+pub struct Ask {
+    /// Ballot that the candidate stands under.
+    pub ballot: Ballot,
+    /// Names this question, so that its answer can be dated.
+    pub nonce: u64,
+    /// Membership version that the candidate knows.
+    pub members: u32,
+}
+
+/// Answer of a voter.
+#[data(key)]
+pub struct Vote {
+    /// Ballot of the question.
+    pub ballot: Ballot,
+    /// Nonce of the question.
+    pub nonce: u64,
+    /// Whether the voter supports the ballot.
+    pub granted: bool,
+    /// Highest ballot that the voter has seen.
+    pub highest: Ballot,
+    /// Membership version that the voter knows.
+    pub members: u32,
+}
+
+/// What an instance tells the holder, and its request for a dispatch lease.
+#[data(value)]
+pub struct Report {
+    /// Who reports; lets the holder admit an instance that is not a member yet.
+    pub member: Member,
+    /// Names this report, so that the lease can be dated.
+    pub nonce: u64,
+    /// Highest ballot that the instance has seen.
+    pub highest: Ballot,
+    /// Next log offset that the instance will fold.
+    pub next: Offset,
+    /// Whether the instance is about to stop.
+    pub leaving: bool,
+    /// Upstreams that the instance renews grants for, a part at a time.
+    pub upstreams: Vec<Observed>,
+}
+
+/// What a dispatcher last saw of an upstream.
+#[data(value)]
+pub struct Observed {
+    /// Upstream that was asked.
+    pub upstream: Upstream,
+    /// Time since its last answer; `None` if it never answered.
+    pub silence: Option<Duration>,
+    /// Run of the upstream's process; 0 if it never answered.
+    pub incarnation: u64,
+    /// Version in force at the upstream.
+    pub version: Option<Version>,
+    /// Number of shards that it holds.
+    pub held: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Requests run since the last report, by this dispatcher.
+    pub served: u32,
+    /// Slots of its allowance that were busy on average, in thousandths.
+    pub busy: u32,
+}
+
+/// The holder's answer to a report.
+#[data(key)]
+pub struct Lease {
+    /// Ballot of the holder.
+    pub ballot: Ballot,
+    /// Nonce of the report.
+    pub nonce: u64,
+    /// Length of the dispatch lease, counted from before the report was sent.
+    pub length: Duration,
+}
+
+/// What an upstream shall hold, sent to its primary and backup dispatcher.
+#[data(value)]
+pub struct Assignment {
+    /// Version; a higher one replaces a lower one.
+    pub version: Version,
+    /// Upstream that is meant.
+    pub upstream: Upstream,
+    /// Run of the upstream's process that is meant; 0 while unknown.
+    pub incarnation: u64,
+    /// Shards and their fencing epochs.
+    pub shards: Vec<(Shard, Epoch)>,
+    /// Slots that may be in use.
+    pub allowance: u16,
+    /// Dispatcher.
+    pub primary: Instance,
+    /// Stands in for the dispatcher at checked upstreams.
+    pub backup: Option<Instance>,
+}
+
+/// Message between two instances.
+#[data(value)]
+pub enum Message {
+    /// Question of a candidate or holder.
+    Ask(Ask),
+    /// Answer of a voter.
+    Vote(Vote),
+    /// Report of an instance to the holder.
+    Report(Report),
+    /// Answer of the holder to a report.
+    Lease(Lease),
+    /// Order of the holder to a dispatcher.
+    Assign(Assignment),
+    /// The dispatcher has taken the assignment over.
+    Assigned(Upstream, Version),
+    /// Order to renew nothing older than the version at the upstream.
+    Stop(Upstream, Version),
+    /// Nothing older is renewed; the last grant ends after the given time.
+    Stopped(Upstream, Version, Duration),
+    /// Request to support the extension of a dispatch lease in an isolated
+    /// failure domain; the nonce dates the answer.
+    Extend(u64),
+    /// Support for an extension, or its refusal.
+    Extended(u64, bool),
+    /// The holder asks a member not to support extensions before the time is over.
+    Withhold(u64, Duration),
+    /// The member supports no extension for the time that was asked.
+    Withheld(u64),
+    /// The next log offset of the sender, so that others learn that they lag.
+    Progress(Offset),
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/medlarreel/src/bin/medlarctl.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
