Read presets from INI text with the line of every mistake

rust-ini has no line numbers and stops at the first error, so each line is parsed on its own and sections, keys and duplicates are tracked by line. Preset::parse now returns checked values or all mistakes at once.

--- /dev/null
+++ b/crates/core/src/config/value.rs
@@ -0,0 +1,211 @@
+//! Typed readers for the values of settings and presets.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use crate::code::Code;
+
+/// Longest name, in bytes; the limit of a DNS label.
+pub const MAX_NAME: usize = 63;
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * 1024;
+
+/// Why a value was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Flaw {
+    /// What is wrong.
+    pub code: Code,
+    /// What was expected.
+    pub expected: String,
+    /// What to do about it.
+    pub hint: &'static str,
+    /// Whether the value must not be shown.
+    pub secret: bool,
+}
+
+impl Flaw {
+    /// Value that cannot be read.
+    pub fn bad(expected: impl Into<String>, hint: &'static str) -> Flaw {
+        Flaw {
+            code: Code::BadValue,
+            expected: expected.into(),
+            hint,
+            secret: false,
+        }
+    }
+
+    /// The same flaw, without showing the value.
+    pub fn hidden(self) -> Flaw {
+        Flaw {
+            secret: true,
+            ..self
+        }
+    }
+
+    fn unit(expected: String) -> Flaw {
+        Flaw {
+            code: Code::BadUnit,
+            ..Flaw::bad(expected, "write the number followed by its unit")
+        }
+    }
+
+    fn range(expected: String) -> Flaw {
+        Flaw {
+            code: Code::OutOfRange,
+            ..Flaw::bad(expected, "choose a value within the range")
+        }
+    }
+}
+
+/// Name in lower-case words with digits, joined by dashes.
+///
+/// # Errors
+///
+/// `BadValue` for any other text.
+pub fn name(text: &str) -> Result<String, Flaw> {
+    let word = |word: &str| {
+        let mut bytes = word.bytes();
+        !word.is_empty() && bytes.all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit())
+    };
+    let begins = text.starts_with(|first: char| first.is_ascii_lowercase());
+    if begins && text.len() <= MAX_NAME && text.split('-').all(word) {
+        return Ok(text.to_owned());
+    }
+    let expected = format!("a name of at most {MAX_NAME} characters, such as `loft-2`");
+    Err(Flaw::bad(
+        expected,
+        "use lower-case letters, digits and single dashes, beginning with a letter",
+    ))
+}
+
+/// `yes` or `no`.
+///
+/// # Errors
+///
+/// `BadValue` for any other text.
+pub fn flag(text: &str) -> Result<bool, Flaw> {
+    choice(&[("yes", true), ("no", false)])(text)
+}
+
+/// One of the given words.
+pub fn choice<T: Copy>(options: &[(&'static str, T)]) -> impl Fn(&str) -> Result<T, Flaw> {
+    move |text| {
+        let found = options.iter().find(|(word, _)| *word == text);
+        found.map(|(_, value)| *value).ok_or_else(|| {
+            let words: Vec<_> = options.iter().map(|(word, _)| *word).collect();
+            Flaw::bad(words.join(" or "), "choose one of these words")
+        })
+    }
+}
+
+/// Whole number without a unit.
+pub fn number<T>(range: RangeInclusive<T>) -> impl Fn(&str) -> Result<T, Flaw>
+where
+    T: TryFrom<u64> + PartialOrd + Display,
+{
+    count("", range)
+}
+
+/// Whole number with a unit such as `slots`, `requests` or `%`.
+pub fn count<T>(unit: &'static str, range: RangeInclusive<T>) -> impl Fn(&str) -> Result<T, Flaw>
+where
+    T: TryFrom<u64> + PartialOrd + Display,
+{
+    move |text| {
+        let (from, to) = (range.start(), range.end());
+        let expected = || format!("{from} to {to} {unit}").trim_end().to_owned();
+        let (digits, given) = split(text, expected)?;
+        if given != unit {
+            return Err(Flaw::unit(expected()));
+        }
+        let value = digits.and_then(|value| T::try_from(value).ok());
+        let value = value.filter(|value| range.contains(value));
+        value.ok_or_else(|| Flaw::range(expected()))
+    }
+}
+
+/// Percentage.
+pub fn percent(range: RangeInclusive<u8>) -> impl Fn(&str) -> Result<u8, Flaw> {
+    count("%", range)
+}
+
+/// Length of time in `ms`, `s` or `min`.
+pub fn duration(range: RangeInclusive<Duration>) -> impl Fn(&str) -> Result<Duration, Flaw> {
+    move |text| {
+        let (from, to) = (show_duration(*range.start()), show_duration(*range.end()));
+        let expected = || format!("{from} to {to}, in ms, s or min");
+        let (digits, unit) = split(text, expected)?;
+        let factor = match unit {
+            "ms" => 1,
+            "s" => 1_000,
+            "min" => 60_000,
+            _ => return Err(Flaw::unit(expected())),
+        };
+        let value = digits.and_then(|value| value.checked_mul(factor));
+        let value = value.map(Duration::from_millis);
+        let value = value.filter(|value| range.contains(value));
+        value.ok_or_else(|| Flaw::range(expected()))
+    }
+}
+
+/// Number of bytes in `KiB` or `MiB`.
+pub fn size(range: RangeInclusive<u32>) -> impl Fn(&str) -> Result<u32, Flaw> {
+    move |text| {
+        let (from, to) = (show_size(*range.start()), show_size(*range.end()));
+        let expected = || format!("{from} to {to}, in KiB or MiB");
+        let (digits, unit) = split(text, expected)?;
+        let factor = match unit {
+            "KiB" => KIB,
+            "MiB" => MIB,
+            _ => return Err(Flaw::unit(expected())),
+        };
+        let value = digits.and_then(|value| value.checked_mul(factor));
+        let value = value.and_then(|value| u32::try_from(value).ok());
+        let value = value.filter(|value| range.contains(value));
+        value.ok_or_else(|| Flaw::range(expected()))
+    }
+}
+
+/// Address as `ip:port`; host names are not resolved.
+///
+/// # Errors
+///
+/// `BadValue` for any other text, `OutOfRange` for port 0.
+pub fn address(text: &str) -> Result<SocketAddr, Flaw> {
+    let expected = "an address such as 127.0.0.1:7000 or [::1]:7000";
+    let hint = "write an IP address and a port; host names are not looked up";
+    let address: SocketAddr = text.parse().map_err(|_| Flaw::bad(expected, hint))?;
+    match address.port() {
+        0 => Err(Flaw::range("a port from 1 to 65535".into())),
+        _ => Ok(address),
+    }
+}
+
+/// Text of a duration in the largest unit that divides it.
+pub fn show_duration(duration: Duration) -> String {
+    match duration.as_millis() {
+        ms if ms > 0 && ms.is_multiple_of(60_000) => format!("{} min", ms / 60_000),
+        ms if ms > 0 && ms.is_multiple_of(1_000) => format!("{} s", ms / 1_000),
+        ms => format!("{ms} ms"),
+    }
+}
+
+/// Text of a size in the largest unit that divides it.
+pub fn show_size(bytes: u32) -> String {
+    match u64::from(bytes) {
+        bytes if bytes > 0 && bytes.is_multiple_of(MIB) => format!("{} MiB", bytes / MIB),
+        bytes => format!("{} KiB", bytes / KIB),
+    }
+}
+
+/// Number and unit of a value; the number is `None` if it exceeds 64 bits.
+fn split(text: &str, expected: impl Fn() -> String) -> Result<(Option<u64>, &str), Flaw> {
+    let end = text.bytes().take_while(u8::is_ascii_digit).count();
+    if end == 0 {
+        return Err(Flaw::bad(expected(), "write a whole number first"));
+    }
+    Ok((text[..end].parse().ok(), text[end..].trim_start()))
+}
--- a/crates/core/src/preset.rs
+++ b/crates/core/src/preset.rs
@@ -8,20 +8,9 @@
 
 use medlarreel_macros::data;
 
-use crate::code::Code;
-
-/// A mistake in a preset or settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Mistake {
-    /// Line, from 1.
-    pub line: usize,
-    /// What is wrong.
-    pub code: Code,
-    /// The offending text and what was expected.
-    pub detail: String,
-    /// What to do about it.
-    pub hint: &'static str,
-}
+pub mod parse;
+
+pub use crate::config::Mistake;
 
 /// Number of ranks.
 pub const RANKS: usize = 3;
@@ -158,19 +147,3 @@
         self.services.iter().find(|service| service.name == name)
     }
 }
-
-impl Preset {
-    /// Reads a preset from INI text.
-    ///
-    /// # Errors
-    ///
-    /// Every mistake in the text, with its line.
-    pub fn parse(_text: &str) -> Result<Preset, Vec<Mistake>> {
-        Err(vec![Mistake {
-            line: 1,
-            code: Code::Syntax,
-            detail: String::new(),
-            hint: "",
-        }])
-    }
-}
--- /dev/null
+++ b/crates/core/src/preset/parse.rs
@@ -0,0 +1,301 @@
+//! Conversion of preset text.
+//!
+//! The fold runs this on every instance, so the rules are part of the state
+//! machine: a change to what is accepted needs a new record version, or
+//! instances of different releases would disagree about the same record.
+
+use std::time::Duration;
+
+use super::{
+    ClubShare, Fencing, Isolation, Mistake, Preset, RANKS, Rank, RankLimits, ServiceLimits,
+};
+use crate::code::Code;
+use crate::config::value::{choice, count, duration, flag, name, number, percent, size};
+use crate::config::{Document, Flaw, Section, Shape};
+
+/// Largest text of a preset, in bytes; leaves room for its envelope in one record.
+pub const MAX_TEXT: usize = 128 * 1024;
+
+/// Largest budget in slots; its hundredfold still fits 32 bits.
+pub const MAX_BUDGET: u32 = 40_000_000;
+
+/// Largest number of shards over all services; bounds the plans' memory to 16 MiB.
+pub const MAX_SHARDS: u32 = 1 << 20;
+
+/// Largest sum of floors, in percent; the rest stays for urgent work.
+pub const MAX_FLOORS: u32 = 80;
+
+/// Shards of a keyed service that names no number.
+pub const DEFAULT_SHARDS: u16 = 1_024;
+
+/// Longest deadline; idempotency keys are remembered for 60 s.
+const MAX_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Longest request lifetime: one day.
+const MAX_LIFETIME: Duration = Duration::from_secs(24 * 60 * 60);
+
+const MS: Duration = Duration::from_millis(1);
+const KIB: u32 = 1024;
+const MIB: u32 = 1024 * KIB;
+
+/// Path prefix that upstreams serve to the router itself.
+const RESERVED: &str = "medlar";
+
+/// Sections of a preset.
+pub const SHAPES: &[Shape] = &[
+    Shape {
+        kind: "preset",
+        named: false,
+        keys: &["name", "budget", "retry"],
+    },
+    Shape {
+        kind: "club",
+        named: true,
+        keys: &["share", "weight"],
+    },
+    Shape {
+        kind: "service",
+        named: true,
+        keys: &[
+            "club",
+            "keyed",
+            "shards",
+            "slots",
+            "connections",
+            "fencing",
+            "isolation",
+            "request_lifetime",
+            "deduplicates",
+            "queue",
+            "max_body",
+        ],
+    },
+    Shape {
+        kind: "rank",
+        named: true,
+        keys: &["deadline", "floor"],
+    },
+];
+
+impl Preset {
+    /// Reads a preset from INI text.
+    ///
+    /// # Errors
+    ///
+    /// Every mistake in the text, with its line.
+    pub fn parse(text: &str) -> Result<Preset, Vec<Mistake>> {
+        let document = Document::read(text, SHAPES);
+        if text.len() > MAX_TEXT {
+            let detail = format!("{} bytes of text: expected at most {MAX_TEXT}", text.len());
+            let hint = "remove comments or services that are not in use";
+            document.note(1, Code::OutOfRange, detail, hint);
+        }
+        let preset = read(&document);
+        document.finish(preset)
+    }
+}
+
+fn read(document: &Document) -> Option<Preset> {
+    let head = document.require("preset");
+    let name = head.and_then(|head| head.require("name", name));
+    let budget = count("slots", 1..=MAX_BUDGET);
+    let budget = head.and_then(|head| head.require("budget", budget));
+    let retry = head.and_then(|head| head.or("retry", percent(0..=100), 10));
+    let clubs = clubs(document);
+    let services = services(document);
+    let ranks = ranks(document);
+    Some(Preset {
+        name: name?,
+        budget: budget?,
+        clubs: clubs?,
+        services: services?,
+        ranks: ranks?,
+        retry: retry?,
+    })
+}
+
+fn clubs(document: &Document) -> Option<Vec<ClubShare>> {
+    if document.sections("club").next().is_none() {
+        document.note_missing("[club NAME]".into());
+    }
+    let clubs: Vec<_> = document.sections("club").map(club).collect();
+    let sum: u32 = clubs
+        .iter()
+        .flatten()
+        .map(|club| u32::from(club.share))
+        .sum();
+    if let Some(last) = document.sections("club").last().filter(|_| sum > 100) {
+        let detail = format!("the clubs' shares add up to {sum} %: expected at most 100 %");
+        last.note("share", Code::Inconsistent, detail, "lower a share");
+    }
+    clubs.into_iter().collect()
+}
+
+fn club(section: Section<'_>) -> Option<ClubShare> {
+    let name = section.checked_name();
+    let share = section.require("share", percent(0..=100));
+    let weight = section.or("weight", number(1..=1_000), 1);
+    Some(ClubShare {
+        name: name?,
+        share: share?,
+        weight: weight?,
+    })
+}
+
+fn services(document: &Document) -> Option<Vec<ServiceLimits>> {
+    if document.sections("service").next().is_none() {
+        document.note_missing("[service NAME]".into());
+    }
+    let sections = document.sections("service");
+    let services: Vec<_> = sections.map(|section| service(document, section)).collect();
+    let shards: u32 = services
+        .iter()
+        .flatten()
+        .map(|entry| u32::from(entry.shards))
+        .sum();
+    if let Some(last) = document
+        .sections("service")
+        .last()
+        .filter(|_| shards > MAX_SHARDS)
+    {
+        let detail = format!("{shards} shards in all: expected at most {MAX_SHARDS}");
+        last.note(
+            "shards",
+            Code::Inconsistent,
+            detail,
+            "lower a service's shards",
+        );
+    }
+    services.into_iter().collect()
+}
+
+fn service(document: &Document, section: Section<'_>) -> Option<ServiceLimits> {
+    let name = section.checked_name();
+    let club = section.require("club", name_of_club);
+    let keyed = section.require("keyed", flag);
+    let shards = section.or("shards", number(1..=u16::MAX), DEFAULT_SHARDS);
+    let slots = section.require("slots", count("slots", 1..=10_000u16));
+    let connections = section.require("connections", number(1..=10_000u16));
+    let fencing = section.require("fencing", fencing);
+    let isolation = section.or("isolation", isolation, Isolation::Lapse);
+    let request_lifetime = section.or("request_lifetime", lifetime, None);
+    let deduplicates = section.or("deduplicates", flag, false);
+    let queue = section.or("queue", count("requests", 1..=100_000u32), 256);
+    let max_body = section.or("max_body", size(KIB..=64 * MIB), MIB);
+    check_reserved(section);
+    check_club(document, section, club.as_deref());
+    check_shards(section, keyed);
+    check_connections(section, slots, connections);
+    Some(ServiceLimits {
+        name: name?,
+        club: club?,
+        shards: if keyed? { shards? } else { 1 },
+        keyed: keyed?,
+        slots: slots?,
+        connections: connections?,
+        fencing: fencing?,
+        isolation: isolation?,
+        request_lifetime: request_lifetime?,
+        deduplicates: deduplicates?,
+        queue: queue?,
+        max_body: max_body?,
+    })
+}
+
+fn name_of_club(text: &str) -> Result<String, Flaw> {
+    name(text)
+}
+
+fn fencing(text: &str) -> Result<Fencing, Flaw> {
+    choice(&[
+        ("checked", Fencing::Checked),
+        ("unchecked", Fencing::Unchecked),
+    ])(text)
+}
+
+fn isolation(text: &str) -> Result<Isolation, Flaw> {
+    choice(&[("lapse", Isolation::Lapse), ("keep", Isolation::Keep)])(text)
+}
+
+fn lifetime(text: &str) -> Result<Option<Duration>, Flaw> {
+    match text {
+        "never" => Ok(None),
+        _ => duration(MS..=MAX_LIFETIME)(text).map(Some),
+    }
+}
+
+fn check_reserved(section: Section<'_>) {
+    if section.name() == RESERVED {
+        let detail = format!("[service {RESERVED}]: upstreams serve /{RESERVED} to the router");
+        let hint = "choose another name for the service";
+        section.note("", Code::BadValue, detail, hint);
+    }
+}
+
+fn check_club(document: &Document, section: Section<'_>, club: Option<&str>) {
+    let known = |club: &str| document.sections("club").any(|entry| entry.name() == club);
+    if let Some(club) = club.filter(|club| !known(club)) {
+        let detail = format!("`club = {club}`: there is no section [club {club}]");
+        let hint = "add the club's section or correct the name";
+        section.note("club", Code::Inconsistent, detail, hint);
+    }
+}
+
+fn check_shards(section: Section<'_>, keyed: Option<bool>) {
+    if keyed == Some(false) && section.has("shards") {
+        let detail = "`shards` is given for a service that is not keyed".into();
+        let hint = "remove `shards` or set `keyed = yes`";
+        section.note("shards", Code::Inconsistent, detail, hint);
+    }
+}
+
+fn check_connections(section: Section<'_>, slots: Option<u16>, connections: Option<u16>) {
+    // HTTP/1.1 carries one request per connection at a time.
+    if let (Some(slots), Some(connections)) = (slots, connections)
+        && connections < slots
+    {
+        let detail = format!("{connections} connections cannot fill {slots} slots");
+        let hint = "allow at least as many connections as slots";
+        section.note("connections", Code::Inconsistent, detail, hint);
+    }
+}
+
+fn ranks(document: &Document) -> Option<[RankLimits; RANKS]> {
+    for section in document.sections("rank") {
+        if Rank::parse(section.name()).is_none() {
+            let detail = format!(
+                "[rank {}]: expected status, order or archive",
+                section.name()
+            );
+            section.note("", Code::UnknownSection, detail, "correct the rank's name");
+        }
+    }
+    let ranks = Rank::ALL.map(|rank| {
+        let section = document.require_named("rank", rank.text())?;
+        rank_limits(section)
+    });
+    let sum: u32 = ranks
+        .iter()
+        .flatten()
+        .map(|rank| u32::from(rank.floor))
+        .sum();
+    if let Some(last) = document
+        .sections("rank")
+        .last()
+        .filter(|_| sum > MAX_FLOORS)
+    {
+        let detail = format!("the floors add up to {sum} %: expected at most {MAX_FLOORS} %");
+        last.note("floor", Code::Inconsistent, detail, "lower a floor");
+    }
+    let [status, order, archive] = ranks;
+    Some([status?, order?, archive?])
+}
+
+fn rank_limits(section: Section<'_>) -> Option<RankLimits> {
+    let deadline = section.require("deadline", duration(MS..=MAX_DEADLINE));
+    let floor = section.or("floor", percent(0..=80), 0);
+    Some(RankLimits {
+        deadline: deadline?,
+        floor: floor?,
+    })
+}
