--- /dev/null
+++ b/crates/core/src/machine.rs
@@ -0,0 +1,422 @@
+//! Composition of the state machines of one instance.
+//!
+//! `Machine::handle` takes every event that concerns control state and returns
+//! what is to be done. The caller owns clocks, sockets and random numbers.
+//! Traffic is served from what the machine publishes: the fold, from which the
+//! routing table is derived, and the permits of the dispatcher.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use medlarreel_macros::data;
+
+use crate::control::Election;
+use crate::fold::State;
+use crate::grant::dispatcher::{self, Dispatcher};
+use crate::grant::{Answer, Request};
+use crate::holder::{self, Holder};
+use crate::ids::{Ballot, Club, Instance, Offset, Proposal, Upstream};
+use crate::preset::Fencing;
+use crate::record::{Body, Member, Record};
+use crate::time::Time;
+use crate::wire::{Message, Report};
+
+mod recovery;
+mod replay;
+
+pub use replay::Source;
+
+/// Time between reports to the holder; also renews the dispatch lease.
+pub const REPORT_EVERY: Duration = Duration::from_millis(400);
+
+/// Time between hints to other members about the log's end.
+pub const PROGRESS_EVERY: Duration = Duration::from_millis(500);
+
+/// Entry of the platform's list.
+#[data(value)]
+pub struct Listed {
+    /// Name of the upstream.
+    pub name: String,
+    /// Name of its service.
+    pub service: String,
+    /// Name of its failure domain.
+    pub domain: String,
+    /// Address of its HTTP listener.
+    pub address: SocketAddr,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Class, where it differs from the service's.
+    pub fencing: Option<Fencing>,
+    /// Capacity relative to others, where it differs from the service's slots.
+    pub weight: Option<u16>,
+}
+
+/// Something that happened outside.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; carries a random number.
+    Tick(u64),
+    /// Records were read, in offset order.
+    Records(Source, Vec<(Offset, Bytes)>),
+    /// The log answered a read; its next offset.
+    LogEnd(Offset),
+    /// Records before the offset have been trimmed.
+    Trimmed(Offset),
+    /// A message arrived from an authenticated instance.
+    Message(Instance, Message),
+    /// The platform's list was read.
+    Listed(Vec<Listed>),
+    /// An upstream answered a query or grant that was asked at the given time.
+    Answered(Upstream, Time, Answer),
+    /// An upstream did not answer a query or grant.
+    Unanswered(Upstream),
+    /// What the traffic threads did at an upstream since the last such event.
+    Traffic(Upstream, dispatcher::Traffic),
+    /// The instance is shutting down.
+    Stop,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message to an instance's peer address.
+    Send(SocketAddr, Message),
+    /// Append a record to the control stream.
+    Append(Record),
+    /// Ask an upstream for its state.
+    Query(Upstream),
+    /// Send a grant to an upstream.
+    Grant(Upstream, Request),
+    /// Read records from the peer, from the next offset on.
+    Fetch(SocketAddr),
+}
+
+/// State machines of one instance.
+#[derive(Debug)]
+pub struct Machine {
+    me: Member,
+    state: Arc<State>,
+    replay: replay::Replay,
+    recovery: recovery::Recovery,
+    election: Election,
+    dispatcher: Dispatcher,
+    holder: Option<Holder>,
+    report: Option<Pending>,
+    reported: Time,
+    hinted: Time,
+    nonce: u64,
+    appended: u64,
+    listed: Vec<Listed>,
+    stopping: bool,
+}
+
+/// A report that waits for its lease.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    nonce: u64,
+    sent: Time,
+}
+
+/// Queries.
+impl Machine {
+    /// What the log says.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Identity and addresses of this instance.
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
+    /// Whether the state has been established, from the log's end or a peer.
+    pub fn established(&self) -> bool {
+        self.replay.established()
+    }
+
+    /// Ballot under which this instance holds control now.
+    pub fn control(&self, now: Time) -> Option<Ballot> {
+        self.election.lease(now)
+    }
+
+    /// Likely control holder.
+    pub fn holder(&self, now: Time) -> Option<Instance> {
+        self.election.lease(now).map(|ballot| ballot.instance).or(self.election.holder(now))
+    }
+
+    /// The dispatcher's state.
+    pub fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    /// Duties of the control holder, while this instance has them.
+    pub fn duties(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// Next offset to read.
+    pub fn next(&self) -> Offset {
+        self.state.next()
+    }
+
+    fn club(&self) -> Option<Club> {
+        self.state.club_named(&self.me.club)
+    }
+}
+
+/// Commands.
+impl Machine {
+    /// Machine of a process that has just started.
+    pub fn new(me: Member, now: Time) -> Machine {
+        Machine {
+            state: Arc::default(),
+            replay: replay::Replay::default(),
+            recovery: recovery::Recovery::new(now),
+            election: Election::new(me.instance, now),
+            dispatcher: Dispatcher::new(me.instance),
+            holder: None,
+            report: None,
+            reported: Time(0),
+            hinted: Time(0),
+            nonce: 0,
+            appended: 0,
+            listed: Vec::new(),
+            stopping: false,
+            me,
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let mut queue = Queue::default();
+        match event {
+            Event::Tick(random) => self.tick(now, random, &mut queue),
+            Event::Records(source, records) => self.replay_records(now, source, records),
+            Event::LogEnd(next) => self.log_answered(now, next),
+            Event::Trimmed(earliest) => self.replay.trimmed(earliest),
+            Event::Message(from, message) => self.receive(now, from, message, &mut queue),
+            Event::Listed(listed) => self.listed = listed,
+            Event::Answered(upstream, asked, answer) => {
+                self.dispatcher.answered(now, upstream, asked, answer);
+            }
+            Event::Unanswered(upstream) => self.dispatcher.failed(now, upstream),
+            Event::Traffic(upstream, traffic) => self.dispatcher.traffic(now, upstream, traffic),
+            Event::Stop => self.stop(now, &mut queue),
+        }
+        self.settle(now, queue)
+    }
+
+    /// Delivers messages to this instance itself and resolves addresses.
+    fn settle(&mut self, now: Time, mut queue: Queue) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(step) = queue.0.pop_front() {
+            match step {
+                Step::Act(action) => actions.push(action),
+                Step::Send(to, message) if to == self.me.instance => {
+                    self.receive(now, to, message, &mut queue);
+                }
+                Step::Send(to, message) => {
+                    if let Some(address) = self.address(to) {
+                        actions.push(Action::Send(address, message));
+                    }
+                }
+                Step::Propose(body) => actions.push(Action::Append(self.propose(body))),
+            }
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Time, random: u64, queue: &mut Queue) {
+        if !self.established() {
+            return;
+        }
+        queue.send_all(self.election.tick(now, random));
+        self.take_or_leave_control(now);
+        self.run_duties(now, random, queue);
+        for action in self.dispatcher.tick(now) {
+            queue.act(match action {
+                dispatcher::Action::Query(upstream) => Action::Query(upstream),
+                dispatcher::Action::Grant(upstream, request) => Action::Grant(upstream, request),
+            });
+        }
+        self.report_due(now, random, queue);
+        self.hint_due(now, random, queue);
+        self.reset_due(now, queue);
+    }
+
+    fn take_or_leave_control(&mut self, now: Time) {
+        let ballot = self.election.lease(now);
+        let current = self.holder.as_ref().map(Holder::ballot);
+        if ballot != current {
+            self.holder = ballot.map(|ballot| Holder::new(now, ballot, &self.me));
+        }
+    }
+
+    fn run_duties(&mut self, now: Time, random: u64, queue: &mut Queue) {
+        let settled = self.election.members_known(now);
+        let Some(duties) = &mut self.holder else { return };
+        duties.listed(&self.listed);
+        duties.members_settled(settled);
+        queue.perform(duties.tick(now, &self.state, random));
+    }
+
+    fn receive(&mut self, now: Time, from: Instance, message: Message, queue: &mut Queue) {
+        self.recovery.heard(now, &message);
+        match message {
+            Message::Ask(ask) => {
+                let vote = self.election.ask(now, from, ask);
+                queue.send(from, Message::Vote(vote));
+            }
+            Message::Vote(vote) => self.election.vote(now, from, vote),
+            Message::Lease(lease) => self.leased(now, lease),
+            Message::Assign(assignment) => {
+                let answer = self.dispatcher.assign(now, assignment);
+                queue.send_some(from, answer);
+            }
+            Message::Stop(upstream, version) => {
+                let answer = self.dispatcher.stop(now, upstream, version);
+                queue.send_some(from, answer);
+            }
+            Message::Progress(next) => self.lagging(from, next, queue),
+            other => self.receive_duty(now, from, other, queue),
+        }
+    }
+
+    /// Takes a message that concerns the control holder only.
+    fn receive_duty(&mut self, now: Time, from: Instance, message: Message, queue: &mut Queue) {
+        if self.election.lease(now).is_none() {
+            return;
+        }
+        let Some(duties) = &mut self.holder else { return };
+        queue.perform(duties.receive(now, from, message, &self.state));
+    }
+
+    fn leased(&mut self, now: Time, lease: crate::wire::Lease) {
+        let Some(pending) = self.report.filter(|pending| pending.nonce == lease.nonce) else {
+            return;
+        };
+        self.report = None;
+        self.dispatcher.leased(now, pending.sent, lease);
+    }
+
+    fn lagging(&mut self, from: Instance, next: Offset, queue: &mut Queue) {
+        if next <= self.state.next() {
+            return;
+        }
+        if let Some(address) = self.address(from) {
+            queue.act(Action::Fetch(address));
+        }
+    }
+
+    fn report_due(&mut self, now: Time, random: u64, queue: &mut Queue) {
+        if now.since(self.reported) < REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        self.nonce += 1;
+        self.report = Some(Pending { nonce: self.nonce, sent: now });
+        let report = Report {
+            member: self.me.clone(),
+            nonce: self.nonce,
+            highest: self.election.highest(),
+            next: self.state.next(),
+            leaving: self.stopping,
+            upstreams: self.dispatcher.observed(now),
+        };
+        for to in self.report_targets(now, random) {
+            queue.send(to, Message::Report(report.clone()));
+        }
+    }
+
+    /// The holder, or some members while it is not known.
+    fn report_targets(&self, now: Time, random: u64) -> Vec<Instance> {
+        if let Some(holder) = self.holder(now) {
+            return vec![holder];
+        }
+        let Some(club) = self.club().map(|club| self.state.club(club)) else { return Vec::new() };
+        let last = club.highest.map(|ballot| ballot.instance);
+        let count = club.members.len().max(1);
+        let start = random as usize % count;
+        let others = club.members.iter().cycle().skip(start).take(count.min(3));
+        last.into_iter().chain(others.map(|member| member.instance)).collect()
+    }
+
+    fn hint_due(&mut self, now: Time, random: u64, queue: &mut Queue) {
+        if now.since(self.hinted) < PROGRESS_EVERY {
+            return;
+        }
+        self.hinted = now;
+        let Some(club) = self.club().map(|club| self.state.club(club)) else { return };
+        let count = club.members.len().max(1);
+        if let Some(member) = club.members.get(random as usize % count) {
+            queue.send(member.instance, Message::Progress(self.state.next()));
+        }
+    }
+
+    fn stop(&mut self, now: Time, queue: &mut Queue) {
+        self.stopping = true;
+        self.reported = Time(0);
+        self.report_due(now, 0, queue);
+        self.election.resign(now);
+        self.holder = None;
+    }
+
+    fn propose(&mut self, body: Body) -> Record {
+        self.appended += 1;
+        let seed = (self.me.instance.0, self.appended);
+        let bytes = [seed.0.to_le_bytes(), seed.1.to_le_bytes()].concat();
+        let proposal = Proposal(xxhash_rust::xxh3::xxh3_64(&bytes));
+        Record { proposal, body }
+    }
+
+    fn address(&self, instance: Instance) -> Option<SocketAddr> {
+        let members = self.state.clubs().iter().flat_map(|club| &club.members);
+        let known = members.filter(|member| member.instance == instance);
+        known.map(|member| member.peers).next()
+    }
+}
+
+/// Steps that the parts asked for.
+#[derive(Debug, Default)]
+struct Queue(VecDeque<Step>);
+
+#[derive(Debug)]
+enum Step {
+    Act(Action),
+    Send(Instance, Message),
+    Propose(Body),
+}
+
+impl Queue {
+    fn act(&mut self, action: Action) {
+        self.0.push_back(Step::Act(action));
+    }
+
+    fn send(&mut self, to: Instance, message: Message) {
+        self.0.push_back(Step::Send(to, message));
+    }
+
+    fn send_some(&mut self, to: Instance, message: Option<Message>) {
+        self.0.extend(message.map(|message| Step::Send(to, message)));
+    }
+
+    fn send_all(&mut self, messages: Vec<(Instance, Message)>) {
+        self.0.extend(messages.into_iter().map(|(to, message)| Step::Send(to, message)));
+    }
+
+    fn propose(&mut self, body: Body) {
+        self.0.push_back(Step::Propose(body));
+    }
+
+    fn perform(&mut self, actions: Vec<holder::Action>) {
+        for action in actions {
+            match action {
+                holder::Action::Send(to, message) => self.send(to, message),
+                holder::Action::Append(body) => self.propose(body),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/machine/replay.rs
@@ -0,0 +1,146 @@
+//! Replay of the control stream, from the log or from peers.
+//!
+//! While records before the next offset have been trimmed, the stream is read
+//! from its earliest record on until a checkpoint is complete that loses no
+//! record; the records after it are then replayed.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use medlarreel_macros::data;
+
+use super::Machine;
+use crate::checkpoint::Assembler;
+use crate::fold::State;
+use crate::ids::Offset;
+use crate::record::{Body, Record};
+use crate::time::Time;
+
+/// Where records come from.
+#[data(key)]
+pub enum Source {
+    /// The log service.
+    Log,
+    /// Another instance.
+    Peer,
+}
+
+/// Progress of the replay.
+#[derive(Debug, Default)]
+pub struct Replay {
+    established: bool,
+    restore: Option<Restore>,
+}
+
+/// Search for a usable checkpoint.
+#[derive(Debug)]
+struct Restore {
+    earliest: Offset,
+    next: Offset,
+    assembler: Assembler,
+    records: Vec<(Offset, Bytes)>,
+}
+
+impl Replay {
+    pub(super) fn established(&self) -> bool {
+        self.established
+    }
+
+    /// Starts over at the earliest record that is left.
+    pub(super) fn trimmed(&mut self, earliest: Offset) {
+        let (assembler, records) = (Assembler::default(), Vec::new());
+        self.restore = Some(Restore { earliest, next: earliest, assembler, records });
+    }
+}
+
+impl Restore {
+    /// Takes a record; returns the state once a usable checkpoint is complete.
+    fn take(&mut self, offset: Offset, bytes: Bytes) -> Option<State> {
+        if offset < self.next {
+            return None;
+        }
+        self.next = offset.next();
+        let record = Record::decode(&bytes);
+        self.records.push((offset, bytes));
+        let Ok(Record { body: Body::Checkpoint(chunk), .. }) = record else { return None };
+        let state = self.assembler.take(&chunk)?;
+        // Records between the copy and the earliest one left would be missing.
+        (state.next() >= self.earliest).then_some(state)
+    }
+}
+
+impl Machine {
+    /// Offset from which records shall be read.
+    pub fn read_from(&self) -> Offset {
+        let restore = self.replay.restore.as_ref();
+        restore.map_or(self.state.next(), |restore| restore.next)
+    }
+
+    /// Takes a copy of the state from a peer while the log is away.
+    pub fn adopt(&mut self, now: Time, state: State) {
+        if state.next() <= self.state.next() {
+            return;
+        }
+        self.state = Arc::new(state);
+        self.replay.established = true;
+        self.membership_changed(now);
+    }
+
+    pub(super) fn replay_records(
+        &mut self,
+        now: Time,
+        source: Source,
+        records: Vec<(Offset, Bytes)>,
+    ) {
+        let before = self.state.next();
+        for (offset, bytes) in records {
+            if source == Source::Log && self.replay.restore.is_some() {
+                self.restore(offset, bytes);
+            } else if offset == self.state.next() {
+                self.apply(offset, &bytes);
+            }
+        }
+        if self.state.next() != before {
+            self.membership_changed(now);
+        }
+    }
+
+    /// The log's end is known; the state is established once it reaches that far.
+    pub(super) fn log_answered(&mut self, now: Time, end: Offset) {
+        if self.replay.restore.is_none() && self.state.next() >= end {
+            self.replay.established = true;
+        }
+        self.recovery.log_answered(now);
+    }
+
+    fn restore(&mut self, offset: Offset, bytes: Bytes) {
+        let Some(restore) = &mut self.replay.restore else { return };
+        let Some(state) = restore.take(offset, bytes) else { return };
+        let records = std::mem::take(&mut restore.records);
+        self.replay.restore = None;
+        if state.next() > self.state.next() {
+            self.state = Arc::new(state);
+        }
+        for (offset, bytes) in records {
+            if offset == self.state.next() {
+                self.apply(offset, &bytes);
+            }
+        }
+    }
+
+    fn apply(&mut self, offset: Offset, bytes: &[u8]) {
+        let state = Arc::make_mut(&mut self.state);
+        match Record::decode(bytes) {
+            // The fold remembers a rejected proposal's code for its author.
+            Ok(record) => drop(state.apply(offset, record)),
+            Err(_) => state.skip(offset),
+        }
+    }
+
+    fn membership_changed(&mut self, now: Time) {
+        let Some(club) = self.club() else { return };
+        let club = self.state.club(club);
+        self.election.observe(now, club);
+        self.recovery.holder_recorded(now, club.heard);
+    }
+}
--- /dev/null
+++ b/crates/medlarreel/src/app.rs
@@ -0,0 +1,207 @@
+//! What the traffic threads share.
+//!
+//! The control thread publishes an immutable `Snapshot`; the traffic threads
+//! read it without a lock.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue};
+use medlarreel_core::fold::State;
+use medlarreel_core::ids::{Instance, Offset, Upstream};
+use medlarreel_core::route::Table;
+use rand::Rng;
+
+use crate::clock::Clock;
+use crate::dispatch::{Lane, Pool};
+use crate::metrics::Metrics;
+use crate::proxy::call;
+use crate::proxy::retries::Retries;
+
+/// Number of records kept for peers that cannot reach the log.
+const KEPT_RECORDS: usize = 4_096;
+
+/// State of the system as the traffic threads see it.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// Whether the instance has established its state.
+    pub established: bool,
+    /// What the log says.
+    pub state: Arc<State>,
+    /// Likely control holder.
+    pub holder: Option<Instance>,
+    /// Where requests may be served.
+    pub table: Table,
+    /// Upstreams that this instance dispatches for.
+    pub lanes: HashMap<Upstream, Arc<Lane>>,
+    /// Connections to other instances.
+    pub peers: HashMap<Instance, Arc<Pool>>,
+}
+
+/// Shared state of one instance's traffic threads.
+#[derive(Debug)]
+pub struct App {
+    /// This instance.
+    pub me: Instance,
+    /// Name of this instance's club.
+    pub home: String,
+    /// Monotonic clock.
+    pub clock: Clock,
+    /// Token by which instances recognise each other's requests.
+    pub peer_token: HeaderValue,
+    /// Limit of open requests.
+    pub max_requests: u32,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Budget for retries.
+    pub retries: Retries,
+    snapshot: ArcSwap<Snapshot>,
+    requests: AtomicU32,
+    stopping: AtomicBool,
+    next_request: AtomicU64,
+    records: Mutex<VecDeque<(Offset, Bytes)>>,
+}
+
+/// An open request, counted until dropped.
+#[derive(Debug)]
+pub struct Open<'a>(&'a App);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl App {
+    /// Shared state of an instance that has not established its state yet.
+    pub fn new(
+        me: Instance,
+        home: String,
+        clock: Clock,
+        peer_token: HeaderValue,
+        max_requests: u32,
+    ) -> App {
+        App {
+            me,
+            home,
+            clock,
+            peer_token,
+            max_requests,
+            metrics: Metrics::new(),
+            retries: Retries::default(),
+            snapshot: ArcSwap::default(),
+            requests: AtomicU32::new(0),
+            stopping: AtomicBool::new(false),
+            // Identities travel as JSON numbers, which are exact only below 2^53.
+            next_request: AtomicU64::new(rand::rng().random::<u64>() >> 12),
+            records: Mutex::default(),
+        }
+    }
+
+    /// Snapshot in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Publishes a new snapshot to the traffic threads.
+    pub fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// Counts a request as open; `None` at the limit.
+    pub fn open(&self) -> Option<Open<'_>> {
+        let before = self.requests.fetch_add(1, Ordering::AcqRel);
+        let open = Open(self);
+        (before < self.max_requests).then_some(open)
+    }
+
+    /// Number of open requests.
+    pub fn requests(&self) -> u32 {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    /// Identity for the next attempt towards an upstream.
+    pub fn request_id(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Withdraws readiness before a shutdown.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether a shutdown has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether the headers carry the peer token.
+    pub fn is_peer(&self, headers: &HeaderMap) -> bool {
+        let given = headers.get(&call::PEER).map_or(&[][..], HeaderValue::as_bytes);
+        same(given, self.peer_token.as_bytes())
+    }
+
+    /// Keeps records for peers that cannot reach the log.
+    pub fn keep_records(&self, records: &[(Offset, Bytes)]) {
+        let mut kept = self.lock_records();
+        for record in records {
+            if kept.back().is_none_or(|last| last.0 < record.0) {
+                kept.push_back(record.clone());
+            }
+        }
+        let excess = kept.len().saturating_sub(KEPT_RECORDS);
+        kept.drain(..excess);
+    }
+
+    /// Records from an offset on; `None` if some of them are no longer kept.
+    pub fn records_from(&self, from: Offset) -> Option<Vec<(Offset, Bytes)>> {
+        let kept = self.lock_records();
+        let first = kept.front()?.0;
+        if from < first {
+            return None;
+        }
+        Some(kept.iter().filter(|record| record.0 >= from).cloned().collect())
+    }
+
+    fn lock_records(&self) -> std::sync::MutexGuard<'_, VecDeque<(Offset, Bytes)>> {
+        self.records.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Whether requests can be served now.
+    pub fn ready(&self) -> bool {
+        let snapshot = self.snapshot.load();
+        snapshot.established && snapshot.table.preset.is_some() && !self.stopping()
+    }
+}
+
+impl Snapshot {
+    /// Connections to the instance's peer listener.
+    pub fn peer(&self, instance: Instance) -> Option<&Arc<Pool>> {
+        self.peers.get(&instance)
+    }
+
+    /// Address of the instance's peer listener.
+    pub fn peer_address(&self, instance: Instance) -> Option<SocketAddr> {
+        self.table.peer(instance)
+    }
+}
+
+/// Up to `count` upstreams in random order.
+pub fn choose(upstreams: &[Upstream], count: usize) -> Vec<Upstream> {
+    let amount = count.min(upstreams.len());
+    let picked = rand::seq::index::sample(&mut rand::rng(), upstreams.len(), amount);
+    picked.into_iter().map(|index| upstreams[index]).collect()
+}
+
+/// Compares secrets in a time that does not depend on where they differ.
+pub fn same(left: &[u8], right: &[u8]) -> bool {
+    let difference = left.iter().zip(right).fold(0, |sum, (a, b)| sum | (a ^ b));
+    left.len() == right.len() && difference == 0
+}
--- /dev/null
+++ b/crates/medlarreel/src/dispatch.rs
@@ -0,0 +1,12 @@
+//! Dispatch of requests to upstreams.
+//!
+//! An instance dispatches for the upstreams that the control holder has
+//! assigned to it. Each has a `Lane`: the queue for its slots, its connections,
+//! and the permit under which requests may be sent. Lanes are published to the
+//! traffic threads in an immutable map.
+
+pub mod lane;
+pub mod pool;
+
+pub use lane::{Lane, Permit};
+pub use pool::{Answer, Failure, Pool};
--- /dev/null
+++ b/crates/medlarreel/src/metrics.rs
@@ -0,0 +1,132 @@
+//! Counters, in OpenMetrics form on the operators' address.
+
+use std::time::Duration;
+
+use medlarreel_core::code::Code;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::dispatch::Answer;
+use crate::proxy::{Call, Refusal};
+
+/// Smallest latency bucket, in seconds.
+const FIRST_BUCKET: f64 = 0.000_25;
+/// Ratio of neighbouring latency buckets.
+const BUCKET_RATIO: f64 = 2.0;
+/// Number of latency buckets; the largest is about 16 s.
+const BUCKETS: u16 = 17;
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Service.
+    pub service: String,
+    /// Rank.
+    pub rank: &'static str,
+    /// Club of the caller.
+    pub club: String,
+    /// Result code; 0 for an answer of an upstream.
+    pub code: u32,
+}
+
+/// Labels of latency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RankLabels {
+    /// Service.
+    pub service: String,
+    /// Rank.
+    pub rank: &'static str,
+}
+
+/// Labels of events that have only a name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EventLabels {
+    /// What happened.
+    pub event: &'static str,
+}
+
+/// All metrics of an instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<RankLabels, Histogram, fn() -> Histogram>,
+    events: Family<EventLabels, Counter>,
+    gauges: Family<EventLabels, Gauge>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_RATIO, BUCKETS))
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("medlarreel");
+        let requests = Family::default();
+        let new_histogram: fn() -> Histogram = latency_histogram;
+        let latency = Family::new_with_constructor(new_histogram);
+        let events = Family::default();
+        let gauges = Family::default();
+        registry.register("requests", "Finished requests by result code", requests.clone());
+        let text = "Time from arrival to answer";
+        registry.register_with_unit("latency", text, Unit::Seconds, latency.clone());
+        registry.register("events", "Control events", events.clone());
+        registry.register("state", "Control state", gauges.clone());
+        Metrics { registry, requests, latency, events, gauges }
+    }
+
+    /// Counts a request that was refused before it could be read.
+    pub fn refused(&self, code: Code) {
+        let labels = RequestLabels {
+            service: String::new(),
+            rank: "",
+            club: String::new(),
+            code: u32::from(code.number()),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a finished request.
+    pub fn finished(&self, call: &Call, outcome: &Result<Answer, Refusal>, taken: Duration) {
+        let code = outcome.as_ref().err().map_or(0, |refusal| refusal.code.number());
+        let labels = RequestLabels {
+            service: call.service.clone(),
+            rank: call.rank.text(),
+            club: call.club.clone(),
+            code: u32::from(code),
+        };
+        self.requests.get_or_create(&labels).inc();
+        let labels = RankLabels { service: call.service.clone(), rank: call.rank.text() };
+        self.latency.get_or_create(&labels).observe(taken.as_secs_f64());
+    }
+
+    /// Counts a control event.
+    pub fn event(&self, event: &'static str) {
+        self.events.get_or_create(&EventLabels { event }).inc();
+    }
+
+    /// Sets a value of the control state.
+    pub fn set(&self, name: &'static str, value: i64) {
+        self.gauges.get_or_create(&EventLabels { event: name }).set(value);
+    }
+
+    /// OpenMetrics text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        match prometheus_client::encoding::text::encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(_) => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarreel/src/peers.rs
@@ -0,0 +1,124 @@
+//! HTTP between instances: forwarded requests and copies of records.
+//!
+//! Frames travel by UDP, see `control`; this module serves and calls the HTTP
+//! side of the peer address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use http_body_util::Full;
+use medlarreel_core::fold::State;
+use medlarreel_core::ids::Offset;
+
+use crate::app::App;
+use crate::dispatch::Answer;
+use crate::listen::{Incoming, plain};
+use crate::platform::Failure;
+use crate::platform::http::Caller;
+use crate::proxy::{self, Head, call};
+
+/// Reading a copy from a peer ends after this time.
+const COPY_LIMIT: Duration = Duration::from_secs(5);
+
+/// Connection attempts end after this time.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+
+/// What a peer sent.
+#[derive(Debug)]
+pub enum Copied {
+    /// Records from the offset that was asked for.
+    Records(Vec<(Offset, Bytes)>),
+    /// The whole state, since the peer no longer has the records.
+    State(Box<State>),
+}
+
+/// Client for copies from peers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    caller: Caller,
+    token: HeaderValue,
+}
+
+impl Client {
+    /// Client that presents the peer token.
+    pub fn new(token: HeaderValue) -> Client {
+        Client { caller: Caller::new(CONNECT_LIMIT), token }
+    }
+
+    /// Copies records from an offset on, or the whole state.
+    ///
+    /// # Errors
+    ///
+    /// If the peer does not answer or the copy cannot be decoded.
+    pub async fn copy(&self, peer: SocketAddr, from: Offset) -> Result<Copied, Failure> {
+        let reply = self.get(format!("http://{peer}/records?from={}", from.0)).await?;
+        if reply.status == StatusCode::OK {
+            let records = postcard::from_bytes(&reply.body).map_err(|_| Failure::Malformed)?;
+            return Ok(Copied::Records(records));
+        }
+        let reply = self.get(format!("http://{peer}/state")).await?;
+        if reply.status != StatusCode::OK {
+            return Err(Failure::Unavailable);
+        }
+        let state = postcard::from_bytes(&reply.body).map_err(|_| Failure::Malformed)?;
+        Ok(Copied::State(Box::new(state)))
+    }
+
+    async fn get(&self, uri: String) -> Result<crate::platform::http::Reply, Failure> {
+        let request = http::Request::get(uri)
+            .header(call::PEER, self.token.clone())
+            .body(Full::default())
+            .map_err(|_| Failure::Malformed)?;
+        self.caller.call(request, COPY_LIMIT).await
+    }
+}
+
+/// Serves a request on the peer listener.
+pub async fn serve(app: Arc<App>, incoming: Incoming) -> Answer {
+    if !app.is_peer(&incoming.headers) {
+        return plain(StatusCode::UNAUTHORIZED, "peer token required\n");
+    }
+    let path = incoming.path.as_str();
+    if let Some(from) = path.strip_prefix("/records?from=") {
+        return records(&app, from);
+    }
+    if path == "/state" {
+        return state(&app);
+    }
+    if !path.starts_with("/forward/") {
+        return plain(StatusCode::NOT_FOUND, "not found\n");
+    }
+    let head = Head { method: &incoming.method, path, headers: &incoming.headers };
+    proxy::serve_forwarded(&app, head, incoming.body).await
+}
+
+fn records(app: &App, from: &str) -> Answer {
+    let Ok(from) = from.parse().map(Offset) else {
+        return plain(StatusCode::BAD_REQUEST, "from is not an offset\n");
+    };
+    match app.records_from(from) {
+        Some(records) => encoded(&records),
+        None => plain(StatusCode::GONE, "records are no longer kept\n"),
+    }
+}
+
+fn state(app: &App) -> Answer {
+    let snapshot = app.snapshot();
+    if !snapshot.established {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "state is not established\n");
+    }
+    encoded(snapshot.state.as_ref())
+}
+
+fn encoded<T: serde::Serialize>(value: &T) -> Answer {
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => {
+            Answer { status: StatusCode::OK, headers: HeaderMap::new(), body: Bytes::from(bytes) }
+        }
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "cannot be encoded\n"),
+    }
+}
--- /dev/null
+++ b/crates/medlarreel/src/platform/server.rs
@@ -0,0 +1,65 @@
+//! HTTP adapter for upstreams' grant endpoint.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use medlarreel_core::grant::{Answer, Request};
+
+use super::http::{Caller, get, post};
+use super::{Failure, Pending, Server};
+
+/// A grant or query without an answer for this long has failed; shorter than
+/// the time between renewals, so that calls do not pile up.
+const CALL_LIMIT: Duration = Duration::from_millis(240);
+
+/// Upstreams that take grants over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpServer {
+    caller: Caller,
+}
+
+impl HttpServer {
+    /// Adapter for all upstreams.
+    pub fn new() -> HttpServer {
+        HttpServer { caller: Caller::new(CALL_LIMIT) }
+    }
+
+    async fn query_one(&self, address: SocketAddr) -> Result<Answer, Failure> {
+        let request = get(format!("http://{address}/medlar/grant"))?;
+        self.answer(request).await
+    }
+
+    async fn grant_one(&self, address: SocketAddr, request: Request) -> Result<Answer, Failure> {
+        let body = serde_json::to_vec(&request).map_err(|_| Failure::Malformed)?;
+        self.answer(post(format!("http://{address}/medlar/grant"), Bytes::from(body))?).await
+    }
+
+    async fn answer(
+        &self,
+        request: hyper::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<Answer, Failure> {
+        let reply = self.caller.call(request, CALL_LIMIT).await?;
+        match reply.status {
+            StatusCode::OK => reply.json(),
+            _ => Err(Failure::Unavailable),
+        }
+    }
+}
+
+impl Default for HttpServer {
+    fn default() -> Self {
+        HttpServer::new()
+    }
+}
+
+impl Server for HttpServer {
+    fn query(&self, address: SocketAddr) -> Pending<'_, Answer> {
+        Box::pin(self.query_one(address))
+    }
+
+    fn grant(&self, address: SocketAddr, request: Request) -> Pending<'_, Answer> {
+        Box::pin(self.grant_one(address, request))
+    }
+}
--- /dev/null
+++ b/crates/medlarreel/src/proxy/call.rs
@@ -0,0 +1,288 @@
+//! A caller's request in checked form.
+//!
+//! `Call::from_caller` reads what a caller sent and trusts none of its internal
+//! headers; `Call::from_peer` reads what another instance forwarded.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request};
+use http_body_util::Full;
+use medlarreel_core::code::Code;
+use medlarreel_core::ids::{Shard, Upstream};
+use medlarreel_core::preset::Rank;
+use medlarreel_core::route::{Route, Table};
+use medlarreel_core::time::Time;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Key of the request, for keyed services.
+pub const KEY: HeaderName = HeaderName::from_static("medlar-key");
+/// Rank of the request.
+pub const RANK: HeaderName = HeaderName::from_static("medlar-rank");
+/// Club of the caller.
+pub const CLUB: HeaderName = HeaderName::from_static("medlar-club");
+/// Time left, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("medlar-deadline-ms");
+/// Number of this attempt, from 1.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("medlar-attempt");
+/// Identity of the attempt towards the upstream.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("medlar-request-id");
+/// Shard of the key.
+pub const SHARD: HeaderName = HeaderName::from_static("medlar-shard");
+/// Fencing epoch of the shard.
+pub const EPOCH: HeaderName = HeaderName::from_static("medlar-epoch");
+/// Upstream that a forwarded request is meant for.
+pub const UPSTREAM: HeaderName = HeaderName::from_static("medlar-upstream");
+/// Token by which instances recognise each other's forwarded requests.
+pub const PEER: HeaderName = HeaderName::from_static("medlar-peer");
+/// The caller's idempotency key.
+pub const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Longest key or idempotency key, in bytes.
+const MAX_KEY: usize = 1_024;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 10] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HOST,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Request of a caller, read whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// End-to-end headers of the caller.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Name of the service.
+    pub service: String,
+    /// Shard of the key, for keyed services.
+    pub shard: Option<Shard>,
+    /// Key as the caller gave it.
+    pub key: Option<HeaderValue>,
+    /// Rank.
+    pub rank: Rank,
+    /// Name of the caller's club.
+    pub club: String,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// Number of this attempt, from 1.
+    pub attempt: u32,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// Hash of service and idempotency key.
+    pub dedup: Option<u64>,
+    /// Largest answer, in bytes.
+    pub max_body: usize,
+}
+
+/// Head of a request, before its body is read.
+#[derive(Debug)]
+pub struct Head<'a> {
+    /// HTTP method.
+    pub method: &'a Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// All headers.
+    pub headers: &'a HeaderMap,
+}
+
+impl Head<'_> {
+    /// Name of the service: the first segment of the path.
+    pub fn service(&self) -> &str {
+        let path = self.path.strip_prefix('/').unwrap_or(self.path);
+        path.split(['/', '?']).next().unwrap_or("")
+    }
+
+    /// Checks the forms of framing that differ between HTTP implementations.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadRequest` where two servers could see different requests.
+    pub fn check_framing(&self) -> Result<(), Code> {
+        let lengths = self.headers.get_all(CONTENT_LENGTH).iter().count();
+        let mut codings = self.headers.get_all(TRANSFER_ENCODING).iter();
+        let chunked = codings.next();
+        let plain = chunked.is_none_or(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
+        let both = chunked.is_some() && lengths > 0;
+        if lengths > 1 || both || !plain || codings.next().is_some() {
+            return Err(Code::BadRequest);
+        }
+        match *self.method {
+            Method::CONNECT | Method::TRACE => Err(Code::BadRequest),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Call {
+    /// Reads a request; `body` has been read within the route's limit.
+    ///
+    /// # Errors
+    ///
+    /// The code under which the request is refused.
+    pub fn read(
+        head: &Head<'_>,
+        body: Bytes,
+        table: &Table,
+        home: &str,
+        now: Time,
+    ) -> Result<Call, Code> {
+        let preset = table.preset.as_ref().ok_or(Code::NoPreset)?;
+        let service = head.service().to_owned();
+        let route = table.route(&service).ok_or(Code::UnknownService)?;
+        let rank = optional(head.headers, &RANK, Rank::parse)?.unwrap_or(Rank::Archive);
+        let club = text(head.headers, &CLUB)?.unwrap_or(home).to_owned();
+        if !preset.clubs.iter().any(|entry| entry.name == club) {
+            return Err(Code::BadRequest);
+        }
+        let key = head.headers.get(&KEY).cloned();
+        let shard = shard(route, key.as_ref())?;
+        let limit = optional(head.headers, &DEADLINE, |text| text.parse().ok())?;
+        let limit = limit.map(Duration::from_millis);
+        let limit = limit.unwrap_or(preset.ranks[rank.index()].deadline).min(MAX_DEADLINE);
+        let attempt = optional(head.headers, &ATTEMPT, |text| text.parse().ok())?.unwrap_or(1);
+        let dedup = idempotency(head.headers, &service)?;
+        Ok(Call {
+            method: head.method.clone(),
+            path: head.path.to_owned(),
+            headers: end_to_end(head.headers),
+            body,
+            service,
+            shard,
+            key,
+            rank,
+            club,
+            deadline: now + limit,
+            attempt,
+            idempotent: idempotent(head.method),
+            dedup,
+            max_body: route.limits.max_body as usize,
+        })
+    }
+
+    /// Time left until the deadline.
+    pub fn left(&self, now: Time) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Request to another instance, meant for `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadRequest` if the path is not valid towards the next hop.
+    pub fn forward(
+        &self,
+        peer: &str,
+        token: &HeaderValue,
+        upstream: Upstream,
+        left: Duration,
+    ) -> Result<Request<Full<Bytes>>, Code> {
+        let mut headers = self.headers.clone();
+        headers.insert(PEER, token.clone());
+        headers.insert(UPSTREAM, HeaderValue::from(upstream.0));
+        headers.insert(RANK, HeaderValue::from_static(self.rank.text()));
+        headers.insert(CLUB, HeaderValue::try_from(&self.club).map_err(|_| Code::BadRequest)?);
+        headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+        headers.insert(ATTEMPT, HeaderValue::from(self.attempt));
+        if let Some(key) = &self.key {
+            headers.insert(KEY, key.clone());
+        }
+        self.request(&format!("/forward{}", self.path), peer, headers)
+    }
+
+    /// Request to an upstream with the given headers added.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadRequest` if the path is not valid towards the upstream.
+    pub fn request(
+        &self,
+        path: &str,
+        host: &str,
+        headers: HeaderMap,
+    ) -> Result<Request<Full<Bytes>>, Code> {
+        let builder = Request::builder().method(self.method.clone()).uri(path);
+        let request = builder.body(Full::new(self.body.clone()));
+        let mut request = request.map_err(|_| Code::BadRequest)?;
+        *request.headers_mut() = headers;
+        let host = HeaderValue::try_from(host).map_err(|_| Code::BadRequest)?;
+        request.headers_mut().insert(HOST, host);
+        Ok(request)
+    }
+}
+
+/// Whether running a request of this method twice is harmless.
+fn idempotent(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS | Method::PUT | Method::DELETE)
+}
+
+fn shard(route: &Route, key: Option<&HeaderValue>) -> Result<Option<Shard>, Code> {
+    match (route.limits.keyed, key) {
+        (false, _) => Ok(None),
+        (true, None) => Err(Code::MissingKey),
+        (true, Some(key)) if key.is_empty() || key.len() > MAX_KEY => Err(Code::MissingKey),
+        (true, Some(key)) => Ok(Some(route.shard(key.as_bytes()))),
+    }
+}
+
+fn idempotency(headers: &HeaderMap, service: &str) -> Result<Option<u64>, Code> {
+    let Some(key) = headers.get(&IDEMPOTENCY) else { return Ok(None) };
+    if key.is_empty() || key.len() > MAX_KEY {
+        return Err(Code::BadRequest);
+    }
+    let scoped = [service.as_bytes(), b"\0", key.as_bytes()].concat();
+    Ok(Some(xxh3_64(&scoped)))
+}
+
+/// Headers that go on to the upstream: neither hop-by-hop nor internal.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let passes = |name: &HeaderName| {
+        let internal = name.as_str().starts_with("medlar-");
+        !internal && !HOP_BY_HOP.contains(name) && !named.iter().any(|other| other == name.as_str())
+    };
+    let kept = headers.iter().filter(|(name, _)| passes(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Code> {
+    let value = headers.get(name).map(|value| value.to_str());
+    value.transpose().map_err(|_| Code::BadRequest)
+}
+
+fn optional<T>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Result<Option<T>, Code> {
+    match text(headers, name)? {
+        None => Ok(None),
+        Some(value) => parse(value).map(Some).ok_or(Code::BadRequest),
+    }
+}
