Add admission, retry, health and dedup state machines

Queue order, shedding, floors and club weights of one upstream; retry budget that follows recent requests; judgement of upstreams from own observations; table of idempotency keys.

--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,268 @@
+//! Health of a service's upstreams, judged from this instance's observations.
+//!
+//! `Group` collects evidence per upstream, ejects dead ones within a cap, and
+//! gives each upstream a weight for routing. What an upstream reports about its
+//! own load only breaks ties.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::ids::Upstream;
+use crate::time::Time;
+
+mod member;
+
+use member::Member;
+
+/// Weight of an upstream without reservations.
+pub const FULL_WEIGHT: u32 = 1_000;
+
+/// Weight of a slow upstream: enough work to notice that it has recovered.
+const SLOW_WEIGHT: u32 = 250;
+
+/// Weight of an upstream that sheds; its refusals already limit its load.
+const SHEDDING_WEIGHT: u32 = 500;
+
+/// Weight of a dead upstream that the cap keeps in service. Many dead at once
+/// point to a fault on this side, so some work must keep testing them.
+const SPARED_WEIGHT: u32 = 250;
+
+/// Weight of an upstream at the start of its slow start.
+const FIRST_WEIGHT: u32 = 100;
+
+/// Measured upstreams that a comparison of latencies needs.
+const COMPARABLE: usize = 3;
+
+/// Thresholds of the judgement.
+#[data(plain)]
+pub struct Limits {
+    /// Consecutive transport errors that mean dead.
+    pub errors: u32,
+    /// Time without any answer, while answers are due, that means dead.
+    pub silence: Duration,
+    /// Multiple of the median latency that means slow.
+    pub slow_factor: u32,
+    /// Difference from the median latency below which nothing is slow.
+    pub slow_margin: Duration,
+    /// Length of the slow start.
+    pub ramp: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            errors: 3,
+            // Longer than the TCP user timeout of 900 ms, so that one silent
+            // connection is replaced before its upstream is judged by it.
+            silence: Duration::from_millis(1_500),
+            slow_factor: 3,
+            slow_margin: Duration::from_millis(5),
+            ramp: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Judgement on an upstream.
+#[data(key)]
+pub enum State {
+    /// Nothing speaks against it.
+    Alive,
+    /// It answers much later than its peers.
+    Slow,
+    /// It refuses a large part of its work.
+    Shedding,
+    /// It does not answer, or cannot be connected to.
+    Dead,
+    /// It is leaving and takes no new work.
+    Draining,
+}
+
+/// Something observed at an upstream.
+#[data(key)]
+pub enum Evidence {
+    /// A request or probe was sent.
+    Sent,
+    /// A request was answered after this time.
+    Answered(Duration),
+    /// A probe or grant was answered; says nothing about speed.
+    Probed,
+    /// A request was refused as overload.
+    Shed,
+    /// Connecting failed, or the connection broke before an answer.
+    Failed,
+    /// An exchange was given up: the caller left or the connection fell silent.
+    Abandoned,
+}
+
+/// Change of judgement, for the log.
+#[data(key)]
+pub struct Change {
+    /// Upstream that is judged.
+    pub upstream: Upstream,
+    /// Former judgement.
+    pub before: State,
+    /// New judgement.
+    pub after: State,
+}
+
+/// An upstream that could take a request.
+#[data(key)]
+pub struct Candidate {
+    /// Upstream in question.
+    pub upstream: Upstream,
+    /// Requests that wait or run there, by this instance's own count.
+    pub queue: u32,
+    /// Requests in flight by the upstream's own report.
+    pub reported: Option<u32>,
+}
+
+/// Upstreams of one service.
+#[data(plain)]
+pub struct Group {
+    limits: Limits,
+    members: BTreeMap<Upstream, Member>,
+}
+
+/// Queries.
+impl Group {
+    /// Judgement as of the last `review`; `None` for an unknown upstream.
+    pub fn state(&self, upstream: Upstream) -> Option<State> {
+        self.members.get(&upstream).map(|member| member.state)
+    }
+
+    /// Whether the upstream is dead and taken out of service.
+    pub fn ejected(&self, upstream: Upstream) -> bool {
+        let member = self.members.get(&upstream);
+        member.is_some_and(|member| member.ejected)
+    }
+
+    /// Part of the usual work that the upstream takes, of `FULL_WEIGHT`.
+    pub fn weight(&self, now: Time, upstream: Upstream) -> u32 {
+        let Some(member) = self.members.get(&upstream) else {
+            return 0;
+        };
+        let base = match member.state {
+            State::Draining => 0,
+            State::Dead if member.ejected => 0,
+            State::Dead => SPARED_WEIGHT,
+            State::Slow => SLOW_WEIGHT,
+            State::Shedding => SHEDDING_WEIGHT,
+            State::Alive => FULL_WEIGHT,
+        };
+        base * self.ramp(now, member) / FULL_WEIGHT
+    }
+
+    /// Candidate with the shortest queue for its weight.
+    ///
+    /// Equal queues are decided by the reported load, then by `draw`.
+    pub fn choose(&self, now: Time, candidates: &[Candidate], draw: u64) -> Option<Upstream> {
+        let load = |candidate: &Candidate| {
+            let weight = u64::from(self.weight(now, candidate.upstream));
+            let queue = (u64::from(candidate.queue) + 1) * 1_000_000;
+            let load = queue.checked_div(weight)?;
+            Some((load, candidate.reported.unwrap_or(u32::MAX)))
+        };
+        let least = candidates.iter().filter_map(load).min()?;
+        let tied = || candidates.iter().filter(|one| load(one) == Some(least));
+        let index = draw % tied().count() as u64;
+        tied().nth(index as usize).map(|one| one.upstream)
+    }
+
+    /// Upstreams that may be ejected at once: a third of those that stay.
+    pub fn cap(&self) -> usize {
+        let staying = |member: &&Member| !member.draining;
+        self.members.values().filter(staying).count() / 3
+    }
+
+    fn ramp(&self, now: Time, member: &Member) -> u32 {
+        let Some(since) = member.ramp_since else {
+            return FULL_WEIGHT;
+        };
+        let length = self.limits.ramp.as_micros().max(1);
+        let passed = now.since(since).as_micros().min(length);
+        let gained = u128::from(FULL_WEIGHT - FIRST_WEIGHT) * passed / length;
+        FIRST_WEIGHT + gained as u32
+    }
+
+    fn median_latency(&self) -> Option<u64> {
+        let mut known: Vec<u64> = self.members.values().filter_map(Member::latency).collect();
+        if known.len() < COMPARABLE {
+            return None;
+        }
+        known.sort_unstable();
+        Some(known[known.len() / 2])
+    }
+}
+
+/// Commands.
+impl Group {
+    /// Group without upstreams.
+    pub fn new(limits: Limits) -> Group {
+        let members = BTreeMap::new();
+        Group { limits, members }
+    }
+
+    /// Adds an upstream; a cold one starts slowly.
+    pub fn join(&mut self, now: Time, upstream: Upstream, cold: bool) {
+        let member = Member::new(cold.then_some(now));
+        self.members.entry(upstream).or_insert(member);
+    }
+
+    /// Forgets an upstream.
+    pub fn leave(&mut self, upstream: Upstream) {
+        self.members.remove(&upstream);
+    }
+
+    /// Notes whether an upstream is leaving.
+    pub fn drain(&mut self, upstream: Upstream, draining: bool) {
+        if let Some(member) = self.members.get_mut(&upstream) {
+            member.draining = draining;
+        }
+    }
+
+    /// Notes an observation; takes effect at the next `review`.
+    pub fn observe(&mut self, now: Time, upstream: Upstream, evidence: Evidence) {
+        if let Some(member) = self.members.get_mut(&upstream) {
+            member.observe(now, evidence);
+        }
+    }
+
+    /// Judges all upstreams and returns what changed.
+    pub fn review(&mut self, now: Time) -> Vec<Change> {
+        let median = self.median_latency();
+        let mut changes = Vec::new();
+        for (&upstream, member) in &mut self.members {
+            let before = member.state;
+            let after = member.judge(now, &self.limits, median);
+            if before != after {
+                changes.push(Change {
+                    upstream,
+                    before,
+                    after,
+                });
+            }
+        }
+        self.eject();
+        changes
+    }
+
+    /// Ejects the dead, those that died first, up to the cap.
+    fn eject(&mut self) {
+        let cap = self.cap();
+        let dead = self.members.iter();
+        let dead = dead.filter(|(_, member)| member.state == State::Dead);
+        let mut order: Vec<(Time, Upstream)> = dead.map(|(&key, one)| (one.changed, key)).collect();
+        order.sort_unstable();
+        order.truncate(cap);
+        for member in self.members.values_mut() {
+            member.ejected = false;
+        }
+        for (_, upstream) in order {
+            if let Some(member) = self.members.get_mut(&upstream) {
+                member.ejected = true;
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,11 +5,15 @@
 //! comes out as typed values. The same inputs give the same outputs, so a test
 //! bench can drive every part in virtual time.
 
+pub mod admission;
 pub mod code;
+pub mod dedup;
 pub mod fold;
 pub mod grant;
+pub mod health;
 pub mod ids;
 pub mod preset;
 pub mod record;
+pub mod retry;
 pub mod time;
 pub mod wire;
