Add checked settings of an instance

A file with any mistake is rejected as a whole, so an instance never runs with part of its settings. Sample secrets of the annotated defaults are refused, so that the published text cannot be deployed by accident.

--- a/crates/medlarreel/src/lib.rs
+++ b/crates/medlarreel/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Settings, adapters, transport and servers around medlarreel's decision logic.
+
+pub mod settings;
--- /dev/null
+++ b/crates/medlarreel/src/settings/parse.rs
@@ -0,0 +1,240 @@
+//! Conversion of settings text.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use medlarreel_core::code::Code;
+use medlarreel_core::config::value::{address, choice, count, duration, name, number, size};
+use medlarreel_core::config::{Document, Flaw, Mistake, Section, Shape};
+use tracing::Level;
+
+use super::defaults::{DRAIN, HEAD_SIZE, HEAD_TIMEOUT, OPEN_REQUESTS, STREAM, UNSET, WORKERS};
+use super::{Format, Identity, Limits, Listen, Logging, Platform, Secret, Security, Settings};
+
+/// Sections of a settings file.
+pub const SHAPES: &[Shape] = &[
+    Shape {
+        kind: "instance",
+        named: false,
+        keys: &["club", "domain"],
+    },
+    Shape {
+        kind: "listen",
+        named: false,
+        keys: &["callers", "peers", "operators"],
+    },
+    Shape {
+        kind: "platform",
+        named: false,
+        keys: &["log", "list", "stream"],
+    },
+    Shape {
+        kind: "security",
+        named: false,
+        keys: &["cluster_secret", "operator_token"],
+    },
+    Shape {
+        kind: "limits",
+        named: false,
+        keys: &[
+            "open_requests",
+            "head_size",
+            "head_timeout",
+            "workers",
+            "drain",
+        ],
+    },
+    Shape {
+        kind: "log",
+        named: false,
+        keys: &["format", "level"],
+    },
+];
+
+/// Shortest and longest secret, in characters; 16 random ones resist guessing.
+const SECRET: RangeInclusive<usize> = 16..=256;
+
+const KIB: u32 = 1024;
+
+impl Settings {
+    /// Reads settings from INI text.
+    ///
+    /// # Errors
+    ///
+    /// Every mistake in the text, with its line.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Mistake>> {
+        let document = Document::read(text, SHAPES);
+        let settings = read(&document);
+        document.finish(settings)
+    }
+}
+
+fn read(document: &Document) -> Option<Settings> {
+    let instance = document.require("instance").and_then(identity);
+    let listen = document.require("listen").and_then(listen);
+    let platform = document.require("platform").and_then(platform);
+    let security = document.require("security").and_then(security);
+    let limits = section_or(document, "limits", limits, Limits::default());
+    let log = section_or(document, "log", logging, Logging::default());
+    Some(Settings {
+        instance: instance?,
+        listen: listen?,
+        platform: platform?,
+        security: security?,
+        limits: limits?,
+        log: log?,
+    })
+}
+
+fn section_or<T>(
+    document: &Document,
+    kind: &'static str,
+    read: impl Fn(Section<'_>) -> Option<T>,
+    default: T,
+) -> Option<T> {
+    let section = document.sections(kind).next();
+    section.map_or(Some(default), read)
+}
+
+fn identity(section: Section<'_>) -> Option<Identity> {
+    let club = section.require("club", name);
+    let domain = section.require("domain", name);
+    Some(Identity {
+        club: club?,
+        domain: domain?,
+    })
+}
+
+fn listen(section: Section<'_>) -> Option<Listen> {
+    let callers = section.require("callers", address);
+    let peers = section.require("peers", reachable);
+    let operators = section.require("operators", address);
+    check_distinct(section, "peers", peers, &[callers]);
+    check_distinct(section, "operators", operators, &[callers, peers]);
+    Some(Listen {
+        callers: callers?,
+        peers: peers?,
+        operators: operators?,
+    })
+}
+
+/// Address that peers can be told.
+fn reachable(text: &str) -> Result<SocketAddr, Flaw> {
+    let address = address(text)?;
+    if address.ip().is_unspecified() {
+        let hint = "peers are told this address, so name the instance's own";
+        return Err(Flaw::bad("the address of one interface", hint));
+    }
+    Ok(address)
+}
+
+fn check_distinct(
+    section: Section<'_>,
+    key: &'static str,
+    address: Option<SocketAddr>,
+    others: &[Option<SocketAddr>],
+) {
+    let overlaps = |other: &SocketAddr, address: &SocketAddr| {
+        let any = other.ip().is_unspecified() || address.ip().is_unspecified();
+        other.port() == address.port() && (any || other.ip() == address.ip())
+    };
+    let taken = address.and_then(|address| {
+        let mut others = others.iter().flatten();
+        others.find(|other| overlaps(other, &address))
+    });
+    if let Some(taken) = taken {
+        let detail = format!("`{key}` overlaps with {taken} of another listener");
+        section.note(key, Code::Inconsistent, detail, "choose another port");
+    }
+}
+
+fn platform(section: Section<'_>) -> Option<Platform> {
+    let log = section.require("log", http);
+    let list = section.require("list", http);
+    let stream = section.or("stream", name, STREAM.to_owned());
+    Some(Platform {
+        log: log?,
+        list: list?,
+        stream: stream?,
+    })
+}
+
+/// Address from `http://ip:port`.
+fn http(text: &str) -> Result<SocketAddr, Flaw> {
+    let bad = || {
+        let hint = "write the scheme, an IP address and a port, without a path";
+        Flaw::bad("an address such as http://127.0.0.1:7100", hint)
+    };
+    let rest = text.strip_prefix("http://").ok_or_else(bad)?;
+    let rest = rest.strip_suffix('/').unwrap_or(rest);
+    address(rest).map_err(|flaw| match flaw.code {
+        Code::BadValue => bad(),
+        _ => flaw,
+    })
+}
+
+fn security(section: Section<'_>) -> Option<Security> {
+    let cluster_secret = section.require("cluster_secret", secret);
+    let operator_token = section.require("operator_token", secret);
+    if cluster_secret.is_some() && cluster_secret == operator_token {
+        let detail = "`operator_token` equals `cluster_secret`".into();
+        let hint = "choose two values, so that operators cannot act as peers";
+        section.note("operator_token", Code::Inconsistent, detail, hint);
+    }
+    Some(Security {
+        cluster_secret: cluster_secret?,
+        operator_token: operator_token?,
+    })
+}
+
+fn secret(text: &str) -> Result<Secret, Flaw> {
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if visible && SECRET.contains(&text.len()) && text != UNSET {
+        return Ok(Secret(text.to_owned()));
+    }
+    let (from, to) = SECRET.into_inner();
+    let expected = format!("{from} to {to} visible ASCII characters, not the sample text");
+    Err(Flaw::bad(
+        expected,
+        "generate a random value, the same for the whole fleet",
+    )
+    .hidden())
+}
+
+fn limits(section: Section<'_>) -> Option<Limits> {
+    let open_requests = count("requests", 1..=1_000_000);
+    let open_requests = section.or("open_requests", open_requests, OPEN_REQUESTS);
+    // The HTTP library's read buffer holds at least 8 KiB.
+    let head_size = section.or("head_size", size(8 * KIB..=256 * KIB), HEAD_SIZE);
+    let head_timeout = duration(Duration::from_millis(100)..=Duration::from_secs(60));
+    let head_timeout = section.or("head_timeout", head_timeout, HEAD_TIMEOUT);
+    let workers = section.or("workers", number(1..=256), WORKERS);
+    let drain = duration(Duration::from_secs(1)..=Duration::from_secs(600));
+    let drain = section.or("drain", drain, DRAIN);
+    Some(Limits {
+        open_requests: open_requests?,
+        head_size: head_size?,
+        head_timeout: head_timeout?,
+        workers: workers?,
+        drain: drain?,
+    })
+}
+
+fn logging(section: Section<'_>) -> Option<Logging> {
+    let default = Logging::default();
+    let format = choice(&[("text", Format::Text), ("json", Format::Json)]);
+    let format = section.or("format", format, default.format);
+    let level = choice(&[
+        ("error", Level::ERROR),
+        ("warn", Level::WARN),
+        ("info", Level::INFO),
+        ("debug", Level::DEBUG),
+        ("trace", Level::TRACE),
+    ]);
+    let level = section.or("level", level, default.level);
+    Some(Logging {
+        format: format?,
+        level: level?,
+    })
+}
