--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -25,6 +25,9 @@
 use crate::proxy::call;
 use crate::proxy::retries::Retries;
 
+/// Share of requests that may be retried before a preset is in force, in percent.
+const DEFAULT_RETRY_PERCENT: u8 = 10;
+
 /// Number of records kept for peers that cannot reach the log.
 const KEPT_RECORDS: usize = 4_096;
 
@@ -64,6 +67,7 @@
     pub retries: Retries,
     snapshot: ArcSwap<Snapshot>,
     requests: AtomicU32,
+    withdrawn: AtomicBool,
     stopping: AtomicBool,
     next_request: AtomicU64,
     records: Mutex<VecDeque<(Offset, Bytes)>>,
@@ -95,9 +99,10 @@
             peer_token,
             max_requests,
             metrics: Metrics::new(),
-            retries: Retries::default(),
+            retries: Retries::new(clock.now(), DEFAULT_RETRY_PERCENT),
             snapshot: ArcSwap::default(),
             requests: AtomicU32::new(0),
+            withdrawn: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             // Identities travel as JSON numbers, which are exact only below 2^53.
             next_request: AtomicU64::new(rand::rng().random::<u64>() >> 12),
@@ -132,12 +137,17 @@
         self.next_request.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Withdraws readiness before a shutdown.
+    /// Withdraws readiness; requests are still served.
+    pub fn withdraw(&self) {
+        self.withdrawn.store(true, Ordering::Release);
+    }
+
+    /// Refuses new requests from now on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
 
-    /// Whether a shutdown has begun.
+    /// Whether new requests are refused.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
@@ -177,7 +187,7 @@
     /// Whether requests can be served now.
     pub fn ready(&self) -> bool {
         let snapshot = self.snapshot.load();
-        snapshot.established && snapshot.table.preset.is_some() && !self.stopping()
+        snapshot.established && snapshot.table.preset.is_some() && !self.withdrawn.load(Ordering::Acquire)
     }
 }
 
--- /dev/null
+++ b/crates/medlarreel/src/control/publish.rs
@@ -0,0 +1,166 @@
+//! Snapshots for the traffic threads.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use medlarreel_core::admission::Limits;
+use medlarreel_core::fold::State;
+use medlarreel_core::grant::dispatcher::Traffic;
+use medlarreel_core::ids::{Instance, Offset, Upstream};
+use medlarreel_core::preset::{RANKS, ServiceLimits};
+use medlarreel_core::route::Table;
+
+use super::Worker;
+use crate::app::Snapshot;
+use crate::dispatch::{Lane, Permit, Pool};
+
+/// Connections kept to one peer at most.
+const PEER_CONNECTIONS: usize = 256;
+
+/// What was published last.
+#[derive(Debug, Default)]
+pub(super) struct Published {
+    next: Option<Offset>,
+    holder: Option<Instance>,
+    established: bool,
+    lanes: HashMap<Upstream, Arc<Lane>>,
+    peers: HashMap<Instance, Arc<Pool>>,
+}
+
+impl Published {
+    /// What the traffic threads did since the last call.
+    pub(super) fn traffic(&mut self) -> Vec<(Upstream, Traffic)> {
+        let lanes = self.lanes.iter();
+        let traffic = lanes.map(|(upstream, lane)| {
+            let traffic = Traffic {
+                served: lane.take_served(),
+                busy: lane.busy() as u32,
+                open: lane.open(),
+                connections: lane.pool().open() as u32,
+            };
+            (*upstream, traffic)
+        });
+        traffic.collect()
+    }
+}
+
+impl Worker {
+    /// Renews permits, and publishes a snapshot if anything else has changed.
+    pub(super) fn publish(&mut self) {
+        let state = Arc::clone(self.machine.state());
+        let lanes_changed = self.renew_lanes(&state);
+        let holder = self.machine.holder(self.now());
+        let established = self.machine.established();
+        let last = &self.published;
+        let same = last.next == Some(state.next())
+            && last.holder == holder
+            && last.established == established;
+        if same && !lanes_changed {
+            return;
+        }
+        self.note_changes(&state, holder);
+        self.published.next = Some(state.next());
+        self.published.holder = holder;
+        self.published.established = established;
+        let table = Table::new(&state);
+        self.renew_peers(&state);
+        if let Some(preset) = &table.preset {
+            self.app.retries.set_percent(preset.retry);
+        }
+        let keys = (0..state.upstreams().len() as u32).map(Upstream);
+        self.addresses =
+            keys.map(|key| (key, state.upstream(key).server.address)).collect();
+        self.app.publish(Snapshot {
+            established,
+            state,
+            holder,
+            table,
+            lanes: self.published.lanes.clone(),
+            peers: self.published.peers.clone(),
+        });
+    }
+
+    /// Log lines and gauges for changes of state.
+    fn note_changes(&self, state: &State, holder: Option<Instance>) {
+        let metrics = &self.app.metrics;
+        metrics.set("next_offset", state.next().0 as i64);
+        let activation = state.active().map_or(0, |active| active.count);
+        metrics.set("activation", i64::from(activation));
+        metrics.set("lanes", self.published.lanes.len() as i64);
+        let me = self.app.me;
+        metrics.set("holds_control", i64::from(holder == Some(me)));
+        if self.published.holder != holder {
+            let id = holder.map_or(0, |instance| instance.0);
+            tracing::info!(holder = id, mine = holder == Some(me), "control holder changed");
+        }
+        if self.machine.established() && !self.published.established {
+            tracing::info!(next = state.next().0, "state established");
+        }
+    }
+
+    fn renew_peers(&mut self, state: &State) {
+        let members = state.clubs().iter().flat_map(|club| &club.members);
+        let old = std::mem::take(&mut self.published.peers);
+        let fresh = members.map(|member| {
+            let known = old.get(&member.instance).cloned();
+            let pool = known.unwrap_or_else(|| {
+                Arc::new(Pool::new(member.peers, PEER_CONNECTIONS))
+            });
+            (member.instance, pool)
+        });
+        self.published.peers = fresh.collect();
+    }
+
+    /// Brings lanes in line with the dispatcher's permits; true if the set of
+    /// lanes has changed.
+    fn renew_lanes(&mut self, state: &State) -> bool {
+        let Some(preset) = state.active().map(|active| Arc::clone(&active.preset)) else {
+            return false;
+        };
+        let now = self.now();
+        let mut changed = false;
+        let mut kept = HashMap::new();
+        for permit in self.machine.dispatcher().permits(now) {
+            let entry = state.upstream(permit.upstream);
+            let Some(limits) = preset.service(&entry.server.service) else { continue };
+            let floors = preset.ranks.clone().map(|rank| rank.floor);
+            let limits = queue_limits(state, limits, floors, permit.allowance);
+            let known = self.published.lanes.get(&permit.upstream).cloned();
+            let known = known.filter(|lane| lane.pool().address() == entry.server.address);
+            let lane = known.unwrap_or_else(|| {
+                changed = true;
+                let connections = preset.service(&entry.server.service);
+                let connections = connections.map_or(1, |service| service.connections);
+                let pool = Pool::new(entry.server.address, usize::from(connections));
+                Arc::new(Lane::new(now, pool, limits.clone()))
+            });
+            let slots = permit.allowance;
+            let shards = permit.shards.iter().map(|(shard, epoch)| (shard.index, *epoch));
+            let permit_now = Permit { until: permit.until, shards: shards.collect(), slots };
+            lane.renew(now, permit_now, limits);
+            kept.insert(permit.upstream, lane);
+        }
+        changed |= kept.len() != self.published.lanes.len();
+        // A lane that is no longer permitted refuses new requests by itself;
+        // requests that have been sent keep it alive until they end.
+        self.published.lanes = kept;
+        changed
+    }
+}
+
+fn queue_limits(
+    state: &State,
+    service: &ServiceLimits,
+    floors: [u8; RANKS],
+    allowance: u16,
+) -> Limits {
+    let preset = state.active().map(|active| Arc::clone(&active.preset));
+    let clubs = preset.iter().flat_map(|preset| &preset.clubs);
+    let weights = clubs.filter_map(|club| Some((state.club_named(&club.name)?, club.weight)));
+    Limits {
+        entries: service.queue,
+        slots: allowance.min(service.slots),
+        floors,
+        weights: weights.collect(),
+    }
+}
--- /dev/null
+++ b/crates/medlarreel/src/daemon.rs
@@ -0,0 +1,197 @@
+//! Start and stop of one instance.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Context, Result};
+use http::HeaderValue;
+use medlarreel_core::code::Code;
+use medlarreel_core::ids::Instance;
+use medlarreel_core::record::Member;
+
+use crate::app::App;
+use crate::clock::Clock;
+use crate::control::{self, Handle, Setup};
+use crate::dispatch::Answer;
+use crate::listen::{self, Incoming, Limits, Server};
+use crate::operators::Operators;
+use crate::peers;
+use crate::platform::list::HttpList;
+use crate::platform::log::HttpLog;
+use crate::platform::server::HttpServer;
+use crate::proxy::{self, Head, Refusal};
+use crate::settings::Settings;
+
+/// Threads that serve peers, beside those that serve callers.
+const PEER_WORKERS: usize = 2;
+
+/// Largest body on the callers' and peers' listeners, before the service's own
+/// limit is known, in bytes.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+/// Largest body on the operators' listener, in bytes.
+const MAX_OPERATOR_BODY: usize = 256 * 1024;
+
+/// Time in which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Idle time after which a caller's connection is closed.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+
+/// Time between checks of whether all requests have ended.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Time that listeners stay open after readiness was withdrawn, so that the
+/// balancer notices.
+const READINESS_LEAD: Duration = Duration::from_millis(500);
+
+/// Exit code after a drain that cut off requests.
+pub const EXIT_CUT_OFF: i32 = 3;
+
+/// A running instance.
+pub struct Daemon {
+    app: Arc<App>,
+    control: Handle,
+    callers: Server,
+    peers: Server,
+    drain: Duration,
+}
+
+impl Daemon {
+    /// Opens the listeners and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be opened or a secret cannot be used.
+    pub fn start(settings: &Settings) -> Result<Daemon> {
+        let clock = Clock::start();
+        // Identities travel as JSON numbers, which are exact only below 2^53.
+        let me = Instance(rand::random::<u64>() >> 11);
+        let secret = settings.security.cluster_secret.expose().to_owned();
+        let token = peer_token(&secret).wrap_err("the cluster secret cannot be used")?;
+        let home = settings.instance.club.clone();
+        let app = App::new(me, home.clone(), clock, token, settings.limits.open_requests);
+        let app = Arc::new(app);
+        let member = Member {
+            instance: me,
+            club: home,
+            domain: settings.instance.domain.clone(),
+            peers: settings.listen.peers,
+        };
+        let udp = bind_udp(settings.listen.peers)?;
+        let control = control::start(Setup {
+            member,
+            app: Arc::clone(&app),
+            log: Arc::new(HttpLog::new(&url(settings.platform.log), &settings.platform.stream)),
+            list: Arc::new(HttpList::new(&url(settings.platform.list))),
+            server: Arc::new(HttpServer::new()),
+            secret: Bytes::from(secret),
+            socket: udp,
+        })?;
+        let callers = serve_callers(&app, settings)?;
+        let peers = serve_peers(&app, settings)?;
+        serve_operators(&app, settings, control.clone())?;
+        tracing::info!(instance = me.0, callers = %settings.listen.callers, "instance started");
+        Ok(Daemon { app, control, callers, peers, drain: settings.limits.drain })
+    }
+
+    /// Shared state of the traffic threads.
+    pub fn app(&self) -> &Arc<App> {
+        &self.app
+    }
+
+    /// Ends the instance gracefully and returns the exit code.
+    ///
+    /// Readiness goes first; requests in flight end; duties are handed over.
+    /// `hurry` ends the wait early.
+    pub async fn stop(self, hurry: impl Future<Output = ()>) -> i32 {
+        tracing::info!(open = self.app.requests(), "shutdown started");
+        self.app.withdraw();
+        let drained = async {
+            tokio::time::sleep(READINESS_LEAD).await;
+            self.app.stop();
+            self.callers.stop(true);
+            self.control.stop().await;
+            while self.app.requests() > 0 {
+                tokio::time::sleep(DRAIN_STEP).await;
+            }
+        };
+        let finished = tokio::select! {
+            outcome = tokio::time::timeout(self.drain, drained) => outcome.is_ok(),
+            () = hurry => false,
+        };
+        self.peers.stop(false);
+        let cut_off = self.app.requests();
+        tracing::info!(cut_off, "shutdown finished");
+        if finished && cut_off == 0 { 0 } else { EXIT_CUT_OFF }
+    }
+}
+
+fn url(address: SocketAddr) -> String {
+    format!("http://{address}")
+}
+
+/// Token derived from the secret, so that the secret itself never travels.
+fn peer_token(secret: &str) -> Result<HeaderValue> {
+    let tag = medlarreel_core::wire::frame::token(secret.as_bytes());
+    Ok(HeaderValue::try_from(tag)?)
+}
+
+fn bind_udp(address: SocketAddr) -> Result<UdpSocket> {
+    UdpSocket::bind(address).wrap_err_with(|| format!("cannot open UDP {address}"))
+}
+
+fn bind_tcp(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
+fn serve_callers(app: &Arc<App>, settings: &Settings) -> Result<Server> {
+    let limits = Limits {
+        workers: usize::from(settings.limits.workers),
+        head_time: settings.limits.head_timeout,
+        body_time: BODY_TIME,
+        idle_time: CALLER_IDLE,
+        max_body: MAX_BODY,
+    };
+    let socket = bind_tcp(settings.listen.callers)?;
+    Ok(listen::start(Arc::clone(app), socket, limits, caller)?)
+}
+
+async fn caller(app: Arc<App>, incoming: Incoming) -> Answer {
+    let Some(_open) = app.open() else {
+        app.metrics.refused(Code::TooManyRequests);
+        return Refusal::from(Code::TooManyRequests).answer();
+    };
+    let head =
+        Head { method: &incoming.method, path: &incoming.path, headers: &incoming.headers };
+    proxy::serve(&app, head, incoming.body).await
+}
+
+fn serve_peers(app: &Arc<App>, settings: &Settings) -> Result<Server> {
+    let limits = Limits {
+        workers: PEER_WORKERS,
+        head_time: BODY_TIME,
+        body_time: BODY_TIME,
+        idle_time: CALLER_IDLE,
+        max_body: MAX_BODY,
+    };
+    let socket = bind_tcp(settings.listen.peers)?;
+    Ok(listen::start(Arc::clone(app), socket, limits, peers::serve)?)
+}
+
+fn serve_operators(app: &Arc<App>, settings: &Settings, control: Handle) -> Result<Server> {
+    let limits = Limits {
+        workers: 1,
+        head_time: BODY_TIME,
+        body_time: BODY_TIME,
+        idle_time: CALLER_IDLE,
+        max_body: MAX_OPERATOR_BODY,
+    };
+    let token = settings.security.operator_token.expose().into();
+    let operators = Operators { control, token };
+    let socket = bind_tcp(settings.listen.operators)?;
+    let handler = move |app, incoming| operators.clone().serve(app, incoming);
+    Ok(listen::start(Arc::clone(app), socket, limits, handler)?)
+}
--- a/crates/medlarreel/src/dispatch.rs
+++ b/crates/medlarreel/src/dispatch.rs
@@ -7,6 +7,7 @@
 
 pub mod lane;
 pub mod pool;
+pub mod repeats;
 
 pub use lane::{Lane, Permit};
 pub use pool::{Answer, Failure, Pool};
--- a/crates/medlarreel/src/dispatch/pool.rs
+++ b/crates/medlarreel/src/dispatch/pool.rs
@@ -27,6 +27,9 @@
 /// Sent data without acknowledgement for this long ends the connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// After a failed connection attempt, others are preferred for this long.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+
 /// A connection attempt ends after this time.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -68,6 +71,7 @@
 struct State {
     idle: Vec<Link>,
     open: usize,
+    failed: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -102,6 +106,11 @@
         self.lock().open
     }
 
+    /// Whether a connection attempt has failed recently.
+    pub fn suspect(&self) -> bool {
+        self.lock().failed.is_some_and(|failed| failed.elapsed() < SUSPECT_TIME)
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -179,7 +188,9 @@
             Some(Link { sender, opened: now, used: now })
         };
         let outcome = tokio::time::timeout(time.min(CONNECT_LIMIT), attempt).await;
-        outcome.ok().flatten().ok_or(Failure::NotSent)
+        let link = outcome.ok().flatten();
+        self.lock().failed = link.is_none().then(Instant::now);
+        link.ok_or(Failure::NotSent)
     }
 
     /// Sends on one connection. Dropping the link on failure closes it.
--- a/crates/medlarreel/src/lib.rs
+++ b/crates/medlarreel/src/lib.rs
@@ -1,3 +1,14 @@
 //! Settings, adapters, transport and servers around medlarreel's decision logic.
 
+pub mod app;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod dispatch;
+pub mod listen;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod proxy;
 pub mod settings;
--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -8,16 +8,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue};
+use http::HeaderValue;
 use medlarreel_core::code::{Code, Outcome};
-use medlarreel_core::ids::{Instance, Upstream};
-use medlarreel_core::route::{Route, Table};
+use medlarreel_core::ids::{Club, Epoch, Instance, Upstream};
+use medlarreel_core::retry::Attempt;
+use medlarreel_core::route::Route;
 
-use crate::app::App;
-use crate::dispatch::{Answer, Failure};
+use crate::app::{App, Snapshot, choose};
+use crate::dispatch::repeats::Known;
+use crate::dispatch::{Answer, Failure, Lane};
 
 pub mod call;
 pub mod refusal;
+pub mod retries;
 
 pub use call::{Call, Head};
 pub use refusal::Refusal;
@@ -32,22 +35,23 @@
 /// Time between attempts of a held request.
 const HOLD_STEP: Duration = Duration::from_millis(10);
 
-/// Time beyond the deadline that a forwarded request's refusal may take.
+/// Time beyond the deadline in which another instance's refusal may arrive.
 const FORWARD_SLACK: Duration = Duration::from_millis(20);
 
 /// Serves a request that arrived from a caller.
 pub async fn serve(app: &Arc<App>, head: Head<'_>, body: Bytes) -> Answer {
-    let table = app.table();
-    let started = app.clock.now();
-    let call = match Call::read(&head, body, &table, &app.home, started) {
+    let arrived = app.clock.now();
+    let snapshot = app.snapshot();
+    let call = match read(app, &snapshot, &head, body) {
         Ok(call) => call,
         Err(code) => {
-            app.metrics.refused(head.service(), code);
+            app.metrics.refused(code);
             return Refusal::from(code).answer();
         }
     };
-    let outcome = route(app, &table, &call).await;
-    app.metrics.finished(&call, &outcome, app.clock.now().since(started));
+    drop(snapshot);
+    let outcome = route(app, &call).await;
+    app.metrics.finished(&call, &outcome, app.clock.now().since(arrived));
     match outcome {
         Ok(answer) => answer,
         Err(refusal) => Refusal { next: None, ..refusal }.answer(),
@@ -56,17 +60,28 @@
 
 /// Serves a request that another instance forwarded.
 pub async fn serve_forwarded(app: &Arc<App>, head: Head<'_>, body: Bytes) -> Answer {
-    let table = app.table();
-    let outcome = match forwarded(app, &table, &head, body) {
-        Ok((call, upstream)) => dispatch(app, &table, &call, upstream).await,
+    let snapshot = app.snapshot();
+    let outcome = match read_forwarded(app, &snapshot, &head, body) {
+        Ok((call, upstream)) => dispatch(app, &snapshot, &call, upstream).await,
         Err(code) => Err(Refusal::from(code)),
     };
     outcome.unwrap_or_else(|refusal| refusal.answer())
 }
 
-fn forwarded(
+fn read(app: &App, snapshot: &Snapshot, head: &Head<'_>, body: Bytes) -> Result<Call, Code> {
+    if app.stopping() {
+        return Err(Code::Stopping);
+    }
+    if !snapshot.established {
+        return Err(Code::NoState);
+    }
+    head.check_framing()?;
+    Call::read(head, body, &snapshot.table, &app.home, app.clock.now())
+}
+
+fn read_forwarded(
     app: &App,
-    table: &Table,
+    snapshot: &Snapshot,
     head: &Head<'_>,
     body: Bytes,
 ) -> Result<(Call, Upstream), Code> {
@@ -74,16 +89,18 @@
     let head = Head { path, ..*head };
     let upstream = head.headers.get(&call::UPSTREAM).and_then(|value| value.to_str().ok());
     let upstream = upstream.and_then(|text| text.parse().ok()).ok_or(Code::BadRequest)?;
-    let call = Call::read(&head, body, table, &app.home, app.clock.now())?;
+    let call = Call::read(&head, body, &snapshot.table, &app.home, app.clock.now())?;
     Ok((call, Upstream(upstream)))
 }
 
 /// Tries the candidates until one answers or the time is over.
-async fn route(app: &Arc<App>, table: &Table, call: &Call) -> Result<Answer, Refusal> {
-    app.retries.arrived(app.clock.now());
+async fn route(app: &Arc<App>, call: &Call) -> Result<Answer, Refusal> {
+    app.retries.earn(app.clock.now());
     let hold_until = app.clock.now() + HOLD;
     loop {
-        let refusal = match pass(app, table, call).await {
+        // Each pass reads a new snapshot, since the held request waits for it.
+        let snapshot = app.snapshot();
+        let refusal = match pass(app, &snapshot, call).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
@@ -97,80 +114,85 @@
 }
 
 /// Tries each candidate once.
-async fn pass(app: &Arc<App>, table: &Table, call: &Call) -> Result<Answer, Refusal> {
-    let route = table.route(&call.service).ok_or(Code::UnknownService)?;
+async fn pass(app: &Arc<App>, snapshot: &Snapshot, call: &Call) -> Result<Answer, Refusal> {
+    let route = snapshot.table.route(&call.service).ok_or(Code::UnknownService)?;
     let mut last = Refusal::from(Code::NoOwner);
-    let mut first = true;
-    for upstream in candidates(app, route, call) {
-        for instance in dispatchers(table, upstream) {
-            let now = app.clock.now();
-            if !first && !app.retries.take(now) {
+    let mut tried = Vec::new();
+    for upstream in candidates(route, call) {
+        let mut instances = dispatchers(app, snapshot, upstream);
+        while let Some(instance) = instances.pop() {
+            if tried.contains(&(upstream, instance)) {
+                continue;
+            }
+            if !tried.is_empty() && !may_retry(app, call, last) {
                 return Err(last);
             }
-            first = false;
-            match attempt(app, table, call, upstream, instance).await {
+            tried.push((upstream, instance));
+            match attempt(app, snapshot, call, upstream, instance).await {
                 Ok(answer) => return Ok(answer),
                 Err(refusal) => last = refusal,
             }
-            if !may_retry(app, call, last) {
-                return Err(last);
-            }
-            if let Some(next) = last.next.filter(|next| *next != instance) {
-                match attempt(app, table, call, upstream, next).await {
-                    Ok(answer) => return Ok(answer),
-                    Err(refusal) => last = refusal,
-                }
-                if !may_retry(app, call, last) {
-                    return Err(last);
-                }
-            }
+            instances.extend(last.next);
         }
     }
     Err(last)
 }
 
-fn may_retry(app: &App, call: &Call, refusal: Refusal) -> bool {
-    let safe = match refusal.outcome {
-        Outcome::NotRun => true,
-        Outcome::Unknown => call.idempotent,
-        Outcome::Failed => false,
-    };
-    let futile = matches!(refusal.code, Code::BadRequest | Code::Expired | Code::BodyTooLarge);
-    safe && !futile && app.clock.now() < call.deadline
+/// Whether the request may be sent again after the refusal.
+fn may_retry(app: &App, call: &Call, last: Refusal) -> bool {
+    let now = app.clock.now();
+    match last.code {
+        Code::BadRequest | Code::Expired | Code::BodyTooLarge | Code::UnknownService => false,
+        // Nothing was done for the request yet, so trying elsewhere adds no load.
+        Code::Unreachable | Code::NotDispatcher | Code::NotOwner | Code::NoOwner => {
+            now < call.deadline && last.outcome == Outcome::NotRun
+        }
+        _ => {
+            let (outcome, idempotent, deadline) = (last.outcome, call.idempotent, call.deadline);
+            app.retries.take(now, &Attempt { outcome, idempotent, deadline })
+        }
+    }
 }
 
-fn candidates(app: &App, route: &Route, call: &Call) -> Vec<Upstream> {
+fn candidates(route: &Route, call: &Call) -> Vec<Upstream> {
     match call.shard {
         Some(shard) => {
             let place = route.place(shard);
             place.owner.into_iter().chain(place.standby).collect()
         }
-        None => app.choose(&route.upstreams, CHOICES),
+        None => choose(&route.upstreams, CHOICES),
     }
 }
 
-fn dispatchers(table: &Table, upstream: Upstream) -> Vec<Instance> {
-    table.target(upstream).map(|target| target.dispatchers.clone()).unwrap_or_default()
+/// Likely dispatchers, the best one last; those that cannot be reached first.
+fn dispatchers(app: &App, snapshot: &Snapshot, upstream: Upstream) -> Vec<Instance> {
+    let Some(target) = snapshot.table.target(upstream) else { return Vec::new() };
+    let suspect = |instance: &Instance| {
+        *instance != app.me && snapshot.peer(*instance).is_none_or(|pool| pool.suspect())
+    };
+    let mut likely: Vec<_> = target.dispatchers.iter().rev().copied().collect();
+    likely.sort_by_key(|instance| !suspect(instance));
+    likely
 }
 
 /// Sends the request to one dispatcher, which may be this instance.
 async fn attempt(
     app: &Arc<App>,
-    table: &Table,
+    snapshot: &Snapshot,
     call: &Call,
     upstream: Upstream,
     instance: Instance,
 ) -> Result<Answer, Refusal> {
     if instance == app.me {
-        return dispatch(app, table, call, upstream).await;
+        return dispatch(app, snapshot, call, upstream).await;
     }
-    let address = table.peer(instance).ok_or(Code::Unreachable)?;
+    let pool = snapshot.peer(instance).ok_or(Code::Unreachable)?;
     let left = call.left(app.clock.now());
     if left.is_zero() {
         return Err(Code::Expired.into());
     }
-    let request = call.forward(&address.to_string(), &app.peer_token, upstream, left)?;
-    let pool = app.peer_pool(address);
+    let host = pool.address().to_string();
+    let request = call.forward(&host, &app.peer_token, upstream, left)?;
     let sent = pool.exchange(request, left + FORWARD_SLACK, call.max_body).await;
     let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
     match Refusal::parse(&answer.headers) {
@@ -179,32 +201,45 @@
     }
 }
 
-/// Waits for a slot at the upstream and sends the request.
+/// Runs the request at an upstream that this instance dispatches for.
 async fn dispatch(
     app: &Arc<App>,
-    table: &Table,
+    snapshot: &Snapshot,
     call: &Call,
     upstream: Upstream,
 ) -> Result<Answer, Refusal> {
-    let lane = app.lane(upstream).ok_or_else(|| not_dispatcher(table, app.me, upstream))?;
-    let route = table.route(&call.service).ok_or(Code::UnknownService)?;
-    let club = table.club(&call.club).ok_or(Code::BadRequest)?;
+    let Some(lane) = snapshot.lanes.get(&upstream) else {
+        return Err(not_dispatcher(snapshot, app.me, upstream));
+    };
+    let club = snapshot.state.club_named(&call.club).ok_or(Code::BadRequest)?;
     lane.permit(app.clock.now(), call.shard)?;
-    let first = app.dedup_begin(&lane, call, route.limits.deduplicates)?;
-    let outcome = send(app, &lane, call, club).await;
-    app.dedup_finish(&lane, first, &outcome);
-    outcome
+    let Some(key) = call.dedup.filter(|_| !call.idempotent) else {
+        return send(app, lane, call, club).await;
+    };
+    // Upstreams that recognise repeats are asked again; others are not.
+    let deduplicates = snapshot.table.route(&call.service);
+    let deduplicates = deduplicates.is_some_and(|route| route.limits.deduplicates);
+    let attempt = if deduplicates { 1 } else { call.attempt };
+    match lane.repeats().begin(app.clock.now(), key, attempt)? {
+        Known::Answered(answer) => Ok(answer),
+        Known::First => {
+            let outcome = send(app, lane, call, club).await;
+            lane.repeats().finish(app.clock.now(), key, &outcome);
+            outcome
+        }
+    }
 }
 
+/// Waits for a slot and sends the request.
 async fn send(
     app: &Arc<App>,
-    lane: &Arc<crate::dispatch::Lane>,
+    lane: &Arc<Lane>,
     call: &Call,
-    club: usize,
+    club: Club,
 ) -> Result<Answer, Refusal> {
     let slot = lane.slot(app.clock, call.rank, club, call.deadline).await?;
-    // The wait may have been long: the lease, the epoch and the deadline are
-    // checked again right before the send.
+    // The wait may have been long, or the process paused: the lease, the epoch
+    // and the deadline are checked again right before the send.
     let now = app.clock.now();
     let epoch = lane.permit(now, call.shard)?;
     let left = call.left(now);
@@ -212,20 +247,32 @@
         return Err(Code::Expired.into());
     }
     let id = app.request_id();
+    let request = upstream_request(lane, call, epoch, id, left.as_millis() as u64)?;
+    let exchange = lane.exchange();
+    let sent = lane.pool().exchange(request, left, call.max_body).await;
+    drop(exchange);
+    drop(slot);
+    lane.observe(&sent);
+    let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
+    check_answer(answer, id)
+}
+
+fn upstream_request(
+    lane: &Lane,
+    call: &Call,
+    epoch: Option<Epoch>,
+    id: u64,
+    left_ms: u64,
+) -> Result<http::Request<http_body_util::Full<Bytes>>, Code> {
     let mut headers = call.headers.clone();
     headers.insert(call::REQUEST_ID, HeaderValue::from(id));
-    headers.insert(call::DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(call::DEADLINE, HeaderValue::from(left_ms));
     if let (Some(shard), Some(epoch)) = (call.shard, epoch) {
         headers.insert(call::SHARD, HeaderValue::from(shard.index));
         let epoch = HeaderValue::try_from(epoch.to_string()).map_err(|_| Code::BadRequest)?;
         headers.insert(call::EPOCH, epoch);
     }
-    let request = call.request(&call.path, &lane.pool().address().to_string(), headers)?;
-    let sent = lane.pool().exchange(request, left, call.max_body).await;
-    drop(slot);
-    lane.observe(app.clock.now(), &sent);
-    let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
-    check_answer(answer, id)
+    call.request(&call.path, &lane.pool().address().to_string(), headers)
 }
 
 /// Separates refusals of the upstream from its answers.
@@ -237,17 +284,15 @@
     if echoed.is_some_and(|echoed| echoed != id.to_string().as_bytes()) {
         return Err(Code::AnswerMismatched.into());
     }
-    answer.headers = strip(&answer.headers);
+    answer.headers = call::end_to_end(&answer.headers);
     Ok(answer)
 }
 
-fn strip(headers: &HeaderMap) -> HeaderMap {
-    call::end_to_end(headers)
-}
-
-fn not_dispatcher(table: &Table, me: Instance, upstream: Upstream) -> Refusal {
-    let likely = dispatchers(table, upstream).into_iter().find(|instance| *instance != me);
-    Refusal { next: likely, ..Code::NotDispatcher.into() }
+fn not_dispatcher(snapshot: &Snapshot, me: Instance, upstream: Upstream) -> Refusal {
+    let target = snapshot.table.target(upstream);
+    let mut likely = target.into_iter().flat_map(|target| &target.dispatchers);
+    let next = likely.find(|instance| **instance != me).copied();
+    Refusal { next, ..Code::NotDispatcher.into() }
 }
 
 fn failed(failure: Failure) -> Code {
--- a/crates/medlarreel/src/proxy/call.rs
+++ b/crates/medlarreel/src/proxy/call.rs
@@ -17,7 +17,8 @@
 use medlarreel_core::preset::Rank;
 use medlarreel_core::route::{Route, Table};
 use medlarreel_core::time::Time;
-use xxhash_rust::xxh3::xxh3_64;
+use medlarreel_core::dedup;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Key of the request, for keyed services.
 pub const KEY: HeaderName = HeaderName::from_static("medlar-key");
@@ -89,8 +90,8 @@
     pub attempt: u32,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
-    /// Hash of service and idempotency key.
-    pub dedup: Option<u64>,
+    /// Idempotency key, scoped by service and club.
+    pub dedup: Option<dedup::Key>,
     /// Largest answer, in bytes.
     pub max_body: usize,
 }
@@ -161,7 +162,7 @@
         let limit = limit.map(Duration::from_millis);
         let limit = limit.unwrap_or(preset.ranks[rank.index()].deadline).min(MAX_DEADLINE);
         let attempt = optional(head.headers, &ATTEMPT, |text| text.parse().ok())?.unwrap_or(1);
-        let dedup = idempotency(head.headers, &service)?;
+        let dedup = idempotency(head.headers, &service, &club)?;
         Ok(Call {
             method: head.method.clone(),
             path: head.path.to_owned(),
@@ -245,13 +246,17 @@
     }
 }
 
-fn idempotency(headers: &HeaderMap, service: &str) -> Result<Option<u64>, Code> {
+fn idempotency(
+    headers: &HeaderMap,
+    service: &str,
+    club: &str,
+) -> Result<Option<dedup::Key>, Code> {
     let Some(key) = headers.get(&IDEMPOTENCY) else { return Ok(None) };
     if key.is_empty() || key.len() > MAX_KEY {
         return Err(Code::BadRequest);
     }
-    let scoped = [service.as_bytes(), b"\0", key.as_bytes()].concat();
-    Ok(Some(xxh3_64(&scoped)))
+    let parts = [service.as_bytes(), club.as_bytes(), key.as_bytes()];
+    Ok(Some(dedup::Key(xxh3_128(&parts.join(&b'\0')))))
 }
 
 /// Headers that go on to the upstream: neither hop-by-hop nor internal.
--- a/crates/medlarreel/src/proxy/retries.rs
+++ b/crates/medlarreel/src/proxy/retries.rs
@@ -1,10 +1,39 @@
 //! Retry budget shared by the traffic threads.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
-use medlarreel_core::retry::Budget;
+use medlarreel_core::retry::{Attempt, Budget, Verdict};
 use medlarreel_core::time::Time;
 
+/// Retries per second that are allowed at any load.
+const CONSTANT: u16 = 10;
+
 /// Budget for attempts after the first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Retries(Mutex<Budget>);
+
+impl Retries {
+    /// Budget of `percent` of the requests.
+    pub fn new(now: Time, percent: u8) -> Retries {
+        Retries(Mutex::new(Budget::new(now, percent, CONSTANT)))
+    }
+
+    /// Replaces the share of requests that may be retried, in percent.
+    pub fn set_percent(&self, percent: u8) {
+        self.lock().set_limits(percent, CONSTANT);
+    }
+
+    /// Counts a request that was sent for the first time.
+    pub fn earn(&self, now: Time) {
+        self.lock().earn(now);
+    }
+
+    /// Whether the request may be sent again; charges the budget if so.
+    pub fn take(&self, now: Time, attempt: &Attempt) -> bool {
+        self.lock().decide(now, attempt) == Verdict::Send
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Budget> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
