Add stand-ins for log, list and upstream

Tests and the local run need the outside systems of docs/protocol.md with their faults. Each one runs in-process or as a program of its own.

--- /dev/null
+++ b/crates/standin/src/bin/standin-client.rs
@@ -0,0 +1,6 @@
+//! Command `standin-client`; see `medlarreel_standin::command`.
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> eyre::Result<()> {
+    medlarreel_standin::command::client(std::env::args().skip(1).collect()).await
+}
--- a/crates/standin/src/bin/standin-upstream.rs
+++ b/crates/standin/src/bin/standin-upstream.rs
@@ -1,2 +1,6 @@
-//! placeholder
-fn main() {}
+//! Command `standin-upstream`; see `medlarreel_standin::command`.
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> eyre::Result<()> {
+    medlarreel_standin::command::upstream(std::env::args().skip(1).collect()).await
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,228 @@
+//! Stand-in for the log service.
+//!
+//! Streams are kept in memory. An append that has been read takes effect even
+//! if its sender has given up in the meantime, as with a real service.
+
+mod stream;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+
+pub use stream::{Page, Record, Summary};
+
+use crate::error::Error;
+use crate::fault::{self, Unavailable};
+use crate::gate::Gate;
+use crate::server::{self, Reply, Server};
+use stream::Stream;
+
+/// Streams at most, so that a mistaken client cannot fill the memory.
+const MAX_STREAMS: usize = 64;
+
+/// Longest wait of a read.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Records in one answer unless `max` says otherwise, and at most.
+const PAGE: (usize, usize) = (100, 1_000);
+
+/// How the log is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Records kept in each stream.
+    pub retention: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { retention: 4_096 }
+    }
+}
+
+/// Faults in force.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Faults {
+    /// Whether the log can be used.
+    pub unavailable: Unavailable,
+    /// Time added to each append, in milliseconds.
+    pub slow_append_ms: u64,
+    /// Time added to each read, in milliseconds.
+    pub slow_read_ms: u64,
+    /// Appends to come that take effect and are not answered.
+    pub lose_answers: u32,
+}
+
+/// Change of faults; what is absent stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Change {
+    /// See `Faults`.
+    pub unavailable: Option<Unavailable>,
+    /// See `Faults`.
+    pub slow_append_ms: Option<u64>,
+    /// See `Faults`.
+    pub slow_read_ms: Option<u64>,
+    /// See `Faults`.
+    pub lose_answers: Option<u32>,
+    /// Streams whose records below an offset are dropped now.
+    pub trim: BTreeMap<String, u64>,
+}
+
+/// The log's state.
+#[derive(Debug)]
+pub struct Log {
+    config: Config,
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    faults: Faults,
+}
+
+/// Starts a log.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn start(listen: SocketAddr, config: Config) -> Result<Server<Log>, Error> {
+    let log = Log {
+        config,
+        state: Mutex::default(),
+        changed: watch::Sender::new(()),
+    };
+    server::start(listen, log, Gate::new(usize::MAX)).await
+}
+
+impl Log {
+    /// Changes the faults and returns those in force.
+    pub fn change(&self, change: Change) -> Faults {
+        let mut state = self.state();
+        for (name, before) in &change.trim {
+            if let Some(stream) = state.streams.get_mut(name) {
+                stream.trim(*before);
+            }
+        }
+        let faults = &mut state.faults;
+        faults.unavailable = change.unavailable.unwrap_or(faults.unavailable);
+        faults.slow_append_ms = change.slow_append_ms.unwrap_or(faults.slow_append_ms);
+        faults.slow_read_ms = change.slow_read_ms.unwrap_or(faults.slow_read_ms);
+        faults.lose_answers = change.lose_answers.unwrap_or(faults.lose_answers);
+        self.changed.send_replace(());
+        faults.clone()
+    }
+
+    /// Extent of each stream.
+    pub fn summary(&self) -> BTreeMap<String, Summary> {
+        let state = self.state();
+        let streams = state.streams.iter();
+        streams
+            .map(|(name, stream)| (name.clone(), stream.summary()))
+            .collect()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn faults(&self) -> Faults {
+        self.state().faults.clone()
+    }
+
+    async fn append(self: Arc<Self>, name: String, data: Bytes) -> Result<Reply, Error> {
+        let faults = self.faults();
+        if let Some(reply) = faults.unavailable.interfere().await {
+            return Ok(reply);
+        }
+        let delay = Duration::from_millis(faults.slow_append_ms);
+        // A task of its own, because an abandoned append still takes effect.
+        let task = tokio::spawn(async move {
+            sleep(delay).await;
+            self.store(name, data)
+        });
+        let (offset, lost) = task.await.expect("storing does not panic")?;
+        if lost {
+            return Err(Error::Lost);
+        }
+        Ok(server::json(200, &serde_json::json!({ "offset": offset })))
+    }
+
+    fn store(&self, name: String, data: Bytes) -> Result<(u64, bool), Error> {
+        let mut state = self.state();
+        if state.streams.len() >= MAX_STREAMS && !state.streams.contains_key(&name) {
+            return Err(Error::Malformed("too many streams".to_owned()));
+        }
+        let stream = state.streams.entry(name).or_default();
+        let offset = stream.append(data, self.config.retention);
+        let lost = fault::take(&mut state.faults.lose_answers);
+        drop(state);
+        self.changed.send_replace(());
+        Ok((offset, lost))
+    }
+
+    async fn read(&self, name: &str, query: Option<&str>) -> Result<Reply, Error> {
+        let from = server::number(query, "from", 0)?;
+        let max = server::number(query, "max", PAGE.0)?.min(PAGE.1);
+        let wait = server::number(query, "wait_ms", 0)?.min(MAX_WAIT_MS);
+        sleep(Duration::from_millis(self.faults().slow_read_ms)).await;
+        let end = Instant::now() + Duration::from_millis(wait);
+        let mut changed = self.changed.subscribe();
+        loop {
+            let unavailable = self.faults().unavailable;
+            if let Some(reply) = unavailable.interfere().await {
+                return Ok(reply);
+            }
+            let (status, page) = self.page(name, from, max);
+            let over = Instant::now() >= end;
+            if status != 200 || !page.records.is_empty() || over || max == 0 {
+                return Ok(server::json(status, &page));
+            }
+            // Either a change or the end of the wait leads to another look.
+            let _ = timeout_at(end, changed.changed()).await;
+        }
+    }
+
+    fn page(&self, name: &str, from: u64, max: usize) -> (u16, Page) {
+        let state = self.state();
+        let page = state.streams.get(name).map(|stream| stream.page(from, max));
+        let page = page.unwrap_or_default();
+        let status = if from < page.earliest { 410 } else { 200 };
+        (status, page)
+    }
+}
+
+impl server::Service for Log {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Error> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        if let Some(name) = path.strip_prefix("/streams/") {
+            return match head.method {
+                Method::POST => {
+                    let data = server::body(body).await?;
+                    self.append(name.to_owned(), data).await
+                }
+                Method::GET => self.read(name, head.uri.query()).await,
+                _ => Err(Error::Missing(path)),
+            };
+        }
+        match (head.method, path.as_str()) {
+            (Method::POST, "/admin/faults") => {
+                let change = server::body(body).await?;
+                Ok(server::json(200, &self.change(fault::parse(&change)?)))
+            }
+            (Method::GET, "/admin/faults") => Ok(server::json(200, &self.faults())),
+            (Method::GET, "/admin/state") => Ok(server::json(200, &self.summary())),
+            _ => Err(Error::Missing(path)),
+        }
+    }
+}
