--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! bench can drive every part in virtual time.
 
 pub mod code;
+pub mod control;
 pub mod fold;
 pub mod grant;
 pub mod ids;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -139,4 +139,6 @@
     Withheld(u64),
     /// The next log offset of the sender, so that others learn that they lag.
     Progress(Offset),
+    /// The sender has given up every ballot of its own up to this one.
+    Resign(Ballot),
 }
