--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod code;
 pub mod config;
 pub mod dedup;
+pub mod control;
 pub mod fold;
 pub mod grant;
 pub mod health;
