Add medlarctl and the bodies of the control API

A command draws the proposal's id before it sends an action. When the answer is lost, the exit code is 3 and the id is printed, so that the outcome can be asked for instead of guessed.

--- /dev/null
+++ b/crates/medlarreel/src/operators.rs
@@ -0,0 +1,7 @@
+//! Operators' interface: bodies of the control API and the status page.
+
+pub mod advice;
+pub mod api;
+pub mod status;
+
+pub use status::Status;
--- /dev/null
+++ b/crates/medlarreel/tests/ctl.rs
@@ -0,0 +1,414 @@
+//! The operators' command against a tiny fake of an instance.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+use medlarreel::ctl::{Exit, Run, run};
+use medlarreel_core::code::Code;
+use serde_json::{Value, json};
+
+const TOKEN: &str = "0123456789abcdef";
+const PRESET: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../examples/presets/ordinary.ini"
+);
+
+/// Answer of the fake to requests whose path begins with the text.
+type Script = Vec<(&'static str, u16, Value)>;
+
+/// Requests that the fake received, as `METHOD path body`.
+type Received = Arc<Mutex<Vec<String>>>;
+
+/// Starts a fake; requests that the script lacks lose their connection.
+fn fake(script: Script) -> (SocketAddr, Received) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback address is free");
+    let address = listener.local_addr().expect("listener has an address");
+    let received = Received::default();
+    let log = Arc::clone(&received);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            serve(stream, &script, &log);
+        }
+    });
+    (address, received)
+}
+
+fn serve(mut stream: TcpStream, script: &Script, log: &Received) {
+    let mut reader = BufReader::new(stream.try_clone().expect("stream can be cloned"));
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    let lower = head.to_lowercase();
+    let length = lower
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |text| text.parse().expect("length is a number"))];
+    reader.read_exact(&mut body).expect("body follows");
+    let mut words = head.split(' ');
+    let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let body = String::from_utf8(body).expect("body is text");
+    let record = format!("{method} {path} {body}");
+    log.lock().expect("no panic before").push(record);
+    let permitted = method == "GET" || head.contains(&format!("Bearer {TOKEN}"));
+    let refusal = (
+        "",
+        401,
+        json!({"code": 600, "text": "a token is required", "hint": "add it"}),
+    );
+    let entry = script.iter().find(|(prefix, ..)| path.starts_with(prefix));
+    if let Some((_, status, answer)) = entry
+        .filter(|_| permitted)
+        .or((!permitted).then_some(&refusal))
+    {
+        let answer = answer.to_string();
+        let length = answer.len();
+        let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n");
+        let _ = stream.write_all(format!("{head}{answer}").as_bytes());
+    }
+}
+
+fn ctl(args: &[&str]) -> Run {
+    let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    run(&args)
+}
+
+/// Runs a command against the instance with the operator token.
+fn ask(instance: SocketAddr, args: &[&str]) -> Run {
+    let instance = instance.to_string();
+    let options = ["--instance", &instance, "--token", TOKEN];
+    ctl(&[args, &options].concat())
+}
+
+fn status(preset: &str, activations: u32) -> Value {
+    json!({
+        "instance": 7, "club": "kashmir", "domain": "loft-a", "ready": true, "next": 42,
+        "log_reachable": true, "activations": activations,
+        "preset": {"name": preset, "version": 2, "since": 40, "budget": 232, "club_slots": 150},
+        "holder": {"instance": 7, "peers": "127.0.0.1:7001", "term": 1, "round": 3},
+        "members": [{"instance": 7, "domain": "loft-a", "peers": "127.0.0.1:7001", "heard": true}],
+        "upstreams": [{
+            "name": "intake-1\u{1b}[2J", "service": "intake", "domain": "loft-a",
+            "address": "127.0.0.1:8001", "dispatcher": null, "in_flight": 2, "waiting": 1,
+            "allowance": 6, "health": "alive", "lease": "held", "lease_left_ms": 700
+        }],
+        "services": [{"name": "intake", "shards": 1024, "unowned": 1024, "owners": []}],
+        "ranks": [], "audit": []
+    })
+}
+
+fn presets() -> Value {
+    json!({"presets": [{"name": "ordinary", "version": 4, "text": ""}]})
+}
+
+fn outcome(outcome: &str, code: Option<u16>) -> Value {
+    json!({"proposal": 123, "outcome": outcome, "code": code, "offset": 9})
+}
+
+/// Guards against a publication that skips the version check or sends another text.
+#[test]
+fn publish_sends_the_text_with_the_version_that_it_saw() {
+    let script = vec![
+        ("/control/presets", 200, presets()),
+        ("/control/publish", 200, outcome("accepted", None)),
+    ];
+    let (instance, received) = fake(script);
+
+    let run = ask(instance, &["publish", PRESET]);
+
+    assert_eq!((run.exit, run.error.as_str()), (Exit::Done, ""));
+    assert_eq!(
+        run.output,
+        "preset ordinary version 5 published (proposal 123, offset 9)\n"
+    );
+    let sent = received.lock().expect("no panic before")[1].clone();
+    let body = sent
+        .strip_prefix("POST /control/publish ")
+        .expect("action follows the query");
+    let body: Value = serde_json::from_str(body).expect("body is JSON");
+    assert_eq!(
+        (&body["name"], &body["expected"]),
+        (&json!("ordinary"), &json!(4))
+    );
+    assert_eq!(
+        body["text"],
+        std::fs::read_to_string(PRESET).expect("example exists")
+    );
+    assert!(body["proposal"].is_u64());
+}
+
+/// Guards against a switch that overrides another operator's switch.
+#[test]
+fn activate_sends_the_activation_count_and_reports_a_conflict() {
+    let script = vec![
+        ("/control/presets", 200, presets()),
+        ("/control/status", 200, status("peaks", 17)),
+        ("/control/activate", 409, outcome("rejected", Some(500))),
+    ];
+    let (instance, received) = fake(script);
+
+    let run = ask(instance, &["activate", "ordinary"]);
+
+    assert_eq!(run.exit, Exit::Rejected);
+    assert!(
+        run.error
+            .starts_with("code 500: another proposal came first (proposal 123)\n")
+    );
+    let sent = received.lock().expect("no panic before")[2].clone();
+    assert!(sent.contains("\"version\":4,\"expected\":17,"), "{sent}");
+}
+
+/// Guards against an action whose lost answer is reported as done or as failed.
+#[test]
+fn a_lost_answer_to_an_action_is_unknown_and_names_the_proposal() {
+    let (instance, received) = fake(Vec::new());
+
+    let run = ask(instance, &["release", "--upstream", "intake-1"]);
+
+    assert_eq!(run.exit, Exit::Unknown);
+    let sent = received.lock().expect("no panic before")[0].clone();
+    let body: Value =
+        serde_json::from_str(sent.splitn(3, ' ').last().expect("body")).expect("JSON");
+    assert_eq!(body["upstream"], "intake-1");
+    let hint = format!("medlarctl proposal {} --instance", body["proposal"]);
+    assert!(run.error.contains(&hint), "{}", run.error);
+}
+
+/// Guards against uncertain refusals that are reported as certain ones.
+#[test]
+fn each_answer_to_an_action_has_its_exit_code() {
+    let failure = |code: u16| json!({"code": code, "text": "text", "hint": "hint"});
+    let cases = [
+        (200, outcome("accepted", None), Exit::Done),
+        (200, outcome("unknown", Some(504)), Exit::Unknown),
+        (404, outcome("rejected", Some(506)), Exit::Rejected),
+        (503, failure(505), Exit::Unknown),
+        (503, failure(104), Exit::Unreachable),
+        (404, failure(506), Exit::Rejected),
+        (500, json!("broken"), Exit::Unknown),
+    ];
+    for (http, answer, exit) in cases {
+        let (instance, _) = fake(vec![("/control/release", http, answer.clone())]);
+        let run = ask(instance, &["release", "--domain", "loft-b"]);
+        assert_eq!(run.exit, exit, "{http} {answer}");
+    }
+}
+
+/// Guards against an outcome that cannot be asked for again.
+#[test]
+fn proposal_reports_the_outcome() {
+    let script = vec![(
+        "/control/proposal?id=123",
+        200,
+        outcome("rejected", Some(502)),
+    )];
+    let (instance, _) = fake(script);
+
+    let run = ask(instance, &["proposal", "123", "--json"]);
+
+    assert_eq!(run.exit, Exit::Rejected);
+    let json: Value = serde_json::from_str(&run.output).expect("output is JSON");
+    assert_eq!(
+        (&json["code"], &json["proposal"]),
+        (&json!(502), &json!(123))
+    );
+}
+
+/// Guards against instances under different presets that look alike.
+#[test]
+fn where_compares_the_instances_and_reports_the_unreachable() {
+    let (first, _) = fake(vec![("/control/status", 200, status("ordinary", 3))]);
+    let (second, _) = fake(vec![("/control/status", 200, status("peaks", 4))]);
+    let (first, second) = (first.to_string(), second.to_string());
+
+    let same = ctl(&["where", "--instance", &first, "--instance", &first]);
+    let differ = ctl(&[
+        "where",
+        "--instance",
+        &first,
+        "--instance",
+        &second,
+        "--json",
+    ]);
+    let partial = ctl(&["where", "--instance", &first, "--instance", "127.0.0.1:1"]);
+
+    assert_eq!(same.exit, Exit::Done);
+    assert!(
+        same.output.ends_with("the same at all instances\n"),
+        "{}",
+        same.output
+    );
+    let json: Value = serde_json::from_str(&differ.output).expect("output is JSON");
+    assert_eq!(json["same"], json!(false));
+    assert_eq!(partial.exit, Exit::Unreachable);
+    assert!(partial.output.contains("code 113"), "{}", partial.output);
+}
+
+/// Guards against keys that change on their way, and names that control the terminal.
+#[test]
+fn queries_encode_their_arguments_and_show_plain_text() {
+    let owner = json!({"service": "intake", "shard": 5, "owner": "intake-1", "standby": null,
+        "dispatcher": "127.0.0.1:7001", "placed": null});
+    let entry =
+        json!({"offset": 9, "subject": "plan", "cause": "join", "before": "", "after": "x"});
+    let script = vec![
+        (
+            "/control/owner?service=intake&key=a%20%26%2Fb%C3%A9",
+            200,
+            owner,
+        ),
+        ("/control/status", 200, status("ordinary", 3)),
+        ("/control/audit?after=8", 200, json!({"entries": [entry]})),
+    ];
+    let (instance, _) = fake(script);
+
+    let owner = ask(instance, &["owner", "intake", "a &/bé"]);
+    let status = ask(instance, &["status"]);
+    let audit = ask(instance, &["audit", "--after", "8"]);
+
+    assert!(
+        owner.output.contains("owner      intake-1\n"),
+        "{}",
+        owner.error
+    );
+    assert!(status.output.contains("intake-1?[2J"), "{}", status.output);
+    assert_eq!(audit.output, "       9 plan: join: x\n");
+}
+
+/// Guards against a wrong token that is reported as anything but a refusal.
+#[test]
+fn a_wrong_token_is_rejected_by_its_number() {
+    let (instance, _) = fake(vec![("/control/release", 200, outcome("accepted", None))]);
+    let instance = instance.to_string();
+
+    let wrong = [
+        "release",
+        "--domain",
+        "x",
+        "--instance",
+        &instance,
+        "--token",
+        "wrong",
+    ];
+    let run = ctl(&wrong);
+
+    assert_eq!(run.exit, Exit::Rejected);
+    assert!(run.error.starts_with("code 600: "), "{}", run.error);
+}
+
+/// Guards against command lines that are guessed at instead of refused.
+#[test]
+fn a_wrong_command_line_is_refused_with_the_help_page() {
+    let remote = ["--instance", "127.0.0.1:1"];
+    let cases: &[&[&str]] = &[
+        &[],
+        &["publsh"],
+        &["publish"],
+        &["publish", PRESET, remote[0], remote[1]],
+        &["activate", "a", "b", remote[0], remote[1], "--token", TOKEN],
+        &["release", remote[0], remote[1], "--token", TOKEN],
+        &[
+            "release",
+            "--upstream",
+            "a",
+            "--domain",
+            "b",
+            remote[0],
+            remote[1],
+            "--token",
+            TOKEN,
+        ],
+        &["status"],
+        &["status", "--instance", "localhost:7002"],
+        &["status", remote[0], remote[1], remote[0], remote[1]],
+        &["audit", "--after", "-1", remote[0], remote[1]],
+        &[
+            "status",
+            remote[0],
+            remote[1],
+            "--token-file",
+            "/nonexistent",
+        ],
+        &["check"],
+        &["defaults", "presets"],
+        &["codes", "--instance", "127.0.0.1:1"],
+    ];
+    for case in cases {
+        let run = ctl(case);
+        assert_eq!(run.exit, Exit::Usage, "{case:?}");
+        assert!(run.error.starts_with("code "), "{}", run.error);
+    }
+}
+
+/// Guards against a command without help or example.
+#[test]
+fn every_command_has_help_with_an_example() {
+    let overview = ctl(&["--help"]).output;
+    let listed = overview.lines().filter_map(|line| line.strip_prefix("  "));
+    let names: Vec<_> = listed.filter_map(|line| line.split(' ').next()).collect();
+
+    assert_eq!(names.len(), 11);
+    for name in names {
+        let help = ctl(&[name, "--help"]);
+        assert_eq!(help.exit, Exit::Done);
+        assert!(
+            help.output.contains(&format!("Example: medlarctl {name}")),
+            "{name}"
+        );
+    }
+}
+
+/// Guards against a file that is checked by the rules of the other kind.
+#[test]
+fn check_tells_settings_from_presets_and_lists_every_mistake() {
+    let folder = std::env::temp_dir().join(format!("medlarctl-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("temporary folder can be made");
+    let path = folder.join("file.ini").display().to_string();
+    let write = |text: &str| std::fs::write(&path, text).expect("file can be written");
+
+    let valid = ctl(&["check", PRESET]);
+    write(&ctl(&["defaults", "settings"]).output);
+    let settings = ctl(&["check", &path]);
+    write("[preset]\nname = X\n");
+    let preset = ctl(&["check", &path, "--json"]);
+    std::fs::remove_dir_all(&folder).expect("temporary folder can be removed");
+
+    assert_eq!(valid.exit, Exit::Done);
+    assert!(valid.output.ends_with("valid preset\n"));
+    assert_eq!(settings.exit, Exit::Mistakes);
+    assert!(
+        settings.error.contains(&format!("{path}:")),
+        "{}",
+        settings.error
+    );
+    assert_eq!(settings.error.matches("code 405").count(), 2);
+    let json: Value = serde_json::from_str(&preset.output).expect("output is JSON");
+    assert_eq!(json["mistakes"][0]["code"], 408);
+    assert_eq!(json["mistakes"][1]["line"], 2);
+}
+
+/// Guards against codes that are missing from the list.
+#[test]
+fn codes_lists_every_code() {
+    let output = ctl(&["codes"]).output;
+
+    assert_eq!(output.lines().count(), Code::ALL.len());
+    for code in Code::ALL {
+        assert!(output.contains(&format!("{} ", code.number())));
+    }
+}
+
+/// Guards against a binary that loses the exit code or the streams.
+#[test]
+fn the_binary_passes_on_exit_code_and_streams() {
+    let binary = env!("CARGO_BIN_EXE_medlarctl");
+    let output = std::process::Command::new(binary).arg("nothing").output();
+    let output = output.expect("binary runs");
+
+    assert_eq!(output.status.code(), Some(2));
+    assert!(output.stdout.is_empty());
+    assert!(output.stderr.starts_with(b"code 602: "));
+}
