--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use medlarreel_core::code::Code;
+use medlarreel_core::fold::State;
+use medlarreel_core::ids::{Offset, Proposal};
 use medlarreel_core::preset::{Fencing, Isolation, Preset, Rank};
+use medlarreel_core::record::{Body, Record};
 use proptest::prelude::*;
 
 const PRESET: &str = "\
@@ -96,6 +99,11 @@
         ),
         ("weight = 2", "wait = 2", &[(7, Code::UnknownKey)]),
         ("weight = 2", "share = 2 %", &[(7, Code::Duplicate)]),
+        (
+            "[club souss]\nshare = 50%",
+            "[club kashmir]\nshare = 90%",
+            &[(8, Code::Duplicate), (21, Code::Inconsistent)],
+        ),
         (
             "[rank order]",
             "[rank status]",
@@ -208,6 +216,48 @@
     assert!(missing, "{mistakes:?}");
 }
 
+/// Applies an operator's record and returns its outcome.
+fn apply(state: &mut State, body: Body) -> Result<(), Code> {
+    let offset = state.next();
+    let proposal = Proposal(offset.0 + 1);
+    state.apply(Offset(offset.0), Record { proposal, body })
+}
+
+/// Guards against example presets that cannot be published and switched between.
+#[test]
+fn example_presets_can_be_published_and_activated_in_turn() {
+    let mut state = State::default();
+    for (count, name) in (0..).zip(["ordinary", "peaks", "maintenance"]) {
+        let root = env!("CARGO_MANIFEST_DIR");
+        let path = format!("{root}/../../examples/presets/{name}.ini");
+        let text = std::fs::read_to_string(path).expect("example exists");
+
+        let preset = Preset::parse(&text).expect("example is valid");
+        let publish = Body::Publish {
+            name: name.into(),
+            expected: 0,
+            text,
+        };
+        let activate = Body::Activate {
+            name: name.into(),
+            version: 1,
+            expected: count,
+        };
+
+        assert_eq!(apply(&mut state, publish), Ok(()), "{name}");
+        assert_eq!(apply(&mut state, activate), Ok(()), "{name}");
+        let slots: u32 = preset
+            .clubs
+            .iter()
+            .map(|club| preset.club_slots(&club.name))
+            .sum();
+        assert!(
+            slots <= preset.budget && slots + 2 > preset.budget,
+            "{name}: {slots}"
+        );
+    }
+}
+
 proptest! {
     /// Guards against text that makes the parser panic.
     #[test]
--- a/crates/medlarreel/tests/ctl.rs
+++ b/crates/medlarreel/tests/ctl.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use medlarreel::ctl::{Exit, Run, run};
+use medlarreel::operators::advice::advice;
 use medlarreel_core::code::Code;
 use serde_json::{Value, json};
 
@@ -401,6 +402,28 @@
     }
 }
 
+/// Guards against a table of codes that differs from the codes in the program.
+#[test]
+fn the_table_of_result_codes_is_complete() {
+    let table = include_str!("../../../docs/result-codes.md");
+    let row = |code: &Code| {
+        let status = Some(code.status()).filter(|status| *status > 0);
+        let status = status.map_or(String::new(), |status| status.to_string());
+        let outcome = code.outcome().map_or("", |outcome| outcome.text());
+        let (number, text) = (code.number(), code.text());
+        format!(
+            "| {number} | {status} | {outcome} | {text} | {} |",
+            advice(*code)
+        )
+    };
+
+    let expected: Vec<_> = Code::ALL.iter().map(row).collect();
+    let numbered = |line: &&str| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit();
+    let listed: Vec<_> = table.lines().filter(numbered).collect();
+
+    assert_eq!(listed, expected);
+}
+
 /// Guards against a binary that loses the exit code or the streams.
 #[test]
 fn the_binary_passes_on_exit_code_and_streams() {
--- a/crates/medlarreel/tests/settings.rs
+++ b/crates/medlarreel/tests/settings.rs
@@ -5,6 +5,7 @@
 
 use medlarreel::settings::{Format, Limits, Logging, SHAPES, Settings, defaults};
 use medlarreel_core::code::Code;
+use medlarreel_core::preset::parse::SHAPES as PRESET_SHAPES;
 use proptest::prelude::*;
 
 const SECRET: &str = "replace-with-a-random-value";
@@ -178,6 +179,43 @@
     );
 }
 
+/// Guards against example settings that an instance would refuse.
+#[test]
+fn example_settings_lack_only_their_secrets() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/settings");
+    let files: Vec<_> = std::fs::read_dir(folder).expect("examples exist").collect();
+
+    assert!(files.len() >= 2);
+    for file in files {
+        let path = file.expect("folder can be read").path();
+        let text = std::fs::read_to_string(&path).expect("example is text");
+        let text = text.replacen(SECRET, "0123456789abcdef", 1);
+        let text = text.replacen(SECRET, "fedcba9876543210", 1);
+        let settings = Settings::parse(&text).expect("example is valid");
+        let name = path.file_stem().expect("file has a name").to_string_lossy();
+        let instance = &settings.instance;
+        assert_eq!(name, format!("{}-{}", instance.club, instance.domain));
+    }
+}
+
+/// Guards against sections and keys that the reference does not describe.
+#[test]
+fn the_reference_describes_every_section_and_key() {
+    let reference = include_str!("../../../docs/settings.md");
+
+    for shape in SHAPES.iter().chain(PRESET_SHAPES) {
+        let header = match shape.named {
+            true => format!("| `[{} NAME]` |", shape.kind),
+            false => format!("| `[{}]` |", shape.kind),
+        };
+        let (_, rows) = reference.split_once(&header).expect("section is described");
+        let rows = rows.split("| `[").next().expect("rows follow");
+        for key in shape.keys {
+            assert!(rows.contains(&format!("`{key}` |")), "{key} in {header}");
+        }
+    }
+}
+
 proptest! {
     /// Guards against damaged settings that make the parser panic.
     #[test]
