--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -36,6 +36,8 @@
 pub struct Snapshot {
     /// Whether the instance has established its state.
     pub established: bool,
+    /// Whether the log service answers this instance.
+    pub log_reachable: bool,
     /// What the log says.
     pub state: Arc<State>,
     /// Likely control holder.
@@ -55,6 +57,8 @@
     pub me: Instance,
     /// Name of this instance's club.
     pub home: String,
+    /// Name of this instance's failure domain.
+    pub domain: String,
     /// Monotonic clock.
     pub clock: Clock,
     /// Token by which instances recognise each other's requests.
@@ -88,6 +92,7 @@
     pub fn new(
         me: Instance,
         home: String,
+        domain: String,
         clock: Clock,
         peer_token: HeaderValue,
         max_requests: u32,
@@ -95,6 +100,7 @@
         App {
             me,
             home,
+            domain,
             clock,
             peer_token,
             max_requests,
--- a/crates/medlarreel/src/control.rs
+++ b/crates/medlarreel/src/control.rs
@@ -29,7 +29,7 @@
 mod publish;
 mod tasks;
 
-pub use proposals::Verdict;
+pub use proposals::Fate;
 
 /// Time between ticks of the machine.
 const TICK: Duration = Duration::from_millis(20);
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 pub enum Command {
     /// Append an operator's record and report its fate.
-    Propose(Body, oneshot::Sender<Verdict>),
+    Propose(Proposal, Body, oneshot::Sender<Fate>),
     /// Hand over duties before a shutdown.
     Stop(oneshot::Sender<()>),
 }
@@ -83,12 +83,15 @@
 impl Handle {
     /// Appends an operator's record; waits until its fate is known or the time
     /// for that is over.
-    pub async fn propose(&self, body: Body) -> Verdict {
-        let (reply, verdict) = oneshot::channel();
-        let sent = self.inputs.send(Input::Command(Command::Propose(body, reply)));
-        match sent {
-            Ok(()) => verdict.await.unwrap_or_else(|_| Verdict::unknown(Proposal(0))),
-            Err(_) => Verdict::unknown(Proposal(0)),
+    ///
+    /// The operator may choose the proposal's id, to ask for its fate again.
+    pub async fn propose(&self, proposal: Option<Proposal>, body: Body) -> Fate {
+        let proposal = proposal.unwrap_or_else(proposals::fresh);
+        let (reply, fate) = oneshot::channel();
+        let command = Command::Propose(proposal, body, reply);
+        match self.inputs.send(Input::Command(command)) {
+            Ok(()) => fate.await.unwrap_or_else(|_| Fate::unknown(proposal)),
+            Err(_) => Fate::unknown(proposal),
         }
     }
 
@@ -138,6 +141,7 @@
     published: publish::Published,
     peers: crate::peers::Client,
     fetching: bool,
+    log_reachable: bool,
     addresses: HashMap<Upstream, SocketAddr>,
 }
 
@@ -161,6 +165,7 @@
             proposals: proposals::Proposals::default(),
             published: publish::Published::default(),
             fetching: false,
+            log_reachable: false,
             addresses: HashMap::new(),
         })
     }
@@ -208,9 +213,9 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Propose(body, reply) => {
-                let record = self.proposals.open(self.now(), body, reply);
-                self.append(record);
+            Command::Propose(proposal, body, reply) => {
+                self.proposals.open(self.now(), proposal, reply);
+                self.append(Record { proposal, body });
             }
             Command::Stop(reply) => {
                 self.feed(Event::Stop);
@@ -227,6 +232,7 @@
                 self.feed(Event::Records(Source::Log, batch.records));
                 self.feed(Event::LogEnd(batch.next));
                 self.app.metrics.event("log_read");
+                self.log_reachable = true;
                 self.read_log(Duration::ZERO);
             }
             Err(Failure::Trimmed(earliest)) => {
@@ -236,6 +242,7 @@
             }
             Err(_) => {
                 self.app.metrics.event("log_read_failed");
+                self.log_reachable = false;
                 self.read_log(tasks::READ_RETRY);
             }
         }
--- a/crates/medlarreel/src/control/proposals.rs
+++ b/crates/medlarreel/src/control/proposals.rs
@@ -5,7 +5,6 @@
 use medlarreel_core::code::Code;
 use medlarreel_core::fold::{Settled, State};
 use medlarreel_core::ids::{Offset, Proposal};
-use medlarreel_core::record::{Body, Record};
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
 
@@ -14,7 +13,7 @@
 
 /// Fate of a proposal, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct Fate {
     /// The proposal.
     pub proposal: Proposal,
     /// Where its record stands; `None` while it has not been read back.
@@ -23,20 +22,26 @@
     pub rejected: Option<Code>,
 }
 
-impl Verdict {
+impl Fate {
     /// Fate that is not known yet.
-    pub fn unknown(proposal: Proposal) -> Verdict {
-        Verdict { proposal, offset: None, rejected: None }
+    pub fn unknown(proposal: Proposal) -> Fate {
+        Fate { proposal, offset: None, rejected: None }
     }
 }
 
-impl From<Settled> for Verdict {
-    fn from(settled: Settled) -> Verdict {
+impl From<Settled> for Fate {
+    fn from(settled: Settled) -> Fate {
         let Settled { proposal, offset, rejected } = settled;
-        Verdict { proposal, offset: Some(offset), rejected }
+        Fate { proposal, offset: Some(offset), rejected }
     }
 }
 
+/// New identity for a proposal.
+pub(super) fn fresh() -> Proposal {
+    // Identities travel as JSON numbers, which are exact only below 2^53.
+    Proposal(rand::random::<u64>() >> 11)
+}
+
 /// Proposals without a known fate.
 #[derive(Debug, Default)]
 pub(super) struct Proposals(Vec<Waiting>);
@@ -45,21 +50,18 @@
 struct Waiting {
     proposal: Proposal,
     until: Time,
-    reply: oneshot::Sender<Verdict>,
+    reply: oneshot::Sender<Fate>,
 }
 
 impl Proposals {
-    /// Gives the body an identity and waits for its fate.
+    /// Waits for the fate of a proposal.
     pub(super) fn open(
         &mut self,
         now: Time,
-        body: Body,
-        reply: oneshot::Sender<Verdict>,
-    ) -> Record {
-        // Identities travel as JSON numbers, which are exact only below 2^53.
-        let proposal = Proposal(rand::random::<u64>() >> 11);
+        proposal: Proposal,
+        reply: oneshot::Sender<Fate>,
+    ) {
         self.0.push(Waiting { proposal, until: now + WAIT, reply });
-        Record { proposal, body }
     }
 
     /// Answers the proposals whose fate is known or whose time is over.
@@ -67,10 +69,10 @@
         let mut index = 0;
         while index < self.0.len() {
             let waiting = &self.0[index];
-            let settled = state.settled(waiting.proposal).map(Verdict::from);
-            let over = (now >= waiting.until).then(|| Verdict::unknown(waiting.proposal));
+            let settled = state.settled(waiting.proposal).map(Fate::from);
+            let over = (now >= waiting.until).then(|| Fate::unknown(waiting.proposal));
             match settled.or(over) {
-                Some(verdict) => drop(self.0.swap_remove(index).reply.send(verdict)),
+                Some(fate) => drop(self.0.swap_remove(index).reply.send(fate)),
                 None => index += 1,
             }
         }
--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -23,6 +23,7 @@
     next: Option<Offset>,
     holder: Option<Instance>,
     established: bool,
+    log_reachable: bool,
     lanes: HashMap<Upstream, Arc<Lane>>,
     peers: HashMap<Instance, Arc<Pool>>,
 }
@@ -54,7 +55,8 @@
         let last = &self.published;
         let same = last.next == Some(state.next())
             && last.holder == holder
-            && last.established == established;
+            && last.established == established
+            && last.log_reachable == self.log_reachable;
         if same && !lanes_changed {
             return;
         }
@@ -62,6 +64,7 @@
         self.published.next = Some(state.next());
         self.published.holder = holder;
         self.published.established = established;
+        self.published.log_reachable = self.log_reachable;
         let table = Table::new(&state);
         self.renew_peers(&state);
         if let Some(preset) = &table.preset {
@@ -72,6 +75,7 @@
             keys.map(|key| (key, state.upstream(key).server.address)).collect();
         self.app.publish(Snapshot {
             established,
+            log_reachable: self.log_reachable,
             state,
             holder,
             table,
@@ -93,6 +97,9 @@
             let id = holder.map_or(0, |instance| instance.0);
             tracing::info!(holder = id, mine = holder == Some(me), "control holder changed");
         }
+        if self.published.log_reachable != self.log_reachable {
+            tracing::info!(reachable = self.log_reachable, "log service changed");
+        }
         if self.machine.established() && !self.published.established {
             tracing::info!(next = state.next().0, "state established");
         }
--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -72,12 +72,13 @@
         let secret = settings.security.cluster_secret.expose().to_owned();
         let token = peer_token(&secret).wrap_err("the cluster secret cannot be used")?;
         let home = settings.instance.club.clone();
-        let app = App::new(me, home.clone(), clock, token, settings.limits.open_requests);
-        let app = Arc::new(app);
+        let domain = settings.instance.domain.clone();
+        let limit = settings.limits.open_requests;
+        let app = Arc::new(App::new(me, home.clone(), domain.clone(), clock, token, limit));
         let member = Member {
             instance: me,
             club: home,
-            domain: settings.instance.domain.clone(),
+            domain,
             peers: settings.listen.peers,
         };
         let udp = bind_udp(settings.listen.peers)?;
--- a/crates/medlarreel/src/dispatch/lane.rs
+++ b/crates/medlarreel/src/dispatch/lane.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use medlarreel_core::admission::{self, Event, Queue, Ticket};
@@ -12,7 +13,6 @@
 use medlarreel_core::ids::{Club, Epoch, Shard};
 use medlarreel_core::preset::Rank;
 use medlarreel_core::time::Time;
-use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
 use super::pool::{Answer, Failure, Pool};
@@ -30,6 +30,21 @@
     pub slots: u16,
 }
 
+/// Figures of a lane for operators.
+#[derive(Clone, Debug, Default)]
+pub struct Overview {
+    /// Slots that may be in use.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Time left of the permit; `None` without one.
+    pub left: Option<Duration>,
+    /// Whether a connection attempt has failed recently.
+    pub silent: bool,
+}
+
 /// Work at one upstream.
 #[derive(Debug)]
 pub struct Lane {
@@ -183,16 +198,16 @@
     }
 
     /// Summary for operators.
-    pub fn overview(&self) -> Value {
+    pub fn overview(&self, now: Time) -> Overview {
         let permit = self.permit.load();
         let state = self.lock();
-        json!({
-            "shards": permit.shards.len(),
-            "slots": permit.slots,
-            "busy": state.queue.busy(),
-            "waiting": state.queue.waiting(),
-            "connections": self.pool.open(),
-        })
+        Overview {
+            slots: u32::from(permit.slots),
+            busy: state.queue.busy() as u32,
+            waiting: state.queue.waiting() as u32,
+            left: (now < permit.until).then(|| permit.until.since(now)),
+            silent: self.pool.suspect(),
+        }
     }
 
     /// Time until which the permit is valid.
--- a/crates/medlarreel/src/lib.rs
+++ b/crates/medlarreel/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod app;
 pub mod clock;
 pub mod control;
+pub mod ctl;
 pub mod daemon;
 pub mod dispatch;
 pub mod listen;
--- a/crates/medlarreel/src/metrics.rs
+++ b/crates/medlarreel/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters, in OpenMetrics form on the operators' address.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use medlarreel_core::code::Code;
+use medlarreel_core::code::{Code, Outcome};
+use medlarreel_core::preset::{RANKS, Rank};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -11,6 +13,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::dispatch::Answer;
+use crate::operators::status::Served;
 use crate::proxy::{Call, Refusal};
 
 /// Smallest latency bucket, in seconds.
@@ -49,9 +52,18 @@
     pub event: &'static str,
 }
 
+/// Requests of one rank so far.
+#[derive(Debug, Default)]
+struct Counts {
+    answered: AtomicU64,
+    refused: AtomicU64,
+    unknown: AtomicU64,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub struct Metrics {
+    ranks: [Counts; RANKS],
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<RankLabels, Histogram, fn() -> Histogram>,
@@ -83,7 +95,8 @@
         registry.register_with_unit("latency", text, Unit::Seconds, latency.clone());
         registry.register("events", "Control events", events.clone());
         registry.register("state", "Control state", gauges.clone());
-        Metrics { registry, requests, latency, events, gauges }
+        let ranks = Default::default();
+        Metrics { ranks, registry, requests, latency, events, gauges }
     }
 
     /// Counts a request that was refused before it could be read.
@@ -99,6 +112,7 @@
 
     /// Counts a finished request.
     pub fn finished(&self, call: &Call, outcome: &Result<Answer, Refusal>, taken: Duration) {
+        self.counter(call.rank, outcome).fetch_add(1, Ordering::Relaxed);
         let code = outcome.as_ref().err().map_or(0, |refusal| refusal.code.number());
         let labels = RequestLabels {
             service: call.service.clone(),
@@ -111,6 +125,27 @@
         self.latency.get_or_create(&labels).observe(taken.as_secs_f64());
     }
 
+    fn counter(&self, rank: Rank, outcome: &Result<Answer, Refusal>) -> &AtomicU64 {
+        let counts = &self.ranks[rank.index()];
+        match outcome {
+            Ok(_) => &counts.answered,
+            Err(refusal) if refusal.outcome == Outcome::NotRun => &counts.refused,
+            Err(_) => &counts.unknown,
+        }
+    }
+
+    /// Requests of each rank so far, most urgent first.
+    pub fn by_rank(&self) -> Vec<Served> {
+        let ranks = self.ranks.iter().zip(Rank::ALL);
+        let counts = ranks.map(|(counts, rank)| Served {
+            answered: counts.answered.load(Ordering::Relaxed),
+            refused: counts.refused.load(Ordering::Relaxed),
+            unknown: counts.unknown.load(Ordering::Relaxed),
+            ..Served::none(rank)
+        });
+        counts.collect()
+    }
+
     /// Counts a control event.
     pub fn event(&self, event: &'static str) {
         self.events.get_or_create(&EventLabels { event }).inc();
--- a/crates/medlarreel/src/operators.rs
+++ b/crates/medlarreel/src/operators.rs
@@ -6,16 +6,23 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use medlarreel_core::code::Code;
+use medlarreel_core::ids::Proposal;
 use medlarreel_core::record::{Body, Released};
-use serde::Deserialize;
-use serde_json::{Value, json};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::app::{App, same};
-use crate::control::{Handle, Verdict};
+use crate::control::{Fate, Handle};
 use crate::dispatch::Answer;
 use crate::listen::{Incoming, plain};
 
+pub mod advice;
+pub mod api;
+mod overview;
 mod queries;
+pub mod status;
+
+pub use status::Status;
 
 /// What the operators' listener works with.
 #[derive(Clone, Debug)]
@@ -26,25 +33,11 @@
     pub token: Arc<str>,
 }
 
-#[derive(Deserialize)]
-struct Publish {
-    name: String,
-    expected: u32,
-    text: String,
-}
-
-#[derive(Deserialize)]
-struct Activate {
-    name: String,
-    version: u32,
-    expected: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum Release {
-    Upstream(String),
-    Domain(String),
+/// An operator's change and the id that the operator chose for it.
+#[derive(Debug)]
+struct Change {
+    proposal: Option<u64>,
+    body: Body,
 }
 
 impl Operators {
@@ -56,35 +49,27 @@
             (&Method::GET, "/healthz") => plain(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") => readiness(&app),
             (&Method::GET, "/metrics") => metrics(&app),
-            (&Method::GET, "/") => queries::page(&app),
             (&Method::GET, path) => queries::answer(&app, path, &query),
             (&Method::POST, path) if self.authorized(&incoming.headers) => {
                 self.act(path, &incoming.body).await
             }
-            (&Method::POST, _) => error(Code::Unauthorized, "give the operator token"),
-            _ => error(Code::UnknownCommand, "see docs/protocol.md"),
+            (&Method::POST, _) => error(Code::Unauthorized),
+            _ => error(Code::UnknownCommand),
         }
     }
 
     async fn act(&self, path: &str, body: &Bytes) -> Answer {
-        let record = match path {
-            "/control/publish" => serde_json::from_slice(body).map(
-                |Publish { name, expected, text }| Body::Publish { name, expected, text },
-            ),
-            "/control/activate" => serde_json::from_slice(body).map(
-                |Activate { name, version, expected }| Body::Activate { name, version, expected },
-            ),
-            "/control/release" => serde_json::from_slice(body).map(|release| {
-                Body::Release(match release {
-                    Release::Upstream(name) => Released::Upstream(name),
-                    Release::Domain(name) => Released::Domain(name),
-                })
-            }),
-            _ => return error(Code::UnknownCommand, "see docs/protocol.md"),
+        let change = match path {
+            "/control/publish" => publish(body),
+            "/control/activate" => activate(body),
+            "/control/release" => release(body),
+            _ => Err(Code::UnknownCommand),
         };
-        match record {
-            Ok(record) => verdict(self.control.propose(record).await),
-            Err(_) => error(Code::BadRequest, "the body is not the JSON that docs/protocol.md asks for"),
+        match change {
+            Ok(Change { proposal, body }) => {
+                fate(self.control.propose(proposal.map(Proposal), body).await)
+            }
+            Err(code) => error(code),
         }
     }
 
@@ -94,6 +79,33 @@
     }
 }
 
+fn publish(body: &Bytes) -> Result<Change, Code> {
+    let api::Publish { name, expected, text, proposal } = decode(body)?;
+    Ok(Change { proposal, body: Body::Publish { name, expected, text } })
+}
+
+fn activate(body: &Bytes) -> Result<Change, Code> {
+    let api::Activate { name, version, expected, proposal } = decode(body)?;
+    Ok(Change { proposal, body: Body::Activate { name, version, expected } })
+}
+
+fn release(body: &Bytes) -> Result<Change, Code> {
+    let released = match decode(body)? {
+        api::Release { upstream: Some(name), domain: None, proposal } => {
+            (proposal, Released::Upstream(name))
+        }
+        api::Release { upstream: None, domain: Some(name), proposal } => {
+            (proposal, Released::Domain(name))
+        }
+        _ => return Err(Code::BadRequest),
+    };
+    Ok(Change { proposal: released.0, body: Body::Release(released.1) })
+}
+
+fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T, Code> {
+    serde_json::from_slice(body).map_err(|_| Code::BadRequest)
+}
+
 fn readiness(app: &App) -> Answer {
     if app.ready() {
         plain(StatusCode::OK, "ready\n")
@@ -110,36 +122,34 @@
 }
 
 /// JSON form of a proposal's fate.
-fn verdict(verdict: Verdict) -> Answer {
-    let outcome = match (verdict.offset, verdict.rejected) {
-        (None, _) => "unknown",
-        (Some(_), None) => "accepted",
-        (Some(_), Some(_)) => "rejected",
+fn fate(fate: Fate) -> Answer {
+    let outcome = match (fate.offset, fate.rejected) {
+        (None, _) => api::Verdict::Unknown,
+        (Some(_), None) => api::Verdict::Accepted,
+        (Some(_), Some(_)) => api::Verdict::Rejected,
+    };
+    let unknown = fate.offset.is_none().then_some(Code::ProposalUnknown);
+    let code = fate.rejected.or(unknown);
+    let body = api::Outcome {
+        proposal: fate.proposal.0,
+        outcome,
+        code: code.map(Code::number),
+        offset: fate.offset.map(|offset| offset.0),
     };
-    let unknown = verdict.offset.is_none().then_some(Code::ProposalUnknown);
-    let code = verdict.rejected.or(unknown);
-    let status = code.map_or(200, Code::status);
-    let body = json!({
-        "proposal": verdict.proposal.0,
-        "outcome": outcome,
-        "code": code.map(Code::number),
-        "text": code.map(Code::text),
-        "offset": verdict.offset.map(|offset| offset.0),
-    });
-    json_answer(status, &body)
+    json(code.map_or(200, Code::status), &body)
 }
 
 /// JSON form of a refusal.
-fn error(code: Code, hint: &str) -> Answer {
-    let body = json!({ "code": code.number(), "text": code.text(), "hint": hint });
-    json_answer(code.status(), &body)
+fn error(code: Code) -> Answer {
+    json(code.status(), &api::Failure::from(code))
 }
 
-fn json_answer(status: u16, body: &Value) -> Answer {
+fn json<T: Serialize>(status: u16, body: &T) -> Answer {
     let mut headers = HeaderMap::new();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    Answer { status, headers, body: Bytes::from(body.to_string()) }
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    Answer { status, headers, body: Bytes::from(body) }
 }
 
 /// Pairs of a query string; percent-encoding is resolved.
--- /dev/null
+++ b/crates/medlarreel/src/operators/overview.rs
@@ -0,0 +1,143 @@
+//! Fills the status that operators see from a snapshot.
+
+use std::collections::BTreeMap;
+
+use medlarreel_core::fold::ClubState;
+use medlarreel_core::ids::Upstream;
+use medlarreel_core::time::Time;
+
+use super::status::{self, Health, Lease, Status};
+use crate::app::{App, Snapshot};
+
+/// Audit entries shown with the status.
+const RECENT: usize = 20;
+
+/// Status of this instance.
+pub(super) fn status(app: &App, snapshot: &Snapshot) -> Status {
+    let state = &snapshot.state;
+    let club = state.club_named(&app.home).map(|club| state.club(club));
+    let mut recent: Vec<_> = state.audit().map(super::queries::entry).collect();
+    recent.drain(..recent.len().saturating_sub(RECENT));
+    Status {
+        instance: app.me.0,
+        club: app.home.clone(),
+        domain: app.domain.clone(),
+        ready: app.ready(),
+        next: state.next().0,
+        log_reachable: snapshot.log_reachable,
+        activations: snapshot.table.activation,
+        preset: preset(app, snapshot),
+        holder: holder(snapshot, club),
+        members: members(app, snapshot, club),
+        upstreams: upstreams(app, snapshot),
+        services: services(app, snapshot),
+        ranks: app.metrics.by_rank(),
+        audit: recent,
+    }
+}
+
+fn preset(app: &App, snapshot: &Snapshot) -> Option<status::InForce> {
+    let active = snapshot.state.active()?;
+    let club = snapshot.state.club_named(&app.home);
+    Some(status::InForce {
+        name: active.preset.name.clone(),
+        version: active.version,
+        since: active.since.0,
+        budget: active.preset.budget,
+        club_slots: club.map_or(0, |club| snapshot.state.club_limit(club)),
+    })
+}
+
+fn holder(snapshot: &Snapshot, club: Option<&ClubState>) -> Option<status::Holder> {
+    let instance = snapshot.holder?;
+    let ballot = club.and_then(|club| club.highest).filter(|ballot| ballot.instance == instance);
+    Some(status::Holder {
+        instance: instance.0,
+        peers: snapshot.table.peer(instance).map(|peer| peer.to_string()).unwrap_or_default(),
+        term: ballot.map_or(0, |ballot| ballot.term.0),
+        round: ballot.map_or(0, |ballot| ballot.round),
+    })
+}
+
+fn members(app: &App, snapshot: &Snapshot, club: Option<&ClubState>) -> Vec<status::Member> {
+    let members = club.into_iter().flat_map(|club| &club.members);
+    let entries = members.map(|member| {
+        let reachable = snapshot.peer(member.instance).is_some_and(|pool| !pool.suspect());
+        status::Member {
+            instance: member.instance.0,
+            domain: member.domain.clone(),
+            peers: member.peers.to_string(),
+            heard: member.instance == app.me || reachable,
+        }
+    });
+    entries.collect()
+}
+
+/// Upstreams of this instance's club.
+fn upstreams(app: &App, snapshot: &Snapshot) -> Vec<status::Upstream> {
+    let now = app.clock.now();
+    let keys = (0..).map(Upstream).zip(snapshot.state.upstreams());
+    let own = keys.filter(|(_, entry)| runs(app, snapshot, &entry.server.service));
+    own.map(|(key, entry)| upstream(snapshot, now, key, &entry.server)).collect()
+}
+
+fn runs(app: &App, snapshot: &Snapshot, service: &str) -> bool {
+    snapshot.table.route(service).is_some_and(|route| route.limits.club == app.home)
+}
+
+fn upstream(
+    snapshot: &Snapshot,
+    now: Time,
+    key: Upstream,
+    server: &medlarreel_core::record::Server,
+) -> status::Upstream {
+    let likely = snapshot.table.target(key).and_then(|target| target.dispatchers.first());
+    let dispatcher = likely.and_then(|instance| snapshot.table.peer(*instance));
+    let lane = snapshot.lanes.get(&key).map(|lane| lane.overview(now));
+    let held = lane.as_ref().is_some_and(|lane| lane.left.is_some());
+    let health = match &lane {
+        Some(lane) if lane.silent => Health::Dead,
+        _ => Health::Alive,
+    };
+    let lease = match lane {
+        Some(_) if held => Lease::Held,
+        Some(_) => Lease::Lapsed,
+        None => Lease::Unknown,
+    };
+    let lane = lane.unwrap_or_default();
+    status::Upstream {
+        name: server.name.clone(),
+        service: server.service.clone(),
+        domain: server.domain.clone(),
+        address: server.address.to_string(),
+        dispatcher: dispatcher.map(|address| address.to_string()),
+        in_flight: lane.busy,
+        waiting: lane.waiting,
+        allowance: lane.slots,
+        health,
+        lease,
+        lease_left_ms: lane.left.map(|left| left.as_millis() as u64),
+    }
+}
+
+fn services(app: &App, snapshot: &Snapshot) -> Vec<status::Service> {
+    let own = snapshot.state.services().iter().filter(|service| runs(app, snapshot, &service.name));
+    let entries = own.map(|service| {
+        let places = &service.plan.places;
+        let mut owners = BTreeMap::new();
+        for owner in places.iter().filter_map(|place| place.owner) {
+            *owners.entry(owner).or_insert(0) += 1;
+        }
+        let named = owners.iter().filter_map(|(owner, shards)| {
+            let upstream = snapshot.table.target(*owner)?.name.clone();
+            Some(status::Owned { upstream, shards: *shards })
+        });
+        status::Service {
+            name: service.name.clone(),
+            shards: places.len() as u32,
+            unowned: places.iter().filter(|place| place.owner.is_none()).count() as u32,
+            owners: named.collect(),
+        }
+    });
+    entries.collect()
+}
