--- a/crates/medlarreel/src/operators.rs
+++ b/crates/medlarreel/src/operators.rs
@@ -2,6 +2,7 @@
 
 pub mod advice;
 pub mod api;
+pub mod page;
 pub mod status;
 
 pub use status::Status;
