--- a/crates/medlarreel/src/operators.rs
+++ b/crates/medlarreel/src/operators.rs
@@ -19,6 +19,7 @@
 pub mod advice;
 pub mod api;
 mod overview;
+pub mod page;
 mod queries;
 pub mod status;
 
