--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -27,7 +27,7 @@
 /// Limits of one upstream's queue.
 #[data(plain)]
 pub struct Limits {
-    /// Requests that may wait.
+    /// Requests that may wait; every request waits until `next`, so 0 refuses all.
     pub entries: u32,
     /// Requests that may run at a time; 0 starts nothing.
     pub slots: u16,
@@ -167,7 +167,8 @@
             return vec![Event::Repeated(ticket.id)];
         }
         let entry = Entry { ticket, since: now };
-        if self.waiting() == 0 && self.lapsed.is_empty() && self.slot_free() {
+        let empty = self.waiting() == 0 && self.lapsed.is_empty();
+        if empty && self.limits.entries > 0 && self.slot_free() {
             self.front = Some(entry);
             return Vec::new();
         }
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,329 @@
+//! Order, bounds and shedding of the admission queue.
+
+use std::collections::BTreeMap;
+
+use medlarreel_core::admission::{Event, Limits, Queue, Ticket};
+use medlarreel_core::ids::Club;
+use medlarreel_core::preset::Rank;
+use medlarreel_core::time::Time;
+use proptest::prelude::*;
+
+#[path = "admission/flood.rs"]
+mod flood;
+
+fn limits(entries: u32, slots: u16, floors: [u8; 3]) -> Limits {
+    let weights = vec![(Club(0), 3), (Club(1), 1)];
+    Limits {
+        entries,
+        slots,
+        floors,
+        weights,
+    }
+}
+
+fn ticket(id: u64, rank: Rank, deadline: u64) -> Ticket {
+    Ticket {
+        id,
+        rank,
+        club: Club(0),
+        deadline: Time(deadline),
+    }
+}
+
+/// Guards against a full queue dropping urgent work or a rank's last entry.
+#[test]
+fn full_queue_sheds_the_lowest_rank_over_its_floor() {
+    let mut queue = Queue::new(limits(10, 0, [0, 20, 10]));
+    let ranks = [Rank::Order, Rank::Archive, Rank::Archive];
+    for (id, rank) in (0..).zip(ranks) {
+        assert_eq!(queue.push(Time(id), ticket(id, rank, 9_000)), []);
+    }
+
+    let pushed = |id| queue.push(Time(id), ticket(id, Rank::Status, 9_000));
+    let events: Vec<Event> = (3..13).flat_map(pushed).collect();
+
+    // The oldest archive entry goes first; then archive is at its floor of one
+    // entry, order is below its floor of two, and status pays for the rest.
+    let shed = [Event::Shed(1), Event::Shed(3), Event::Shed(4)];
+    assert_eq!(events, shed);
+    assert_eq!(queue.waiting_of(Rank::Archive), 1);
+    assert_eq!(queue.waiting_of(Rank::Order), 1);
+}
+
+/// Guards against a newcomer of a rank without floor pushing out protected work.
+#[test]
+fn newcomer_is_refused_when_its_rank_is_the_lowest_over_its_floor() {
+    let mut queue = Queue::new(limits(2, 0, [0, 0, 0]));
+    queue.push(Time(0), ticket(0, Rank::Status, 9_000));
+    queue.push(Time(0), ticket(1, Rank::Order, 9_000));
+
+    let events = queue.push(Time(1), ticket(2, Rank::Archive, 9_000));
+
+    assert_eq!(events, [Event::Shed(2)]);
+}
+
+/// Guards against a repeated or late `done` freeing the slot of another request.
+#[test]
+fn a_slot_is_freed_once() {
+    let mut queue = Queue::new(limits(10, 1, [0; 3]));
+    for id in 0..3 {
+        queue.push(Time(0), ticket(id, Rank::Status, 9_000));
+    }
+    assert_eq!(queue.next(Time(0)), Some(0));
+
+    assert!(queue.done(Time(1), 0));
+    assert_eq!(queue.next(Time(1)), Some(1));
+    assert!(!queue.done(Time(2), 0));
+    assert!(!queue.cancel(1), "a running request holds its slot");
+
+    assert_eq!(queue.next(Time(2)), None);
+    assert_eq!(
+        queue.push(Time(2), ticket(1, Rank::Order, 9_000)),
+        [Event::Repeated(1)]
+    );
+    let running: Vec<u64> = queue.running().map(|(id, _)| id).collect();
+    assert_eq!(running, [1]);
+}
+
+/// Guards against a preset switch losing entries or keeping too many.
+#[test]
+fn new_limits_apply_to_waiting_entries() {
+    let mut queue = Queue::new(limits(10, 0, [0; 3]));
+    for id in 0..6 {
+        queue.push(Time(0), ticket(id, Rank::Order, 9_000 - id));
+    }
+    let mut narrow = limits(4, 1, [0; 3]);
+    narrow.weights.clear();
+
+    let events = queue.set_limits(Time(1), narrow);
+
+    assert_eq!(events, [Event::Shed(0), Event::Shed(1)]);
+    assert_eq!(queue.next(Time(1)), Some(5));
+    assert_eq!(queue.waiting(), 3);
+}
+
+/// Guards against starting work that can no longer finish in time.
+#[test]
+fn work_that_would_finish_late_is_not_started() {
+    let mut queue = Queue::new(limits(10, 1, [0; 3]));
+    queue.push(Time(0), ticket(0, Rank::Status, 90_000));
+    queue.next(Time(0));
+    queue.push(Time(1), ticket(1, Rank::Status, 6_000));
+    queue.done(Time(5_000), 0);
+
+    assert_eq!(queue.next(Time(5_000)), None);
+    assert_eq!(queue.expire(Time(5_000)), [1]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push(u8, u16, u64),
+    Next,
+    Done(usize),
+    Cancel(usize),
+    Expire,
+    Limits(u32, u16),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3u8, 0..3u16, 0..300u64).prop_map(|(r, c, d)| Step::Push(r, c, d)),
+        4 => Just(Step::Next),
+        3 => any::<usize>().prop_map(Step::Done),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        1 => Just(Step::Expire),
+        1 => (0..12u32, 0..4u16).prop_map(|(e, s)| Step::Limits(e, s)),
+        3 => (0..60u64).prop_map(Step::Wait),
+    ]
+}
+
+/// The rules of the design page, applied by search over plain lists.
+struct Model {
+    now: u64,
+    limits: Limits,
+    /// Waiting tickets and when they were queued, oldest first.
+    waiting: Vec<(Ticket, u64)>,
+    running: Vec<u64>,
+}
+
+impl Model {
+    fn over(&self, rank: Rank) -> bool {
+        let count = self.waiting.iter().filter(|(t, _)| t.rank == rank).count();
+        let floor = self.limits.entries * u32::from(self.limits.floors[rank.index()]);
+        count * 100 > floor.div_ceil(100) as usize * 100
+    }
+
+    /// Whether dropping the entry as late is permitted: at least half of its time is gone.
+    fn may_lapse(&self, ticket: Ticket, since: u64) -> bool {
+        self.now >= ticket.deadline.0 || (self.now - since) * 2 + 1 >= ticket.deadline.0 - since
+    }
+
+    fn drop_late(&mut self, id: u64) {
+        let at = self.waiting.iter().position(|(t, _)| t.id == id);
+        let (ticket, since) = self.waiting.remove(at.expect("expired entry was waiting"));
+        assert!(
+            self.may_lapse(ticket, since),
+            "dropped too early: {ticket:?}"
+        );
+    }
+
+    fn apply(&mut self, events: Vec<Event>) {
+        let expired = events
+            .iter()
+            .filter(|event| matches!(event, Event::Expired(_)));
+        let shed = events
+            .iter()
+            .filter(|event| matches!(event, Event::Shed(_)));
+        for event in expired.chain(shed) {
+            match *event {
+                Event::Expired(id) => self.drop_late(id),
+                Event::Shed(id) => self.shed(id),
+                Event::Repeated(id) => panic!("id {id} is unique"),
+            }
+        }
+        assert!(self.waiting.len() <= self.limits.entries as usize);
+    }
+
+    fn shed(&mut self, id: u64) {
+        assert!(self.waiting.len() > self.limits.entries as usize);
+        let lowest = Rank::ALL.into_iter().rev().find(|rank| self.over(*rank));
+        let rank = lowest.unwrap_or_else(|| {
+            let ranks = self.waiting.iter().map(|(ticket, _)| ticket.rank);
+            ranks.max().expect("something waits")
+        });
+        let oldest = self.waiting.iter().position(|(t, _)| t.rank == rank);
+        let (ticket, _) = self.waiting.remove(oldest.expect("rank has entries"));
+        assert_eq!(ticket.id, id);
+    }
+
+    fn start(&mut self, id: u64) {
+        let at = self.waiting.iter().position(|(t, _)| t.id == id);
+        let (ticket, _) = self.waiting.remove(at.expect("started entry was waiting"));
+        assert!(self.now < ticket.deadline.0, "started after its deadline");
+        let peers = self.waiting.iter().map(|(peer, _)| peer);
+        for peer in peers {
+            let same = peer.rank == ticket.rank && peer.club == ticket.club;
+            assert!(!same || peer.deadline >= ticket.deadline, "deadline order");
+            let floor = self.limits.floors[ticket.rank.index()] > 0;
+            assert!(floor || peer.rank >= ticket.rank, "rank order");
+        }
+        self.running.push(id);
+        assert!(self.running.len() <= usize::from(self.limits.slots));
+    }
+
+    fn run(&mut self, queue: &mut Queue, id: u64, step: Step) {
+        let now = Time(self.now);
+        match step {
+            Step::Push(rank, club, left) => {
+                let mut ticket = ticket(id, Rank::ALL[usize::from(rank)], self.now + left);
+                ticket.club = Club(club);
+                self.waiting.push((ticket, self.now));
+                let events = queue.push(now, ticket);
+                self.apply(events);
+            }
+            Step::Next => {
+                let started = queue.next(now);
+                let late = queue.expire(now);
+                late.into_iter().for_each(|id| self.drop_late(id));
+                let free = self.running.len() < usize::from(self.limits.slots);
+                let idle = self.waiting.is_empty() || !free;
+                assert!(started.is_some() || idle, "work waits at a free slot");
+                started.into_iter().for_each(|id| self.start(id));
+            }
+            Step::Done(pick) if !self.running.is_empty() => {
+                let id = self.running.swap_remove(pick % self.running.len());
+                assert!(queue.done(now, id));
+                assert!(!queue.done(now, id));
+            }
+            Step::Cancel(pick) if !self.waiting.is_empty() => {
+                let (ticket, _) = self.waiting.remove(pick % self.waiting.len());
+                assert!(queue.cancel(ticket.id));
+            }
+            Step::Expire => {
+                let late = queue.expire(now);
+                late.into_iter().for_each(|id| self.drop_late(id));
+                assert!(self.waiting.iter().all(|(t, _)| t.deadline > now));
+            }
+            Step::Limits(entries, slots) => {
+                (self.limits.entries, self.limits.slots) = (entries, slots);
+                let events = queue.set_limits(now, self.limits.clone());
+                self.apply(events);
+            }
+            Step::Wait(span) => self.now += span,
+            Step::Done(_) | Step::Cancel(_) => {}
+        }
+    }
+}
+
+proptest! {
+    /// Guards against any disagreement with the rules over random histories:
+    /// too many running, expired work started, order, shedding, lost entries.
+    #[test]
+    fn queue_follows_the_plain_rules(
+        steps in prop::collection::vec(step(), 1..200),
+        floors in prop_oneof![Just([0, 0, 0]), Just([0, 20, 10]), Just([10, 50, 40])],
+    ) {
+        let limits = limits(8, 2, floors);
+        let mut queue = Queue::new(limits.clone());
+        let mut model = Model { now: 0, limits, waiting: vec![], running: vec![] };
+
+        for (id, step) in (0..).zip(steps) {
+            model.run(&mut queue, id, step);
+
+            prop_assert_eq!(queue.waiting(), model.waiting.len());
+            prop_assert_eq!(queue.busy(), model.running.len());
+        }
+    }
+}
+
+/// Guards against one club taking the share of another inside a rank.
+#[test]
+fn clubs_share_a_rank_by_weight() {
+    let mut queue = Queue::new(limits(1_000, 1, [0; 3]));
+    let mut served = BTreeMap::new();
+    for id in 0..800 {
+        let mut ticket = ticket(id, Rank::Order, 1_000_000_000 - id);
+        ticket.club = Club((id % 2) as u16);
+        queue.push(Time(0), ticket);
+    }
+
+    for turn in 0..400 {
+        let id = queue.next(Time(turn * 100)).expect("work is waiting");
+        *served.entry(id % 2).or_insert(0) += 1;
+        queue.done(Time((turn + 1) * 100), id);
+    }
+
+    let heavy = served[&0];
+    assert!(
+        (285..=315).contains(&heavy),
+        "weight 3 of 4 got {heavy} of 400"
+    );
+}
+
+/// Guards against a club that served alone for long being locked out by a newcomer.
+#[test]
+fn an_idle_club_saves_up_no_claim() {
+    let mut queue = Queue::new(limits(1_000, 1, [0; 3]));
+    for turn in 0..1_000 {
+        queue.push(Time(turn * 100), ticket(turn, Rank::Order, 1_000_000_000));
+        queue.next(Time(turn * 100));
+        queue.done(Time(turn * 100 + 100), turn);
+    }
+    for id in 2_000..2_100 {
+        let mut ticket = ticket(id, Rank::Order, 1_000_000_000);
+        ticket.club = Club((id % 2) as u16);
+        queue.push(Time(100_000), ticket);
+    }
+
+    let mut heavy = 0;
+    for turn in 0..20 {
+        let id = queue
+            .next(Time(100_000 + turn * 100))
+            .expect("work is waiting");
+        heavy += u64::from(id % 2 == 0);
+        queue.done(Time(100_100 + turn * 100), id);
+    }
+
+    assert!(heavy >= 13, "weight 3 of 4 got {heavy} of 20");
+}
