--- /dev/null
+++ b/crates/core/tests/health.rs
@@ -0,0 +1,168 @@
+//! Judgement of upstreams by own observations.
+
+use std::time::Duration;
+
+use medlarreel_core::health::{Candidate, Evidence, FULL_WEIGHT, Group, Limits, State};
+use medlarreel_core::ids::Upstream;
+use medlarreel_core::time::Time;
+use proptest::prelude::*;
+
+const MS: u64 = 1_000;
+
+fn group(size: u32) -> Group {
+    let mut group = Group::new(Limits::default());
+    (0..size).for_each(|key| group.join(Time(0), Upstream(key), false));
+    group
+}
+
+fn exchange(group: &mut Group, now: u64, upstream: u32, result: Evidence) {
+    group.observe(Time(now), Upstream(upstream), Evidence::Sent);
+    group.observe(Time(now), Upstream(upstream), result);
+}
+
+fn fail(group: &mut Group, now: u64, upstream: u32) {
+    (0..3).for_each(|_| exchange(group, now, upstream, Evidence::Failed));
+}
+
+fn answer(group: &mut Group, now: u64, upstream: u32, ms: u64) {
+    exchange(
+        group,
+        now,
+        upstream,
+        Evidence::Answered(Duration::from_millis(ms)),
+    );
+}
+
+/// Guards against single errors ejecting an upstream, and against dead ones staying.
+#[test]
+fn consecutive_errors_eject_and_an_answer_restores() {
+    let mut group = group(3);
+    fail(&mut group, 0, 0);
+    exchange(&mut group, 0, 1, Evidence::Failed);
+    exchange(&mut group, 0, 1, Evidence::Failed);
+    answer(&mut group, 0, 1, 1);
+    exchange(&mut group, 0, 1, Evidence::Failed);
+
+    group.review(Time(MS));
+    assert_eq!(group.state(Upstream(0)), Some(State::Dead));
+    assert_eq!(group.weight(Time(MS), Upstream(0)), 0);
+    assert_eq!(group.state(Upstream(1)), Some(State::Alive));
+
+    exchange(&mut group, 2 * MS, 0, Evidence::Probed);
+    group.review(Time(2 * MS));
+    assert_eq!(group.state(Upstream(0)), Some(State::Alive));
+    assert!(!group.ejected(Upstream(0)));
+}
+
+/// Guards against full load on an upstream that has just come back or joined.
+#[test]
+fn slow_start_takes_ten_seconds() {
+    let mut group = group(1);
+    group.join(Time(0), Upstream(9), true);
+
+    let weights = [0, 5_000, 10_000].map(|ms| group.weight(Time(ms * MS), Upstream(9)));
+
+    assert_eq!(weights, [100, 550, FULL_WEIGHT]);
+    assert_eq!(group.weight(Time(0), Upstream(0)), FULL_WEIGHT);
+}
+
+/// Guards against one silent connection condemning its upstream, and against a
+/// frozen upstream keeping its work.
+#[test]
+fn silence_counts_only_while_nothing_answers() {
+    let mut group = group(3);
+    for upstream in 0..2 {
+        group.observe(Time(0), Upstream(upstream), Evidence::Sent);
+    }
+    group.observe(Time(900 * MS), Upstream(0), Evidence::Abandoned);
+    exchange(&mut group, 1_000 * MS, 0, Evidence::Probed);
+
+    group.review(Time(1_600 * MS));
+
+    assert_eq!(group.state(Upstream(0)), Some(State::Alive));
+    assert_eq!(group.state(Upstream(1)), Some(State::Dead));
+    assert_eq!(group.state(Upstream(2)), Some(State::Alive));
+}
+
+/// Guards against gray failures: an upstream that sheds or is slow keeps full load.
+#[test]
+fn slow_and_shedding_upstreams_get_less() {
+    let mut group = group(4);
+    for upstream in 0..4 {
+        let ms = if upstream == 0 { 50 } else { 2 };
+        (0..8).for_each(|_| answer(&mut group, 0, upstream, ms));
+    }
+    (0..4).for_each(|_| exchange(&mut group, 0, 1, Evidence::Shed));
+
+    group.review(Time(MS));
+    assert_eq!(group.state(Upstream(0)), Some(State::Slow));
+    assert_eq!(group.state(Upstream(1)), Some(State::Shedding));
+    assert!(group.weight(Time(MS), Upstream(0)) < FULL_WEIGHT);
+    assert!(group.weight(Time(MS), Upstream(1)) < FULL_WEIGHT);
+
+    (0..40).for_each(|_| answer(&mut group, MS, 0, 2));
+    group.review(Time(3_000 * MS));
+    assert_eq!(group.state(Upstream(0)), Some(State::Alive));
+    assert_eq!(group.state(Upstream(1)), Some(State::Alive));
+}
+
+/// Guards against new work for a leaving upstream, dead or alive.
+#[test]
+fn a_draining_upstream_takes_nothing() {
+    let mut group = group(3);
+    group.drain(Upstream(0), true);
+    fail(&mut group, 0, 0);
+
+    group.review(Time(0));
+
+    assert_eq!(group.state(Upstream(0)), Some(State::Draining));
+    assert_eq!(group.weight(Time(0), Upstream(0)), 0);
+    assert_eq!(group.cap(), 0, "two stay, so none may be ejected");
+}
+
+/// Guards against a report that lags or misleads drawing work to a busy upstream.
+#[test]
+fn reports_only_break_ties() {
+    let group = group(3);
+    let candidates = [(0, 5, Some(0)), (1, 2, Some(6)), (2, 2, Some(3))];
+    let candidates = candidates.map(|(key, queue, reported)| Candidate {
+        upstream: Upstream(key),
+        queue,
+        reported,
+    });
+
+    for draw in 0..3 {
+        assert_eq!(group.choose(Time(0), &candidates, draw), Some(Upstream(2)));
+    }
+    assert_eq!(group.choose(Time(0), &[], 0), None);
+}
+
+proptest! {
+    /// Guards against an instance with a fault of its own ejecting the fleet.
+    #[test]
+    fn at_most_a_third_is_ejected(
+        size in 0..20u32,
+        steps in prop::collection::vec((0..20u32, 0..5u8, 0..500u64), 1..200),
+    ) {
+        let mut group = group(size);
+        let mut now = 0;
+        for (upstream, action, wait) in steps {
+            now += wait * MS;
+            match action {
+                0 => answer(&mut group, now, upstream, 1),
+                1 => group.drain(Upstream(upstream), wait % 2 == 0),
+                2 => group.leave(Upstream(upstream)),
+                _ => fail(&mut group, now, upstream),
+            }
+
+            group.review(Time(now));
+
+            let known = (0..20).map(Upstream).filter(|key| group.state(*key).is_some());
+            let states: Vec<_> = known.map(|key| (group.state(key), group.ejected(key))).collect();
+            let staying = states.iter().filter(|one| one.0 != Some(State::Draining)).count();
+            let dead = states.iter().filter(|one| one.0 == Some(State::Dead)).count();
+            let ejected = states.iter().filter(|one| one.1).count();
+            prop_assert_eq!(ejected, dead.min(staying / 3));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,117 @@
+//! Rules and budget of retries.
+
+use std::time::Duration;
+
+use medlarreel_core::code::Outcome;
+use medlarreel_core::retry::{Attempt, Budget, Verdict, repeatable, time_left};
+use medlarreel_core::time::Time;
+use proptest::prelude::*;
+
+fn attempt(outcome: Outcome, idempotent: bool) -> Attempt {
+    let deadline = Time(u64::MAX);
+    Attempt {
+        outcome,
+        idempotent,
+        deadline,
+    }
+}
+
+/// Guards against a second run of a request that may have run.
+#[test]
+fn only_safe_outcomes_are_repeated() {
+    let cases = [
+        (Outcome::NotRun, false, true),
+        (Outcome::NotRun, true, true),
+        (Outcome::Unknown, false, false),
+        (Outcome::Unknown, true, true),
+        (Outcome::Failed, false, false),
+        (Outcome::Failed, true, false),
+    ];
+    for (outcome, idempotent, expected) in cases {
+        assert_eq!(repeatable(outcome, idempotent), expected, "{outcome:?}");
+        let mut budget = Budget::new(Time(0), 100, 10);
+        let verdict = budget.decide(Time(0), &attempt(outcome, idempotent));
+        assert_eq!(verdict == Verdict::Send, expected);
+    }
+}
+
+/// Guards against retries past the deadline, and against their being charged.
+#[test]
+fn nothing_is_sent_without_time_left() {
+    let mut budget = Budget::new(Time(0), 10, 1);
+    let mut late = attempt(Outcome::NotRun, true);
+    late.deadline = Time(5_000);
+
+    assert_eq!(budget.decide(Time(4_000), &late), Verdict::Late);
+    assert_eq!(budget.decide(Time(9_000), &late), Verdict::Late);
+
+    assert_eq!(time_left(Time(4_000), Time(5_000)), None);
+    assert_eq!(
+        time_left(Time(1_000), Time(5_000)),
+        Some(Duration::from_millis(3))
+    );
+    assert_eq!(budget.available(Time(9_000)), 1);
+}
+
+/// Guards against an idle time saving up a burst of retries.
+#[test]
+fn tokens_expire() {
+    let mut budget = Budget::new(Time(0), 10, 2);
+    (0..1_000).for_each(|_| budget.earn(Time(0)));
+
+    assert_eq!(budget.available(Time(4_999_999)), 102);
+    assert_eq!(budget.available(Time(10_000_000)), 2);
+    assert_eq!(budget.available(Time(3_600_000_000)), 2);
+}
+
+/// Guards against a preset switch that grants tokens nobody earned.
+#[test]
+fn new_limits_keep_earned_tokens() {
+    let mut budget = Budget::new(Time(0), 10, 0);
+    (0..100).for_each(|_| budget.earn(Time(0)));
+
+    budget.set_limits(50, 0);
+
+    assert_eq!(budget.available(Time(0)), 10);
+}
+
+proptest! {
+    /// Guards against more retries than the percentage of the requests of the
+    /// last 10 s plus the constant, in any history.
+    #[test]
+    fn retries_stay_within_the_budget(
+        steps in prop::collection::vec((any::<bool>(), 0..400_000u64), 1..150),
+        percent in 0..60u8,
+        constant in 0..4u16,
+    ) {
+        let mut budget = Budget::new(Time(0), percent, constant);
+        let (mut requests, mut retries) = (vec![], vec![]);
+        let mut now = 0;
+        for (request, wait) in steps {
+            now += wait;
+            if request {
+                budget.earn(Time(now));
+                requests.push(now);
+                continue;
+            }
+            let verdict = budget.decide(Time(now), &attempt(Outcome::NotRun, false));
+            if verdict == Verdict::Send {
+                retries.push(now);
+            } else {
+                prop_assert_eq!(verdict, Verdict::Spent);
+            }
+        }
+        for end in &retries {
+            let within = |start: u64, times: &[u64]| {
+                times.iter().filter(|time| (start..=*end).contains(time)).count() as u64
+            };
+            for start in &retries {
+                let span = end.saturating_sub(*start);
+                let earned = within(start.saturating_sub(10_000_000), &requests);
+                let allowed = earned * u64::from(percent) / 100;
+                let refilled = u64::from(constant) * (1_000_000 + span) / 1_000_000;
+                prop_assert!(within(*start, &retries) <= allowed + refilled + 1);
+            }
+        }
+    }
+}
