Run the whole path on loopback with one command

A new machine had no way to see requests served end to end. The script starts the stand-ins and six instances, sends requests of all ranks, and fails unless every request of the counted round was served.

--- a/crates/standin/src/bin/standin-client.rs
+++ b/crates/standin/src/bin/standin-client.rs
@@ -1,6 +1,6 @@
 //! Command `standin-client`; see `medlarreel_standin::command`.
 
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> eyre::Result<()> {
+async fn main() -> eyre::Result<std::process::ExitCode> {
     medlarreel_standin::command::client(std::env::args().skip(1).collect()).await
 }
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -83,13 +84,13 @@
     serve(upstream::start(listen(&found)?, config).await).await
 }
 
-/// Runs `standin-client`: sends one request, or finds free ports.
+/// Runs `standin-client`: sends one request, or finds free ports. The exit code
+/// shows failure unless the request was answered with success.
 ///
 /// # Errors
 ///
-/// The command line is wrong, no whole answer arrived, or its status does not
-/// show success.
-pub async fn client(args: Vec<String>) -> eyre::Result<()> {
+/// The command line is wrong.
+pub async fn client(args: Vec<String>) -> eyre::Result<ExitCode> {
     let mut options = Options::new();
     options.optopt("", "to", "address of the server", "IP:PORT");
     options.optopt(
@@ -110,18 +111,18 @@
         "N",
     );
     let Some(found) = parse(&options, "standin-client", &args)? else {
-        return Ok(());
+        return Ok(ExitCode::SUCCESS);
     };
     if let Some(count) = found.opt_get("free-ports").wrap_err("--free-ports")? {
         for port in server::free_ports(count).await? {
             println!("{port}");
         }
-        return Ok(());
+        return Ok(ExitCode::SUCCESS);
     }
     let to = required(&found, "to")?.parse().wrap_err("--to")?;
     let limit = span(&found, "timeout", Duration::from_secs(5))?;
     let answer = ask(&found)?.send(to, limit).await;
-    report(answer, found.opt_present("print-body"))
+    Ok(report(answer, found.opt_present("print-body")))
 }
 
 fn ask(found: &Matches) -> eyre::Result<Ask> {
@@ -142,23 +143,34 @@
     Ok(ask)
 }
 
-fn report(answer: Result<Answer, Error>, body_only: bool) -> eyre::Result<()> {
-    let answer = answer?;
+fn report(answer: Result<Answer, Error>, body_only: bool) -> ExitCode {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            println!("upstream=- status=- code=- outcome=no-answer ({error})");
+            return ExitCode::FAILURE;
+        }
+    };
     if body_only {
         println!("{}", String::from_utf8_lossy(&answer.body).trim_end());
     } else {
-        let echo = answer.json::<upstream::Echo>().ok();
-        let upstream = echo.map_or_else(|| "-".to_owned(), |echo| echo.upstream);
-        let code = answer.header("medlar-code").unwrap_or("-");
-        let done = if answer.status < 400 { "done" } else { "-" };
-        let outcome = answer.header("medlar-outcome").unwrap_or(done);
-        let status = answer.status;
-        println!("upstream={upstream} status={status} code={code} outcome={outcome}");
+        println!("{}", summary(&answer));
     }
-    if answer.status >= 400 {
-        bail!("answered {}", answer.status);
+    if answer.status < 400 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
-    Ok(())
+}
+
+fn summary(answer: &Answer) -> String {
+    let echo = answer.json::<upstream::Echo>().ok();
+    let upstream = echo.map_or_else(|| "-".to_owned(), |echo| echo.upstream);
+    let code = answer.header("medlar-code").unwrap_or("-");
+    let done = if answer.status < 400 { "done" } else { "-" };
+    let outcome = answer.header("medlar-outcome").unwrap_or(done);
+    let status = answer.status;
+    format!("upstream={upstream} status={status} code={code} outcome={outcome}")
 }
 
 fn upstream_config(found: &Matches) -> eyre::Result<upstream::Config> {
--- /dev/null
+++ b/scripts/run-local.sh
@@ -0,0 +1,311 @@
+#!/usr/bin/env bash
+# Runs both clubs on loopback: stand-ins for the log, the list and the
+# upstreams, and one medlarreeld per club and failure domain. Publishes and
+# activates scripts/local-preset.ini, sends requests of all ranks through every
+# instance, and shows which upstream served them.
+set -euo pipefail
+
+usage() {
+    cat <<'TEXT'
+Usage: scripts/run-local.sh [--keep] [--bin DIR]
+       scripts/run-local.sh --stop DIR
+
+  --keep      leave everything running; print addresses and commands to try
+  --stop DIR  end a run that was kept, by the process ids in its directory
+  --bin DIR   use the programs in DIR instead of building release ones
+TEXT
+}
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+preset=$root/scripts/local-preset.ini
+preset_name=local
+# Longest waits, in seconds. A cold machine needs a few seconds for each.
+start_limit=20
+ready_limit=60
+stop_limit=35 # above the instances' drain limit of 30 s
+
+# Time of the process's start, so that a process id used again is not mistaken
+# for a process of this run. Empty where /proc does not exist.
+started_at() {
+    # The process may end between two looks, which is no error.
+    { sed 's/.*) //' "/proc/$1/stat" 2>/dev/null || true; } | cut -d' ' -f20
+}
+
+runs() { # PID START
+    kill -0 "$1" 2>/dev/null && [ "$(started_at "$1")" = "$2" ]
+}
+
+# Ends the processes listed in DIR/pids, instances before stand-ins.
+stop_run() { # DIR
+    [ -f "$1/pids" ] || return 0
+    local pattern pid name start end
+    for pattern in medlarreeld standin; do
+        end=$((SECONDS + stop_limit))
+        while read -r pid name start; do
+            if [[ $name == "$pattern"* ]] && runs "$pid" "$start"; then
+                kill "$pid" 2>/dev/null || true
+            fi
+        done < "$1/pids"
+        while read -r pid name start; do
+            [[ $name == "$pattern"* ]] || continue
+            while runs "$pid" "$start" && [ "$SECONDS" -lt "$end" ]; do sleep 0.1; done
+            if runs "$pid" "$start"; then
+                echo "process $pid ($name) did not end in time and is killed" >&2
+                kill -9 "$pid" 2>/dev/null || true
+            fi
+        done < "$1/pids"
+    done
+    mv "$1/pids" "$1/pids.ended"
+}
+
+keep=no
+bin=
+while [ $# -gt 0 ]; do
+    case $1 in
+        --keep) keep=yes ;;
+        --bin)
+            bin=$(cd "${2:?--bin needs a directory}" && pwd)
+            shift
+            ;;
+        --stop)
+            dir=${2:?--stop needs the directory of a run}
+            [ -f "$dir/pids" ] || { echo "no running processes are listed in $dir" >&2; exit 1; }
+            stop_run "$dir"
+            echo "stopped the run in $dir"
+            exit 0
+            ;;
+        --help | -h) usage; exit 0 ;;
+        *) usage >&2; exit 2 ;;
+    esac
+    shift
+done
+
+if [ -z "$bin" ]; then
+    (cd "$root" && cargo build --release --locked)
+    bin=${CARGO_TARGET_DIR:-$root/target}/release
+fi
+dir=$(mktemp -d "${TMPDIR:-/tmp}/medlarreel-local.XXXXXX")
+client() { "$bin/standin-client" "$@"; }
+
+finish() {
+    local status=$?
+    trap - EXIT
+    if [ "$status" -eq 0 ] && [ "$keep" = yes ]; then exit 0; fi
+    stop_run "$dir"
+    if [ "$status" -eq 0 ]; then
+        rm -r "$dir"
+    else
+        echo "failed; logs are in $dir" >&2
+    fi
+    exit "$status"
+}
+trap finish EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+fail() {
+    echo "$1" >&2
+    exit 1
+}
+
+launch() { # NAME PROGRAM ARGUMENTS...
+    local name=$1 program=$2
+    shift 2
+    "$bin/$program" "$@" > "$dir/$name.out" 2> "$dir/$name.err" < /dev/null &
+    echo "$! $program $(started_at $!)" >> "$dir/pids"
+}
+
+# Address that a stand-in has announced.
+announced() { # NAME
+    local end=$((SECONDS + start_limit)) address=
+    while [ "$SECONDS" -lt "$end" ]; do
+        address=$(sed -n 's/^listening on //p' "$dir/$1.out")
+        if [ -n "$address" ]; then
+            echo "$address"
+            return
+        fi
+        sleep 0.05
+    done
+    fail "$1 did not start; see $dir/$1.err"
+}
+
+# Repeats a command until it succeeds.
+await() { # SECONDS WHAT COMMAND...
+    local end=$((SECONDS + $1)) what=$2
+    shift 2
+    until "$@" > "$dir/await.out" 2>&1; do
+        if [ "$SECONDS" -ge "$end" ]; then
+            cat "$dir/await.out" >&2
+            fail "not in time: $what"
+        fi
+        sleep 0.2
+    done
+}
+
+# Failure domains of each club.
+domains() {
+    case $1 in
+        kashmir) echo "loft-a loft-b loft-c" ;;
+        souss) echo "souss-a souss-b souss-c" ;;
+    esac
+}
+
+# Services of each club: name, limits as in the preset, and further options.
+services() {
+    case $1 in
+        kashmir)
+            echo "intake checked 6 100 --keyed"
+            echo "workshop checked 6 100"
+            ;;
+        souss)
+            echo "marking-desk checked 2 50 --keyed"
+            echo "registry unchecked 2 50"
+            ;;
+    esac
+}
+
+clubs="kashmir souss"
+secret=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
+token=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
+
+echo "== stand-ins"
+launch log standin-log
+launch list standin-list
+log=$(announced log)
+list=$(announced list)
+upstreams=()
+for club in $clubs; do
+    while read -r service fencing slots connections keyed; do
+        for domain in $(domains "$club"); do
+            for number in 1 2; do
+                name=$service-$domain-$number
+                launch "$name" standin-upstream --service "$service" --name "$name" \
+                    --fencing "$fencing" --slots "$slots" --connections "$connections" \
+                    --work 2ms $keyed
+                upstreams+=("$name $service $domain $fencing")
+            done
+        done
+    done < <(services "$club")
+done
+entries=()
+for upstream in "${upstreams[@]}"; do
+    read -r name service domain fencing <<< "$upstream"
+    address=$(announced "$name")
+    entries+=("$(printf '{"name":"%s","service":"%s","domain":"%s","address":"%s","state":"live","fencing":"%s"}' \
+        "$name" "$service" "$domain" "$address" "$fencing")")
+done
+instances_json=$(IFS=,; echo "{\"instances\":[${entries[*]}]}")
+client --to "$list" --path /admin/instances --body "$instances_json" > /dev/null \
+    || fail "the list does not take the upstreams"
+echo "log $log, list $list, ${#upstreams[@]} upstreams"
+
+echo "== instances"
+instances=()
+mapfile -t ports < <(client --free-ports 18)
+for club in $clubs; do
+    for domain in $(domains "$club"); do
+        callers=127.0.0.1:${ports[0]} peers=127.0.0.1:${ports[1]} operators=127.0.0.1:${ports[2]}
+        ports=("${ports[@]:3}")
+        cat > "$dir/$domain.ini" <<INI
+[instance]
+club = $club
+domain = $domain
+
+[listen]
+callers = $callers
+peers = $peers
+operators = $operators
+
+[platform]
+log = http://$log
+list = http://$list
+
+[security]
+cluster_secret = $secret
+operator_token = $token
+INI
+        launch "instance-$domain" medlarreeld --settings "$dir/$domain.ini"
+        instances+=("$club $domain $callers $operators")
+        echo "$club $domain: callers $callers, operators $operators"
+    done
+done
+for instance in "${instances[@]}"; do
+    read -r _ domain _ operators <<< "$instance"
+    await "$start_limit" "health of $domain" client --to "$operators" --path /healthz
+done
+
+echo "== preset"
+read -r _ _ _ operators <<< "${instances[0]}"
+control() { "$bin/medlarctl" --instance "$operators" --token "$token" "$@"; }
+await "$start_limit" "publishing the preset" control publish "$preset"
+await "$start_limit" "activating the preset" control activate "$preset_name"
+for instance in "${instances[@]}"; do
+    read -r _ domain _ operators <<< "$instance"
+    await "$ready_limit" "readiness of $domain" client --to "$operators" --path /readyz
+done
+echo "preset $preset_name is in force; all instances are ready"
+
+# Sends one request for each rank, service and entry instance to DIR/served, and
+# fails if one of them was not served. $1 makes keys and ids differ by round.
+send_round() { # ROUND
+    local instance club domain callers service rank line result=0 number=0
+    : > "$dir/served"
+    for instance in "${instances[@]}"; do
+        read -r club domain callers _ <<< "$instance"
+        while read -r service _; do
+            for rank in status order archive; do
+                number=$((number + 1))
+                local extra=()
+                if [ "$rank" = order ]; then
+                    extra=(--body "order $number" --header "idempotency-key: $1-$number")
+                fi
+                line=$(client --to "$callers" --path "/$service/items/$number" \
+                    --header "medlar-rank: $rank" --header "medlar-key: key-$number" \
+                    "${extra[@]}" --timeout 15s) || result=1
+                echo "$domain $service $rank $line" >> "$dir/served"
+            done
+        done < <(services "$club")
+    done
+    return "$result"
+}
+
+echo "== requests"
+# Ready instances may still be waiting for the first grants of some shards.
+rounds=1
+end=$((SECONDS + ready_limit))
+until send_round "warm-up-$rounds" || [ "$SECONDS" -ge "$end" ]; do
+    rounds=$((rounds + 1))
+    sleep 0.2
+done
+echo "rounds before the counted one: $rounds"
+send_round counted || true
+total=$(wc -l < "$dir/served")
+served=$(grep -c ' status=2[0-9][0-9] ' "$dir/served" || true)
+cat "$dir/served"
+echo "== served by"
+sed -n 's/.* upstream=\([^ -][^ ]*\) .*/\1/p' "$dir/served" | sort | uniq -c
+
+if [ "$keep" = yes ]; then
+    read -r _ domain callers operators <<< "${instances[0]}"
+    cat <<TEXT
+== left running in $dir
+$(printf '%s\n' "${instances[@]}" | sed 's/^\([^ ]*\) \([^ ]*\) \([^ ]*\) \([^ ]*\)$/\1 \2: callers \3, operators \4/')
+log $log, list $list, upstreams as answered by the list
+Send a request:
+  $bin/standin-client --to $callers --path /intake/items/1 --header 'medlar-key: key-1' --header 'medlar-rank: status'
+Look at the owner of a key, the state and the presets:
+  $bin/standin-client --to $operators --path '/control/owner?service=intake&key=key-1' --print-body
+  $bin/standin-client --to $operators --path /control/status --print-body
+  $bin/standin-client --to $list --path /instances --print-body
+Publish and activate a changed preset:
+  $bin/medlarctl --instance $operators --token $token publish FILE
+  $bin/medlarctl --instance $operators --token $token activate NAME
+Freeze an upstream (ADDRESS from the list), and take the log away:
+  $bin/standin-client --to ADDRESS --path /admin/faults --body '{"freeze": true}' --print-body
+  $bin/standin-client --to $log --path /admin/faults --body '{"unavailable": "refuse"}' --print-body
+End this run:
+  scripts/run-local.sh --stop $dir
+TEXT
+fi
+echo "served $served of $total"
+[ "$served" -eq "$total" ]
