--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fold;
 pub mod grant;
 pub mod ids;
+pub mod placement;
 pub mod preset;
 pub mod record;
 pub mod time;
