Add the dispatcher's leases and grants

Wire: reports carry the session and the number of older assignments, observations carry claims and shard loads, assignments name the recipient's session and the upstream's class. A dispatcher forgets its assignments when its lease lapses, so one that was counted as stopped cannot resume them.

--- a/crates/core/src/grant.rs
+++ b/crates/core/src/grant.rs
@@ -12,6 +12,10 @@
 use crate::ids::{Epoch, Version};
 use crate::time::Time;
 
+pub mod dispatcher;
+
+pub use dispatcher::Dispatcher;
+
 /// Grant sent to an upstream.
 #[data(value)]
 pub struct Request {
--- /dev/null
+++ b/crates/core/src/grant/dispatcher.rs
@@ -0,0 +1,289 @@
+//! The dispatcher's side of leases and grants.
+//!
+//! An instance acts for upstreams only under a dispatch lease. When the lease
+//! lapses it forgets all assignments and starts a new session, so that an
+//! instance that was counted as stopped cannot resume an old assignment.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use super::{Answer, Request};
+use crate::ids::{Ballot, Epoch, Instance, Shard, Upstream, Version};
+use crate::preset::Fencing;
+use crate::time::{Time, longest, shortest};
+use crate::wire::{Assignment, Lease, Message, Observed};
+
+mod entry;
+
+use entry::Entry;
+
+/// Interval of grants and queries.
+pub const RENEWAL: Duration = Duration::from_millis(250);
+
+/// Length of a grant.
+pub const GRANT: Duration = Duration::from_millis(900);
+
+/// Age of an answer beyond which the upstream is queried instead of granted
+/// anything, so that the last grant to a frozen upstream ends soon.
+pub const FRESH: Duration = Duration::from_millis(450);
+
+/// Delay before the next attempt after a failed one.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// What the dispatcher wants to be sent to an upstream.
+#[data(value)]
+pub enum Action {
+    /// Ask for the upstream's state.
+    Query(Upstream),
+    /// Send a grant.
+    Grant(Upstream, Request),
+}
+
+/// Leave to send one request now.
+#[data(key)]
+pub enum Permit {
+    /// The upstream keeps no shards.
+    Unkeyed,
+    /// The shard is held under this epoch.
+    Shard(Epoch),
+}
+
+/// Dispatch lease and assignments of one instance.
+#[data(plain)]
+pub struct Dispatcher {
+    me: Instance,
+    /// Highest ballot seen, and when it was first seen.
+    highest: Option<(Ballot, Time)>,
+    /// End of the dispatch lease, while it has not been found lapsed.
+    until: Option<Time>,
+    session: u32,
+    entries: BTreeMap<Upstream, Entry>,
+}
+
+/// Queries.
+impl Dispatcher {
+    /// Dispatcher without a lease.
+    pub fn new(me: Instance) -> Dispatcher {
+        Dispatcher {
+            me,
+            highest: None,
+            until: None,
+            session: 0,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Highest ballot seen.
+    pub fn highest(&self) -> Option<Ballot> {
+        self.highest.map(|(ballot, _)| ballot)
+    }
+
+    /// Number of leases that have lapsed, for reports.
+    pub fn session(&self) -> u32 {
+        self.session
+    }
+
+    /// Number of upstreams served by order of an earlier holder, for reports.
+    pub fn older(&self) -> u16 {
+        let highest = self.highest();
+        let older = |entry: &&Entry| entry.is_older(highest);
+        self.entries.values().filter(older).count() as u16
+    }
+
+    /// Whether the dispatch lease is in force.
+    pub fn is_leased(&self, now: Time) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Assignment that the instance follows for the upstream.
+    pub fn assignment(&self, now: Time, upstream: Upstream) -> Option<&Assignment> {
+        let entry = self.entries.get(&upstream)?;
+        entry.assignment.as_ref().filter(|_| self.is_leased(now))
+    }
+
+    /// Requests that may be open at the upstream; 0 without a right to send.
+    pub fn allowance(&self, now: Time, upstream: Upstream) -> u16 {
+        let assignment = self.sendable(now, upstream);
+        assignment.map_or(0, |assignment| assignment.allowance)
+    }
+
+    /// Whether a request may be sent at this moment.
+    ///
+    /// To be asked right before each send.
+    pub fn may_send(&self, now: Time, upstream: Upstream, shard: Option<Shard>) -> Option<Permit> {
+        let assignment = self.sendable(now, upstream)?;
+        let Some(shard) = shard else {
+            return Some(Permit::Unkeyed);
+        };
+        let held = assignment.shards.iter().find(|(held, _)| *held == shard);
+        held.map(|&(_, epoch)| Permit::Shard(epoch))
+    }
+
+    /// Whether connections to the upstream shall be closed as they become idle.
+    pub fn is_closing(&self, upstream: Upstream) -> bool {
+        let entry = self.entries.get(&upstream);
+        entry.is_some_and(|entry| entry.stopping.is_some())
+    }
+
+    fn sendable(&self, now: Time, upstream: Upstream) -> Option<&Assignment> {
+        let assignment = self.assignment(now, upstream)?;
+        let primary = assignment.primary == self.me;
+        match assignment.fencing {
+            Fencing::Checked => {
+                (primary || assignment.backup == Some(self.me)).then_some(assignment)
+            }
+            Fencing::Unchecked => (primary && !self.is_closing(upstream)).then_some(assignment),
+        }
+    }
+}
+
+/// Commands.
+impl Dispatcher {
+    /// Takes over a dispatch lease that was requested at `asked`.
+    pub fn leased(&mut self, now: Time, asked: Time, lease: Lease) {
+        self.lapse(now);
+        if !self.learn(now, lease.ballot) {
+            return;
+        }
+        let until = asked + shortest(lease.length);
+        if now < until {
+            self.until = self.until.max(Some(until));
+        }
+    }
+
+    /// Follows an assignment of the holder and acknowledges it.
+    pub fn assign(&mut self, now: Time, assignment: Assignment) -> Option<Message> {
+        self.lapse(now);
+        let current = self.is_leased(now) && assignment.session == self.session;
+        if !current || !self.learn(now, assignment.version.ballot) {
+            return None;
+        }
+        let (me, upstream) = (self.me, assignment.upstream);
+        self.entry(upstream).follow(now, me, assignment)
+    }
+
+    /// Renews nothing older than the version from now on.
+    ///
+    /// The answer may be delayed until `in_use` reports that an unchecked
+    /// upstream is idle.
+    pub fn stop(&mut self, now: Time, upstream: Upstream, version: Version) -> Option<Message> {
+        self.lapse(now);
+        if !self.learn(now, version.ballot) {
+            return None;
+        }
+        let entry = self.entry(upstream);
+        entry.stop(now, version);
+        entry.stopped(now, upstream)
+    }
+
+    /// Notes the exchanges and connections that are open at the upstream.
+    ///
+    /// Returns acknowledgements that waited for them to end.
+    pub fn in_use(
+        &mut self,
+        now: Time,
+        upstream: Upstream,
+        exchanges: u32,
+        connections: u32,
+    ) -> Vec<Message> {
+        self.lapse(now);
+        let entry = self.entry(upstream);
+        entry.exchanges = exchanges;
+        entry.connections = connections;
+        let stopped = entry.stopped(now, upstream);
+        stopped.into_iter().chain(entry.assigned()).collect()
+    }
+
+    /// Counts a request that the upstream has run.
+    pub fn served(&mut self, upstream: Upstream, shard: Option<Shard>) {
+        let entry = self.entry(upstream);
+        entry.served += 1;
+        if let Some(shard) = shard {
+            *entry.loads.entry(shard.index).or_insert(0) += 1;
+        }
+    }
+
+    /// Notes the slots that were busy on average, in thousandths.
+    pub fn busy(&mut self, upstream: Upstream, thousandths: u32) {
+        self.entry(upstream).busy = thousandths;
+    }
+
+    /// Grants and queries that are due.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        self.lapse(now);
+        let Some(until) = self.until else {
+            return Vec::new();
+        };
+        let me = self.me;
+        let entries = self.entries.iter_mut();
+        entries
+            .filter_map(|(&upstream, entry)| entry.due(now, me, upstream, until))
+            .collect()
+    }
+
+    /// Takes in an upstream's answer to a grant or query sent at `asked`.
+    ///
+    /// Returns the news that the upstream has accepted the assignment.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        upstream: Upstream,
+        asked: Time,
+        answer: Answer,
+    ) -> Option<Message> {
+        self.lapse(now);
+        let entry = self.entries.get_mut(&upstream)?;
+        entry.answered(now, upstream, asked, answer)
+    }
+
+    /// Notes that a grant or query failed.
+    pub fn failed(&mut self, now: Time, upstream: Upstream) {
+        if let Some(entry) = self.entries.get_mut(&upstream) {
+            entry.due = entry.due.min(now + RETRY);
+        }
+    }
+
+    /// What was seen of each upstream since the last call, for reports.
+    pub fn observed(&mut self, now: Time) -> Vec<Observed> {
+        self.lapse(now);
+        let (me, highest) = (self.me, self.highest);
+        let entries = self.entries.iter_mut();
+        entries
+            .filter(|(_, entry)| entry.assignment.is_some() || entry.is_open())
+            .map(|(&upstream, entry)| entry.observed(now, me, upstream, highest))
+            .collect()
+    }
+
+    fn entry(&mut self, upstream: Upstream) -> &mut Entry {
+        self.entries.entry(upstream).or_default()
+    }
+
+    /// Notes a ballot; false if a higher one was seen.
+    fn learn(&mut self, now: Time, ballot: Ballot) -> bool {
+        match self.highest {
+            Some((highest, _)) if highest >= ballot => highest == ballot,
+            _ => {
+                self.highest = Some((ballot, now));
+                true
+            }
+        }
+    }
+
+    /// Forgets everything that rested on a lease that has ended.
+    fn lapse(&mut self, now: Time) {
+        if self.until.is_some_and(|until| now >= until) {
+            self.until = None;
+            self.session += 1;
+            for entry in self.entries.values_mut() {
+                entry.forget();
+            }
+        }
+    }
+}
+
+/// Local time that may pass until a grant with this local end is over.
+fn remaining(now: Time, end: Time) -> Duration {
+    longest(end.since(now))
+}
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -9,6 +9,7 @@
 use medlarreel_macros::data;
 
 use crate::ids::{Ballot, Epoch, Instance, Offset, Shard, Upstream, Version};
+use crate::preset::Fencing;
 use crate::record::Member;
 
 pub mod frame;
@@ -54,10 +55,27 @@
     pub next: Offset,
     /// Whether the instance is about to stop.
     pub leaving: bool,
+    /// Number of dispatch leases that the instance has let lapse. An instance
+    /// forgets its assignments with its lease.
+    pub session: u32,
+    /// Upstreams that the instance still serves by order of an earlier holder.
+    pub older: u16,
     /// Upstreams that the instance renews grants for, a part at a time.
     pub upstreams: Vec<Observed>,
 }
 
+/// A shard that an upstream may hold by order of an earlier holder.
+#[data(key)]
+pub struct Claim {
+    /// Position of the shard within the upstream's service.
+    pub index: u16,
+    /// Its fencing epoch.
+    pub epoch: Epoch,
+    /// Whether the upstream is known to hold it: it said so since the instance
+    /// learned of the new holder, or it is unchecked and this is its dispatcher.
+    pub held: bool,
+}
+
 /// What a dispatcher last saw of an upstream.
 #[data(value)]
 pub struct Observed {
@@ -69,6 +87,17 @@
     pub incarnation: u64,
     /// Version in force at the upstream.
     pub version: Option<Version>,
+    /// Version of the assignment that the instance follows.
+    pub assigned: Option<Version>,
+    /// Largest allowance that the instance's grants may still give.
+    pub allowance: u16,
+    /// Whether an unchecked upstream has exchanges or connections of the instance.
+    pub open: bool,
+    /// What the upstream may hold; empty if the assignment comes from the
+    /// holder of the highest ballot, which knows it.
+    pub claims: Vec<Claim>,
+    /// Requests run since the last report, by shard, for shards that had any.
+    pub loads: Vec<(u16, u32)>,
     /// Number of shards that it holds.
     pub held: u32,
     /// Whether it is leaving.
@@ -97,8 +126,14 @@
     pub version: Version,
     /// Upstream that is meant.
     pub upstream: Upstream,
-    /// Run of the upstream's process that is meant; 0 while unknown.
+    /// Run of the upstream's process that is meant; 0 while unknown, which
+    /// allows questions only.
     pub incarnation: u64,
+    /// Session of the recipient. A late copy from before the recipient's lease
+    /// lapsed names an older session and is refused.
+    pub session: u32,
+    /// Whether the upstream checks grants.
+    pub fencing: Fencing,
     /// Shards and their fencing epochs.
     pub shards: Vec<(Shard, Epoch)>,
     /// Slots that may be in use.
@@ -124,6 +159,8 @@
     Assign(Assignment),
     /// The dispatcher has taken the assignment over.
     Assigned(Upstream, Version),
+    /// The run of the upstream has accepted a grant of the version.
+    Granted(Upstream, u64, Version),
     /// Order to renew nothing older than the version at the upstream.
     Stop(Upstream, Version),
     /// Nothing older is renewed; the last grant ends after the given time.
