--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod grant;
 pub mod health;
 pub mod ids;
+pub mod placement;
 pub mod preset;
 pub mod record;
 pub mod retry;
