--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -321,7 +321,7 @@
             && known
     }
 
-    fn highest(&self) -> Ballot {
+    pub fn highest(&self) -> Ballot {
         self.voter.highest().unwrap_or(Ballot {
             term: self.term,
             round: 0,
--- a/crates/core/src/grant/dispatcher.rs
+++ b/crates/core/src/grant/dispatcher.rs
@@ -103,6 +103,17 @@
         entry.assignment.as_ref().filter(|_| self.is_leased(now))
     }
 
+    /// End of the dispatch lease; `None` without one.
+    pub fn until(&self, now: Time) -> Option<Time> {
+        self.until.filter(|until| now < *until)
+    }
+
+    /// Assignments of all upstreams that requests may be sent to now.
+    pub fn sendable_now(&self, now: Time) -> impl Iterator<Item = &Assignment> {
+        let upstreams = self.entries.keys();
+        upstreams.filter_map(move |upstream| self.sendable(now, *upstream))
+    }
+
     /// Requests that may be open at the upstream; 0 without a right to send.
     pub fn allowance(&self, now: Time, upstream: Upstream) -> u16 {
         let assignment = self.sendable(now, upstream);
@@ -196,12 +207,12 @@
         stopped.into_iter().chain(entry.assigned()).collect()
     }
 
-    /// Counts a request that the upstream has run.
-    pub fn served(&mut self, upstream: Upstream, shard: Option<Shard>) {
+    /// Counts requests that the upstream has run.
+    pub fn served(&mut self, upstream: Upstream, shard: Option<Shard>, count: u32) {
         let entry = self.entry(upstream);
-        entry.served += 1;
+        entry.served += count;
         if let Some(shard) = shard {
-            *entry.loads.entry(shard.index).or_insert(0) += 1;
+            *entry.loads.entry(shard.index).or_insert(0) += count;
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,17 +6,21 @@
 //! bench can drive every part in virtual time.
 
 pub mod admission;
+pub mod checkpoint;
 pub mod code;
 pub mod config;
-pub mod dedup;
 pub mod control;
+pub mod dedup;
 pub mod fold;
 pub mod grant;
 pub mod health;
+pub mod holder;
 pub mod ids;
+pub mod machine;
 pub mod placement;
 pub mod preset;
 pub mod record;
 pub mod retry;
+pub mod route;
 pub mod time;
 pub mod wire;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -18,7 +18,7 @@
 use crate::grant::dispatcher::{self, Dispatcher};
 use crate::grant::{Answer, Request};
 use crate::holder::{self, Holder};
-use crate::ids::{Ballot, Club, Instance, Offset, Proposal, Upstream};
+use crate::ids::{Ballot, Club, Instance, Offset, Proposal, Shard, Upstream};
 use crate::preset::Fencing;
 use crate::record::{Body, Member, Record};
 use crate::time::Time;
@@ -54,6 +54,19 @@
     pub weight: Option<u16>,
 }
 
+/// Use of an upstream by the traffic threads.
+#[data(value)]
+pub struct Traffic {
+    /// Exchanges without an answer yet.
+    pub exchanges: u32,
+    /// Open connections.
+    pub connections: u32,
+    /// Slots that are busy, in thousandths of the allowance.
+    pub busy: u32,
+    /// Requests run, by shard; shard `None` for services that are not keyed.
+    pub served: Vec<(Option<Shard>, u32)>,
+}
+
 /// Something that happened outside.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -74,7 +87,7 @@
     /// An upstream did not answer a query or grant.
     Unanswered(Upstream),
     /// What the traffic threads did at an upstream since the last such event.
-    Traffic(Upstream, dispatcher::Traffic),
+    Traffic(Upstream, Traffic),
     /// The instance is shutting down.
     Stop,
 }
@@ -200,10 +213,13 @@
             Event::Message(from, message) => self.receive(now, from, message, &mut queue),
             Event::Listed(listed) => self.listed = listed,
             Event::Answered(upstream, asked, answer) => {
-                self.dispatcher.answered(now, upstream, asked, answer);
+                let news = self.dispatcher.answered(now, upstream, asked, answer);
+                self.tell_holder(news, &mut queue);
             }
             Event::Unanswered(upstream) => self.dispatcher.failed(now, upstream),
-            Event::Traffic(upstream, traffic) => self.dispatcher.traffic(now, upstream, traffic),
+            Event::Traffic(upstream, traffic) => {
+                self.note_traffic(now, upstream, traffic, &mut queue);
+            }
             Event::Stop => self.stop(now, &mut queue),
         }
         self.settle(now, queue)
@@ -271,6 +287,7 @@
                 queue.send(from, Message::Vote(vote));
             }
             Message::Vote(vote) => self.election.vote(now, from, vote),
+            Message::Resign(ballot) => self.election.resigned(now, from, ballot),
             Message::Lease(lease) => self.leased(now, lease),
             Message::Assign(assignment) => {
                 let answer = self.dispatcher.assign(now, assignment);
@@ -302,6 +319,30 @@
         self.dispatcher.leased(now, pending.sent, lease);
     }
 
+    fn note_traffic(
+        &mut self,
+        now: Time,
+        upstream: Upstream,
+        traffic: Traffic,
+        queue: &mut Queue,
+    ) {
+        for (shard, count) in traffic.served {
+            self.dispatcher.served(upstream, shard, count);
+        }
+        self.dispatcher.busy(upstream, traffic.busy);
+        let (exchanges, connections) = (traffic.exchanges, traffic.connections);
+        let news = self.dispatcher.in_use(now, upstream, exchanges, connections);
+        self.tell_holder(news, queue);
+    }
+
+    /// Sends news to the holder whose orders the dispatcher follows.
+    fn tell_holder(&self, news: impl IntoIterator<Item = Message>, queue: &mut Queue) {
+        let Some(ballot) = self.dispatcher.highest() else { return };
+        for message in news {
+            queue.send(ballot.instance, message);
+        }
+    }
+
     fn lagging(&mut self, from: Instance, next: Offset, queue: &mut Queue) {
         if next <= self.state.next() {
             return;
@@ -324,6 +365,8 @@
             highest: self.election.highest(),
             next: self.state.next(),
             leaving: self.stopping,
+            session: self.dispatcher.session(),
+            older: self.dispatcher.older(),
             upstreams: self.dispatcher.observed(now),
         };
         for to in self.report_targets(now, random) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -50,6 +50,7 @@
 
 /// Routing under one state of the fold.
 #[data(plain)]
+#[derive(Default)]
 pub struct Table {
     /// Preset in force.
     pub preset: Option<Arc<Preset>>,
@@ -115,8 +116,8 @@
     let entry = state.upstream(key);
     let members = state.clubs().iter().flat_map(|club| &club.members);
     let nearby = members.filter(|member| member.domain == entry.server.domain);
-    let mut dispatchers =
-        placement::dispatchers(&entry.server.name, nearby.map(|member| member.instance));
+    let nearby: Vec<_> = nearby.map(|member| member.instance).collect();
+    let mut dispatchers = placement::dispatchers(&entry.server.name, &nearby);
     dispatchers.truncate(DISPATCHERS);
     Target {
         name: entry.server.name.clone(),
--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -5,9 +5,9 @@
 
 use medlarreel_core::admission::Limits;
 use medlarreel_core::fold::State;
-use medlarreel_core::grant::dispatcher::Traffic;
 use medlarreel_core::ids::{Instance, Offset, Upstream};
-use medlarreel_core::preset::{RANKS, ServiceLimits};
+use medlarreel_core::machine::Traffic;
+use medlarreel_core::preset::{Preset, ServiceLimits};
 use medlarreel_core::route::Table;
 
 use super::Worker;
@@ -32,16 +32,7 @@
     /// What the traffic threads did since the last call.
     pub(super) fn traffic(&mut self) -> Vec<(Upstream, Traffic)> {
         let lanes = self.lanes.iter();
-        let traffic = lanes.map(|(upstream, lane)| {
-            let traffic = Traffic {
-                served: lane.take_served(),
-                busy: lane.busy() as u32,
-                open: lane.open(),
-                connections: lane.pool().open() as u32,
-            };
-            (*upstream, traffic)
-        });
-        traffic.collect()
+        lanes.map(|(upstream, lane)| (*upstream, lane.traffic())).collect()
     }
 }
 
@@ -127,25 +118,24 @@
         let now = self.now();
         let mut changed = false;
         let mut kept = HashMap::new();
-        for permit in self.machine.dispatcher().permits(now) {
-            let entry = state.upstream(permit.upstream);
-            let Some(limits) = preset.service(&entry.server.service) else { continue };
-            let floors = preset.ranks.clone().map(|rank| rank.floor);
-            let limits = queue_limits(state, limits, floors, permit.allowance);
-            let known = self.published.lanes.get(&permit.upstream).cloned();
+        let Some(until) = self.machine.dispatcher().until(now) else {
+            return !std::mem::take(&mut self.published.lanes).is_empty();
+        };
+        for assignment in self.machine.dispatcher().sendable_now(now) {
+            let entry = state.upstream(assignment.upstream);
+            let Some(service) = preset.service(&entry.server.service) else { continue };
+            let limits = queue_limits(state, &preset, service, assignment.allowance);
+            let known = self.published.lanes.get(&assignment.upstream).cloned();
             let known = known.filter(|lane| lane.pool().address() == entry.server.address);
             let lane = known.unwrap_or_else(|| {
                 changed = true;
-                let connections = preset.service(&entry.server.service);
-                let connections = connections.map_or(1, |service| service.connections);
-                let pool = Pool::new(entry.server.address, usize::from(connections));
+                let pool = Pool::new(entry.server.address, usize::from(service.connections));
                 Arc::new(Lane::new(now, pool, limits.clone()))
             });
-            let slots = permit.allowance;
-            let shards = permit.shards.iter().map(|(shard, epoch)| (shard.index, *epoch));
-            let permit_now = Permit { until: permit.until, shards: shards.collect(), slots };
-            lane.renew(now, permit_now, limits);
-            kept.insert(permit.upstream, lane);
+            let shards = assignment.shards.iter().map(|(shard, epoch)| (shard.index, *epoch));
+            let permit = Permit { until, shards: shards.collect(), slots: assignment.allowance };
+            lane.renew(now, permit, limits);
+            kept.insert(assignment.upstream, lane);
         }
         changed |= kept.len() != self.published.lanes.len();
         // A lane that is no longer permitted refuses new requests by itself;
@@ -157,17 +147,16 @@
 
 fn queue_limits(
     state: &State,
+    preset: &Preset,
     service: &ServiceLimits,
-    floors: [u8; RANKS],
     allowance: u16,
 ) -> Limits {
-    let preset = state.active().map(|active| Arc::clone(&active.preset));
-    let clubs = preset.iter().flat_map(|preset| &preset.clubs);
+    let clubs = preset.clubs.iter();
     let weights = clubs.filter_map(|club| Some((state.club_named(&club.name)?, club.weight)));
     Limits {
         entries: service.queue,
         slots: allowance.min(service.slots),
-        floors,
+        floors: preset.ranks.clone().map(|rank| rank.floor),
         weights: weights.collect(),
     }
 }
--- a/crates/medlarreel/src/dispatch/lane.rs
+++ b/crates/medlarreel/src/dispatch/lane.rs
@@ -5,12 +5,12 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use medlarreel_core::admission::{self, Event, Queue, Ticket};
 use medlarreel_core::code::Code;
 use medlarreel_core::ids::{Club, Epoch, Shard};
+use medlarreel_core::machine::Traffic;
 use medlarreel_core::preset::Rank;
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
@@ -52,7 +52,6 @@
     pool: Pool,
     state: Mutex<State>,
     repeats: Repeats,
-    served: AtomicU32,
     open: AtomicU32,
 }
 
@@ -61,6 +60,8 @@
     queue: Queue,
     waiting: HashMap<u64, oneshot::Sender<Result<(), Code>>>,
     next: u64,
+    /// Requests answered since the last report.
+    served: HashMap<Option<Shard>, u32>,
 }
 
 /// A slot of the upstream, given back when dropped.
@@ -90,13 +91,14 @@
 impl Lane {
     /// Lane without a permit.
     pub fn new(now: Time, pool: Pool, limits: admission::Limits) -> Lane {
-        let state = State { queue: Queue::new(limits), waiting: HashMap::new(), next: 0 };
+        let queue = Queue::new(limits);
+        let (waiting, served) = (HashMap::new(), HashMap::new());
+        let state = State { queue, waiting, next: 0, served };
         Lane {
             permit: ArcSwap::default(),
             pool,
             state: Mutex::new(state),
             repeats: Repeats::new(now),
-            served: AtomicU32::new(0),
             open: AtomicU32::new(0),
         }
     }
@@ -169,16 +171,22 @@
         }
     }
 
-    /// Counts an exchange with the upstream.
-    pub fn observe(&self, sent: &Result<Answer, Failure>) {
-        if sent.is_ok() {
-            self.served.fetch_add(1, Ordering::Relaxed);
-        }
+    /// Counts an answered request.
+    pub fn count(&self, shard: Option<Shard>) {
+        *self.lock().served.entry(shard).or_insert(0) += 1;
     }
 
-    /// Exchanges that were answered since the last call.
-    pub fn take_served(&self) -> u32 {
-        self.served.swap(0, Ordering::Relaxed)
+    /// Use of the upstream; answered requests are those since the last call.
+    pub fn traffic(&self) -> Traffic {
+        let permit = self.permit.load();
+        let mut state = self.lock();
+        let busy = state.queue.busy() * 1_000 / usize::from(permit.slots).max(1);
+        Traffic {
+            exchanges: self.open(),
+            connections: self.pool.open() as u32,
+            busy: busy as u32,
+            served: state.served.drain().collect(),
+        }
     }
 
     /// Counts an exchange as open until the result is dropped.
@@ -192,11 +200,6 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Slots in use.
-    pub fn busy(&self) -> usize {
-        self.lock().queue.busy()
-    }
-
     /// Summary for operators.
     pub fn overview(&self, now: Time) -> Overview {
         let permit = self.permit.load();
--- a/crates/medlarreel/src/listen.rs
+++ b/crates/medlarreel/src/listen.rs
@@ -131,7 +131,7 @@
 }
 
 async fn read_body(body: RequestExt<RequestBody>, limit: usize) -> Result<Bytes, Code> {
-    let (_, body) = body.into_parts();
+    let (_, body) = body.replace_body(());
     let mut body = std::pin::pin!(body);
     let mut whole = BytesMut::new();
     while let Some(part) = body.as_mut().data().await {
--- a/crates/medlarreel/src/operators/queries.rs
+++ b/crates/medlarreel/src/operators/queries.rs
@@ -2,19 +2,22 @@
 
 use std::collections::HashMap;
 
+use http::{HeaderValue, StatusCode, header};
 use medlarreel_core::code::Code;
 use medlarreel_core::fold;
 use medlarreel_core::ids::{Proposal, Upstream};
 
-use super::{api, error, fate, json, overview};
+use super::{Status, api, error, fate, json, overview, page};
 use crate::app::{App, Snapshot};
 use crate::control::Fate;
 use crate::dispatch::Answer;
+use crate::listen::plain;
 
 /// Answers a query under `/control`, or with the status page.
 pub(super) fn answer(app: &App, path: &str, query: &HashMap<String, String>) -> Answer {
     let snapshot = app.snapshot();
     let found = match path {
+        "/" => Ok(status_page(&overview::status(app, &snapshot))),
         "/control/status" => Ok(json(200, &overview::status(app, &snapshot))),
         "/control/owner" => owner(&snapshot, query).map(|owner| json(200, &owner)),
         "/control/audit" => Ok(json(200, &audit(&snapshot, query))),
@@ -87,3 +90,10 @@
     let settled = snapshot.state.settled(Proposal(id));
     Ok(settled.map_or_else(|| Fate::unknown(Proposal(id)), Fate::from))
 }
+
+fn status_page(status: &Status) -> Answer {
+    let mut answer = plain(StatusCode::OK, &page::render(status));
+    let kind = HeaderValue::from_static("text/html; charset=utf-8");
+    answer.headers.insert(header::CONTENT_TYPE, kind);
+    answer
+}
--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -252,7 +252,9 @@
     let sent = lane.pool().exchange(request, left, call.max_body).await;
     drop(exchange);
     drop(slot);
-    lane.observe(&sent);
+    if sent.is_ok() {
+        lane.count(call.shard);
+    }
     let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
     check_answer(answer, id)
 }
