--- a/crates/core/src/preset/parse.rs
+++ b/crates/core/src/preset/parse.rs
@@ -34,6 +34,9 @@
 /// Longest request lifetime: one day.
 const MAX_LIFETIME: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Largest body; instances hold whole bodies in memory and read no larger ones.
+const MAX_BODY: u32 = 16 * MIB;
+
 const MS: Duration = Duration::from_millis(1);
 const KIB: u32 = 1024;
 const MIB: u32 = 1024 * KIB;
@@ -181,7 +184,7 @@
     let request_lifetime = section.or("request_lifetime", lifetime, None);
     let deduplicates = section.or("deduplicates", flag, false);
     let queue = section.or("queue", count("requests", 1..=100_000u32), 256);
-    let max_body = section.or("max_body", size(KIB..=64 * MIB), MIB);
+    let max_body = section.or("max_body", size(KIB..=MAX_BODY), MIB);
     check_reserved(section);
     check_club(document, section, club.as_deref());
     check_shards(section, keyed);
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -144,7 +144,7 @@
         ),
         ("= 1 min", "= 1.5 min", &[(32, Code::BadUnit)]),
         ("256 KiB", "256 KB", &[(19, Code::BadUnit)]),
-        ("256 KiB", "65 MiB", &[(19, Code::OutOfRange)]),
+        ("256 KiB", "17 MiB", &[(19, Code::OutOfRange)]),
         ("share = 50%", "share = 51%", &[(9, Code::Inconsistent)]),
         ("floor = 10 %", "floor = 61 %", &[(33, Code::Inconsistent)]),
         ("club = souss", "club = sous", &[(21, Code::Inconsistent)]),
