--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -17,7 +17,7 @@
 pub use value::Flaw;
 
 /// A mistake in a preset or settings file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Mistake {
     /// Line, from 1.
     pub line: usize,
