--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -321,7 +321,7 @@
         let id = queue
             .next(Time(100_000 + turn * 100))
             .expect("work is waiting");
-        heavy += u64::from(id % 2 == 0);
+        heavy += u64::from(id.is_multiple_of(2));
         queue.done(Time(100_100 + turn * 100), id);
     }
 
--- /dev/null
+++ b/crates/load/src/slopes.rs
@@ -0,0 +1,1 @@
+//! Slope benchmarks and comparisons in virtual time.
