--- a/crates/load/src/bin/medlar-slopes.rs
+++ b/crates/load/src/bin/medlar-slopes.rs
@@ -1,2 +1,14 @@
-//! placeholder
-fn main() {}
+//! Slope benchmarks; see `--help`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match medlar_load::slopes::main(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("medlar-slopes: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -1,1 +1,110 @@
 //! Slope benchmarks and comparisons in virtual time.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use getopts::Options;
+
+use crate::Error;
+
+pub mod admission;
+pub mod dedup;
+pub mod fold;
+pub mod retry;
+pub mod sharing;
+pub mod sizes;
+pub mod table;
+
+use table::Table;
+
+/// Repetitions of a measurement; the smallest counts, as it has the least noise.
+const REPEATS: usize = 5;
+
+type Command = (&'static str, &'static str, fn() -> Vec<Table>);
+
+const COMMANDS: [Command; 7] = [
+    (
+        "sharing",
+        "ways to share an upstream's slots, in virtual time",
+        sharing::tables,
+    ),
+    (
+        "admission",
+        "push and next by queue length",
+        admission::tables,
+    ),
+    ("dedup", "begin and finish by entries", dedup::tables),
+    ("retry", "earn and decide by requests", retry::tables),
+    (
+        "fold",
+        "apply by shards and members, and memory",
+        fold::tables,
+    ),
+    ("wire", "encoded message sizes", sizes::messages),
+    ("record", "encoded record sizes", sizes::records),
+];
+
+/// Runs the command of the given arguments.
+///
+/// # Errors
+///
+/// The command line is not valid.
+pub fn main(args: &[String]) -> Result<(), Error> {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this text");
+    let usage = |error: getopts::Fail| Error::Usage(error.to_string());
+    let matches = options.parse(args).map_err(usage)?;
+    if matches.opt_present("help") || matches.free.is_empty() {
+        println!("{}", help(&options));
+        return Ok(());
+    }
+    for name in &matches.free {
+        let known = |command: &&Command| name == "all" || command.0 == name;
+        let chosen: Vec<&Command> = COMMANDS.iter().filter(known).collect();
+        if chosen.is_empty() {
+            return Err(Error::Usage(format!("unknown subcommand {name:?}")));
+        }
+        let tables = chosen.into_iter().flat_map(|command| (command.2)());
+        tables.for_each(|table| println!("{table}"));
+    }
+    Ok(())
+}
+
+fn help(options: &Options) -> String {
+    let mut text = options.usage("Usage: medlar-slopes SUBCOMMAND..");
+    text.push_str("\nSubcommands:\n");
+    for (name, about, _) in COMMANDS {
+        text.push_str(&format!("    {name:<12}{about}\n"));
+    }
+    text.push_str("    all         every subcommand\n");
+    text.push_str("\nExample:\n    medlar-slopes sharing admission\n");
+    text
+}
+
+/// Nanoseconds per operation of `work`, which performs `operations` of them on
+/// a fresh copy of `start`.
+fn measure<S: Clone, T>(start: &S, operations: usize, work: impl Fn(&mut S) -> T) -> f64 {
+    let run = |_| {
+        let mut state = start.clone();
+        let begin = Instant::now();
+        black_box(work(black_box(&mut state)));
+        black_box(&state);
+        begin.elapsed().as_nanos() as f64 / operations as f64
+    };
+    (0..REPEATS).map(run).fold(f64::INFINITY, f64::min)
+}
+
+/// Resident bytes per copy of a value; 0 where the system does not tell.
+fn resident<S: Clone>(value: &S, copies: usize) -> f64 {
+    let before = resident_bytes();
+    let held: Vec<S> = (0..copies).map(|_| value.clone()).collect();
+    let after = resident_bytes();
+    black_box(&held);
+    (after - before).max(0.0) / copies as f64
+}
+
+fn resident_bytes() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.map_or(0.0, |pages: f64| pages * 4_096.0)
+}
--- /dev/null
+++ b/crates/load/src/slopes/sizes.rs
@@ -0,0 +1,226 @@
+//! Encoded sizes of messages and records.
+
+use std::time::Duration;
+
+use medlarreel_core::ids::{Epoch, Instance, Offset, Proposal, Service, Shard, Upstream, Version};
+use medlarreel_core::record::{Body, Chunk, Record, Released};
+use medlarreel_core::wire::{Ask, Assignment, Frame, Lease, Message, Observed, Report, Vote};
+
+use super::fold::{author, member, plan, server};
+use super::table::Table;
+
+/// Bytes that the frame adds to the encoded structure: version byte and tag.
+const FRAME_EXTRA: usize = 1 + 32;
+
+/// Large values, because small integers encode shorter than real ones.
+const BIG: u64 = 0x0FED_CBA9_8765_4321;
+
+/// Sizes of all messages; those with lists at several lengths.
+pub fn messages() -> Vec<Table> {
+    let title = "wire messages, bytes of the frame with version byte and 32-byte tag";
+    let mut table = Table::new(title, &["message", "entries", "bytes"]);
+    for (name, message) in fixed_messages() {
+        table.row(vec![
+            name.to_owned(),
+            "-".to_owned(),
+            frame_size(message).to_string(),
+        ]);
+    }
+    for shards in [1, 10, 100, 1_000] {
+        let size = frame_size(Message::Assign(assignment(shards)));
+        table.row(vec![
+            "Assign".to_owned(),
+            format!("{shards} shards"),
+            size.to_string(),
+        ]);
+    }
+    for upstreams in [0, 1, 8, 32] {
+        let size = frame_size(Message::Report(report(upstreams)));
+        table.row(vec![
+            "Report".to_owned(),
+            format!("{upstreams} upstreams"),
+            size.to_string(),
+        ]);
+    }
+    vec![table]
+}
+
+/// Sizes of all records; those with lists at several lengths.
+pub fn records() -> Vec<Table> {
+    let mut table = Table::new("records, bytes", &["record", "entries", "bytes"]);
+    let mut add = |name: &str, entries: &str, body: Body| {
+        let proposal = Proposal(BIG);
+        let size = Record { proposal, body }.encode().len();
+        table.row(vec![name.to_owned(), entries.to_owned(), size.to_string()]);
+    };
+    for size in [1_000, 10_000] {
+        let (name, text) = ("ordinary".to_owned(), "x".repeat(size));
+        let publish = Body::Publish {
+            name,
+            expected: 7,
+            text,
+        };
+        add("Publish", &format!("{size} B of text"), publish);
+    }
+    let name = "ordinary".to_owned();
+    add(
+        "Activate",
+        "-",
+        Body::Activate {
+            name,
+            version: 8,
+            expected: 500,
+        },
+    );
+    add(
+        "Release",
+        "-",
+        Body::Release(Released::Upstream("intake-14".to_owned())),
+    );
+    let (club, expected) = ("kashmir".to_owned(), Offset(1_000_000));
+    add(
+        "Reset",
+        "-",
+        Body::Reset {
+            club,
+            expected,
+            voter: member(BIG),
+        },
+    );
+    add("Lead", "-", Body::Lead(author()));
+    add("Admit", "-", Body::Admit(author(), member(BIG)));
+    let (instance, cause) = (Instance(BIG), "silent for 3 s".to_owned());
+    add(
+        "Remove",
+        "-",
+        Body::Remove {
+            author: author(),
+            instance,
+            cause,
+        },
+    );
+    for servers in [1, 25, 1_000] {
+        let list = (0..servers).map(|key| server(key, "intake")).collect();
+        add(
+            "Enroll",
+            &format!("{servers} upstreams"),
+            Body::Enroll(author(), list),
+        );
+    }
+    for changes in [1, 69, 1_024, 10_000] {
+        add("Plan", &format!("{changes} changes"), plan(500, changes));
+    }
+    add("Yield", "-", Body::Yield(author(), 500));
+    add("Alive", "-", Body::Alive(author()));
+    let chunk = Chunk {
+        upto: Offset(1_000_000),
+        index: 1,
+        count: 2,
+        checksum: BIG,
+        bytes: vec![0; 65_536].into(),
+    };
+    add("Checkpoint", "65536 B", Body::Checkpoint(chunk));
+    vec![table]
+}
+
+fn frame_size(message: Message) -> usize {
+    let frame = Frame {
+        sender: Instance(BIG),
+        counter: 1_000_000,
+        message,
+    };
+    let encoded = postcard::to_stdvec(&frame).expect("frames have no unserializable parts");
+    encoded.len() + FRAME_EXTRA
+}
+
+fn ballot() -> medlarreel_core::ids::Ballot {
+    let mut ballot = author().ballot;
+    ballot.term = Offset(1_000_000);
+    ballot.instance = Instance(BIG);
+    ballot
+}
+
+fn version() -> Version {
+    Version {
+        ballot: ballot(),
+        count: 100_000,
+    }
+}
+
+fn fixed_messages() -> Vec<(&'static str, Message)> {
+    let (ballot, nonce, members) = (ballot(), BIG, 300);
+    let ask = Ask {
+        ballot,
+        nonce,
+        members,
+    };
+    let vote = Vote {
+        ballot,
+        nonce,
+        granted: true,
+        highest: ballot,
+        members,
+    };
+    let length = Duration::from_millis(2_400);
+    let upstream = Upstream(14_000);
+    vec![
+        ("Ask", Message::Ask(ask)),
+        ("Vote", Message::Vote(vote)),
+        (
+            "Lease",
+            Message::Lease(Lease {
+                ballot,
+                nonce,
+                length,
+            }),
+        ),
+        ("Assigned", Message::Assigned(upstream, version())),
+        ("Stop", Message::Stop(upstream, version())),
+        ("Stopped", Message::Stopped(upstream, version(), length)),
+        ("Extend", Message::Extend(nonce)),
+        ("Extended", Message::Extended(nonce, true)),
+        ("Withhold", Message::Withhold(nonce, length)),
+        ("Withheld", Message::Withheld(nonce)),
+        ("Progress", Message::Progress(Offset(1_000_000))),
+    ]
+}
+
+fn assignment(shards: u16) -> Assignment {
+    let epoch = Epoch {
+        term: Offset(1_000_000),
+        round: 20,
+        count: 100_000,
+    };
+    let service = Service(3);
+    let shard = |index| (Shard { service, index }, epoch);
+    Assignment {
+        version: version(),
+        upstream: Upstream(14_000),
+        incarnation: BIG,
+        shards: (0..shards).map(shard).collect(),
+        allowance: 6,
+        primary: Instance(BIG),
+        backup: Some(Instance(BIG)),
+    }
+}
+
+fn report(upstreams: u32) -> Report {
+    let observed = |key| Observed {
+        upstream: Upstream(14_000 + key),
+        silence: Some(Duration::from_millis(12)),
+        incarnation: BIG,
+        version: Some(version()),
+        held: 69,
+        draining: false,
+        served: 1_200,
+        busy: 4_100,
+    };
+    Report {
+        member: member(BIG),
+        nonce: BIG,
+        highest: ballot(),
+        next: Offset(1_000_000),
+        leaving: false,
+        upstreams: (0..upstreams).map(observed).collect(),
+    }
+}
