--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -27,6 +27,11 @@
 /// Pause between two looks at a request line that has arrived in part.
 const PEEK_PAUSE: Duration = Duration::from_millis(1);
 
+/// Delay before the peer's close is reported. Without it, a request that was
+/// received together with the close would be dropped before it starts, and an
+/// upstream could not show a run that starts after its caller has given up.
+const CLOSE_DELAY: Duration = Duration::from_millis(1);
+
 /// Time for which a silent connection is held open. Longer than the timeouts of
 /// any peer under test, and finite so that silent connections cannot pile up.
 const SILENT_HOLD: Duration = Duration::from_secs(600);
@@ -140,6 +145,7 @@
             gate,
             connection,
             wait: None,
+            closed: false,
         };
         let permit = permit.filter(|_| !admin);
         Some(Entry {
@@ -218,6 +224,7 @@
     gate: Arc<Gate>,
     connection: u64,
     wait: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    closed: bool,
 }
 
 impl Gated {
@@ -242,7 +249,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(self.get_mut().poll_pass(cx)).poll_read(cx, buffer)
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        ready!(ready!(this.poll_pass(cx)).poll_read(cx, buffer))?;
+        if buffer.filled().len() == before && !this.closed {
+            this.closed = true;
+            this.wait = Some(Box::pin(tokio::time::sleep(CLOSE_DELAY)));
+            ready!(this.poll_pass(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
