--- /dev/null
+++ b/crates/core/src/holder.rs
@@ -0,0 +1,302 @@
+//! Duties of the control holder.
+//!
+//! The holder answers reports with dispatch leases, learns from them what the
+//! upstreams hold, and orders what they shall hold. A shard changes its owner
+//! only when the old owner's right to it is proved to have ended; `proof` has
+//! these rules. The plan in the log names the only two upstreams that a shard
+//! moves between, so that a later holder knows where to look for its owner.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::fold::State;
+use crate::ids::{Ballot, Club, Domain, Epoch, Instance, Service, Upstream, Version};
+use crate::preset::{Fencing, Isolation, ServiceLimits};
+use crate::record::{Author, Body};
+use crate::time::{Time, longest};
+use crate::wire::{Lease, Message, Report};
+
+mod adoption;
+mod budget;
+mod journal;
+mod ledger;
+mod orders;
+mod peers;
+mod planner;
+mod proof;
+mod target;
+
+use journal::Journal;
+use ledger::Ledger;
+use peers::Peer;
+use target::Target;
+
+/// Length of a dispatch lease.
+pub const LEASE: Duration = Duration::from_millis(2_400);
+
+/// What the holder wants done.
+#[data(value)]
+pub enum Action {
+    /// Send a message to an instance.
+    Send(Instance, Message),
+    /// Append a record to the control stream.
+    Append(Body),
+}
+
+/// State of one control holder, from its election to its end.
+#[data(plain)]
+pub struct Holder {
+    ballot: Ballot,
+    club: String,
+    started: Time,
+    /// Counters of the versions and epochs given out.
+    versions: u64,
+    epochs: u64,
+    deposed: bool,
+    settled: bool,
+    surveyed: bool,
+    peers: BTreeMap<Instance, Peer>,
+    targets: BTreeMap<Upstream, Target>,
+    ledgers: BTreeMap<Service, Ledger>,
+    journal: Journal,
+    outbox: Vec<Action>,
+}
+
+/// What one tick works on.
+struct View<'a> {
+    now: Time,
+    state: &'a State,
+    club: Club,
+    /// Whether the fold contains this holder's `Lead`, and so every record of
+    /// its predecessors that can still take effect.
+    led: bool,
+}
+
+impl View<'_> {
+    fn limits(&self, service: Service) -> Option<&ServiceLimits> {
+        let active = self.state.active()?;
+        active.preset.service(&self.state.service(service).name)
+    }
+
+    fn limits_of(&self, upstream: Upstream) -> Option<&ServiceLimits> {
+        self.limits(self.state.upstream(upstream).service)
+    }
+
+    fn is_checked(&self, upstream: Upstream) -> bool {
+        self.state.upstream(upstream).server.fencing == Fencing::Checked
+    }
+
+    fn domain(&self, upstream: Upstream) -> Domain {
+        self.state.upstream(upstream).domain
+    }
+
+    /// Whether leases of the upstream's dispatchers end by time alone.
+    fn lapses(&self, upstream: Upstream) -> bool {
+        let limits = self.limits_of(upstream);
+        limits.is_some_and(|limits| limits.isolation == Isolation::Lapse)
+    }
+
+    /// Upstreams of the club's services.
+    fn upstreams(&self) -> Vec<Upstream> {
+        let club = &self.state.club(self.club).name;
+        let keys = (0..self.state.upstreams().len() as u32).map(Upstream);
+        let own = |key: &Upstream| {
+            self.limits_of(*key)
+                .is_some_and(|entry| entry.club == *club)
+        };
+        keys.filter(own).collect()
+    }
+
+    /// Keyed services of the club.
+    fn keyed(&self) -> Vec<Service> {
+        let club = &self.state.club(self.club).name;
+        let keys = (0..self.state.services().len() as u16).map(Service);
+        let own = |key: &Service| {
+            let limits = self.limits(*key);
+            limits.is_some_and(|entry| entry.keyed && entry.club == *club)
+        };
+        keys.filter(own).collect()
+    }
+}
+
+/// Inputs.
+impl Holder {
+    /// Holder elected at `now` for the named club.
+    pub fn new(now: Time, ballot: Ballot, club: String) -> Holder {
+        Holder {
+            ballot,
+            club,
+            started: now,
+            versions: 0,
+            epochs: 0,
+            deposed: false,
+            settled: false,
+            surveyed: false,
+            peers: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            journal: Journal::default(),
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Ballot that the holder acts under.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// Whether a higher ballot was seen; a deposed holder does nothing more.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Takes in an instance's report; `tick` answers it with a dispatch lease.
+    pub fn report(&mut self, now: Time, report: Report) {
+        self.deposed |= report.highest > self.ballot;
+        let instance = report.member.instance;
+        for seen in &report.upstreams {
+            self.observe(now, instance, report.session, seen);
+        }
+        let ballot = self.ballot;
+        let peer = self.peers.entry(instance);
+        peer.or_insert_with(|| Peer::new(&report.member))
+            .report(now, ballot, report);
+    }
+
+    /// A dispatcher follows an assignment.
+    pub fn assigned(&mut self, from: Instance, upstream: Upstream, version: Version) {
+        if let Some(target) = self.targets.get_mut(&upstream) {
+            target.assigned(from, version);
+        }
+    }
+
+    /// An upstream has accepted a grant.
+    pub fn granted(&mut self, now: Time, upstream: Upstream, incarnation: u64, version: Version) {
+        let ballot = self.ballot;
+        if let Some(target) = self.targets.get_mut(&upstream) {
+            target.granted(now, ballot, incarnation, version);
+        }
+    }
+
+    /// A dispatcher renews nothing older than the version.
+    pub fn stopped(
+        &mut self,
+        now: Time,
+        from: Instance,
+        upstream: Upstream,
+        version: Version,
+        remaining: Duration,
+    ) {
+        if let Some(target) = self.targets.get_mut(&upstream) {
+            target.stopped(from, version, now + remaining);
+        }
+    }
+
+    /// A member supports no extension of dispatch leases.
+    pub fn withheld(&mut self, now: Time, from: Instance, nonce: u64) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.withheld(now, nonce);
+        }
+    }
+
+    /// Whether the next change of membership may begin.
+    pub fn settle(&mut self, settled: bool) {
+        self.settled = settled;
+    }
+
+    /// Everything that is to be done now.
+    pub fn tick(&mut self, now: Time, state: &State, random: u64) -> Vec<Action> {
+        let Some(club) = state.club_named(&self.club) else {
+            return Vec::new();
+        };
+        let entry = state.club(club);
+        self.deposed |= entry.term > self.ballot.term || entry.highest > Some(self.ballot);
+        if self.deposed {
+            return Vec::new();
+        }
+        let led = entry.highest == Some(self.ballot);
+        let view = View {
+            now,
+            state,
+            club,
+            led,
+        };
+        self.lease(now);
+        self.write(&view);
+        self.withhold(&view, random);
+        if self.survey(&view) {
+            self.act(&view);
+        }
+        std::mem::take(&mut self.outbox)
+    }
+}
+
+impl Holder {
+    fn act(&mut self, view: &View) {
+        self.adopt(view);
+        self.note_releases(view);
+        self.appoint(view);
+        self.reconcile(view);
+        self.divide(view);
+        self.issue(view);
+        self.remind(view);
+        self.replan(view);
+        self.write_yield(view);
+    }
+
+    /// Answers reports with dispatch leases.
+    fn lease(&mut self, now: Time) {
+        for (&instance, peer) in &mut self.peers {
+            let Some(nonce) = peer.nonce.take() else {
+                continue;
+            };
+            // The recipient counts from before its report, which came earlier.
+            peer.until = Some(now + longest(LEASE));
+            let lease = Lease {
+                ballot: self.ballot,
+                nonce,
+                length: LEASE,
+            };
+            let action = Action::Send(instance, Message::Lease(lease));
+            self.outbox.push(action);
+        }
+    }
+
+    /// Whether the leases of earlier holders have ended or are accounted for.
+    ///
+    /// Until then the dispatchers go on as the predecessor ordered.
+    fn survey(&mut self, view: &View) -> bool {
+        if !self.surveyed {
+            let waited = view.now >= self.started + longest(LEASE);
+            let mut leased = self.peers.values().filter(|peer| peer.is_leased(view.now));
+            self.surveyed = waited && leased.all(|peer| peer.known);
+        }
+        self.surveyed
+    }
+
+    fn author(&self) -> Author {
+        Author {
+            club: self.club.clone(),
+            ballot: self.ballot,
+        }
+    }
+
+    fn next_version(&mut self) -> Version {
+        self.versions += 1;
+        Version {
+            ballot: self.ballot,
+            count: self.versions,
+        }
+    }
+
+    fn next_epoch(&mut self) -> Epoch {
+        self.epochs += 1;
+        Epoch {
+            term: self.ballot.term,
+            round: self.ballot.round,
+            count: self.epochs,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/holder/budget.rs
@@ -0,0 +1,124 @@
+//! Division of the club's slots between its upstreams.
+//!
+//! A slot is given to another upstream only once no order that gave it to the
+//! first can be in force.
+
+use super::{Holder, View};
+use crate::ids::{Upstream, Version};
+
+impl Holder {
+    /// Sets the allowance of each upstream.
+    pub(super) fn divide(&mut self, view: &View) {
+        let upstreams = view.upstreams();
+        for &upstream in &upstreams {
+            self.note_ended(view, upstream);
+        }
+        let used: u32 = upstreams.iter().map(|&key| self.reserved(view, key)).sum();
+        let limit = self.limit(view, used);
+        let wanted = self.shares(view, &upstreams, limit);
+        let mut free = limit.saturating_sub(used);
+        for (&upstream, wanted) in upstreams.iter().zip(wanted) {
+            let reserved = self.reserved(view, upstream);
+            let target = self.target(upstream);
+            let growth = u32::from(wanted).saturating_sub(reserved).min(free);
+            free -= growth;
+            target.allowance = wanted.min((reserved + growth) as u16);
+        }
+    }
+
+    /// Slots that may be in use at all upstreams of the club.
+    pub(super) fn slots_reserved(&self, view: &View) -> u32 {
+        let upstreams = view.upstreams().into_iter();
+        upstreams.map(|key| self.reserved(view, key)).sum()
+    }
+
+    /// Slots that may be given out. A holder that has not folded its own `Lead`
+    /// may not know of a decrease that its predecessor confirmed, so it gives
+    /// out no more than it found in use.
+    fn limit(&self, view: &View, used: u32) -> u32 {
+        let limit = view.state.club_limit(view.club);
+        if view.led { limit } else { limit.min(used) }
+    }
+
+    /// Allowance of each upstream once all slots are free: all its slots, or a
+    /// part in proportion to them.
+    fn shares(&self, view: &View, upstreams: &[Upstream], limit: u32) -> Vec<u16> {
+        let slots = |&upstream: &Upstream| {
+            let alive = self.targets[&upstream].is_alive(view.now);
+            let limits = view.limits_of(upstream).filter(|_| alive);
+            limits.map_or(0, |limits| u32::from(limits.slots))
+        };
+        let slots: Vec<u32> = upstreams.iter().map(slots).collect();
+        let total: u32 = slots.iter().sum();
+        if total <= limit {
+            return slots.into_iter().map(|part| part as u16).collect();
+        }
+        let mut before = 0;
+        let parts = slots.into_iter().map(|part| {
+            // Rounding of the running sum spends every slot of the limit.
+            let start = before * limit / total;
+            before += part;
+            (before * limit / total - start) as u16
+        });
+        parts.collect()
+    }
+
+    /// Drops allowances of orders that can no longer be in force.
+    fn note_ended(&mut self, view: &View, upstream: Upstream) {
+        let Some(newest) = self.newest_in_force(view, upstream) else {
+            return;
+        };
+        let target = self.target(upstream);
+        target
+            .issued
+            .retain(|(version, _)| *version >= Some(newest));
+    }
+
+    /// Newest version for which nothing older is in force.
+    fn newest_in_force(&self, view: &View, upstream: Upstream) -> Option<Version> {
+        let target = &self.targets[&upstream];
+        let order = target.order.as_ref()?;
+        if self.has_ended(view, upstream, order.version) {
+            return Some(order.version);
+        }
+        if view.is_checked(upstream) {
+            return target.accepted;
+        }
+        // Only the dispatcher sends, and it keeps the allowance that it has acknowledged.
+        let acked = target.renewers.get(&order.primary)?.acked;
+        acked.filter(|version| version.ballot == self.ballot)
+    }
+
+    /// Largest allowance that may be in force.
+    fn reserved(&self, view: &View, upstream: Upstream) -> u32 {
+        let target = &self.targets[&upstream];
+        let issued = target.issued.iter().map(|(_, allowance)| *allowance);
+        let issued = u32::from(issued.max().unwrap_or(0));
+        if self.is_accounted(view, upstream) {
+            issued
+        } else {
+            issued.max(largest_slots(view, upstream))
+        }
+    }
+
+    /// Whether all orders that may be in force at the upstream are known.
+    pub(super) fn is_accounted(&self, view: &View, upstream: Upstream) -> bool {
+        let target = &self.targets[&upstream];
+        let presumed = target.renewers.values().any(|renewer| renewer.presumed);
+        let known = self.ballot.term.0 == 0 || target.secured;
+        let first = target.first;
+        (known && !presumed)
+            || target.is_released()
+            || first.is_some_and(|first| self.has_ended(view, upstream, first))
+    }
+}
+
+/// Most slots that any published preset gives the upstream.
+fn largest_slots(view: &View, upstream: Upstream) -> u32 {
+    let name = &view.state.upstream(upstream).server.service;
+    let presets = view.state.presets().values();
+    let services = presets.filter_map(|published| published.preset.service(name));
+    let active = view.limits_of(upstream).map(|limits| limits.slots);
+    let slots = services.map(|limits| limits.slots).chain(active);
+    slots.max().map_or(0, u32::from)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod code;
 pub mod fold;
 pub mod grant;
+pub mod holder;
 pub mod ids;
 pub mod placement;
 pub mod preset;
