--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -56,6 +56,8 @@
     pub name: String,
     /// Offset after the last accepted `Reset`; 0 before the first.
     pub term: Offset,
+    /// Whether no other term came before.
+    pub first: bool,
     /// Highest ballot that wrote a record.
     pub highest: Option<Ballot>,
     /// Offset of the holder's last record.
@@ -77,6 +79,8 @@
     pub service: Service,
     /// Failure domain that it lives in.
     pub domain: Domain,
+    /// Offset of the record that first enrolled it.
+    pub since: Offset,
 }
 
 /// Owner and standby of a shard, as agreed in the log.
@@ -366,6 +370,7 @@
             return Err(Code::VersionConflict);
         }
         // Terms start at 1, so that 0 means that the club has none.
+        club.first = club.term == Offset(0);
         club.term = offset.next();
         club.highest = None;
         club.heard = offset;
@@ -469,10 +474,12 @@
         let subject = format!("upstream {}", server.name);
         let address = server.address;
         let known = self.upstream_named(&server.name);
+        let since = known.map_or(offset, |key| self.upstream(key).since);
         let entry = ServerState {
             server,
             service,
             domain,
+            since,
         };
         match known {
             Some(key) => {
@@ -533,6 +540,7 @@
         self.clubs.push(ClubState {
             name: name.to_owned(),
             term: Offset(0),
+            first: true,
             highest: None,
             heard: Offset(0),
             members: Vec::new(),
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -6,7 +6,7 @@
 //! these rules. The plan in the log names the only two upstreams that a shard
 //! moves between, so that a later holder knows where to look for its owner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use medlarreel_macros::data;
@@ -61,6 +61,8 @@
     targets: BTreeMap<Upstream, Target>,
     ledgers: BTreeMap<Service, Ledger>,
     journal: Journal,
+    /// Upstreams that the platform's list names as leaving.
+    leaving: BTreeSet<Upstream>,
     outbox: Vec<Action>,
 }
 
@@ -138,6 +140,7 @@
             targets: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             journal: Journal::default(),
+            leaving: BTreeSet::new(),
             outbox: Vec::new(),
         }
     }
@@ -201,6 +204,11 @@
         }
     }
 
+    /// Upstreams that the platform's list names as leaving.
+    pub fn listed_leaving(&mut self, leaving: BTreeSet<Upstream>) {
+        self.leaving = leaving;
+    }
+
     /// Whether the next change of membership may begin.
     pub fn settle(&mut self, settled: bool) {
         self.settled = settled;
--- a/crates/core/src/holder/budget.rs
+++ b/crates/core/src/holder/budget.rs
@@ -105,7 +105,7 @@
     pub(super) fn is_accounted(&self, view: &View, upstream: Upstream) -> bool {
         let target = &self.targets[&upstream];
         let presumed = target.renewers.values().any(|renewer| renewer.presumed);
-        let known = self.ballot.term.0 == 0 || target.secured;
+        let known = target.secured || self.knows_predecessors(view, upstream);
         let first = target.first;
         (known && !presumed)
             || target.is_released()
--- a/crates/core/src/holder/target.rs
+++ b/crates/core/src/holder/target.rs
@@ -214,8 +214,10 @@
     /// Takes in what a dispatcher saw of an upstream.
     pub(super) fn observe(&mut self, now: Time, from: Instance, session: u32, seen: &Observed) {
         let ballot = self.ballot;
-        self.target(seen.upstream)
-            .see(now, ballot, from, session, seen);
+        let leaving = self.leaving.contains(&seen.upstream);
+        let target = self.target(seen.upstream);
+        target.see(now, ballot, from, session, seen);
+        target.draining |= leaving;
     }
 
     pub(super) fn target(&mut self, upstream: Upstream) -> &mut Target {
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -5,7 +5,7 @@
 //! Traffic is served from what the machine publishes: the fold, from which the
 //! routing table is derived, and the permits of the dispatcher.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +24,7 @@
 use crate::time::Time;
 use crate::wire::{Message, Report};
 
+mod enrolment;
 mod recovery;
 mod replay;
 
@@ -123,6 +124,9 @@
     nonce: u64,
     appended: u64,
     listed: Vec<Listed>,
+    enrolled: Time,
+    /// Addresses of instances that have reported, members or not.
+    contacts: BTreeMap<Instance, SocketAddr>,
     stopping: bool,
 }
 
@@ -157,7 +161,10 @@
 
     /// Likely control holder.
     pub fn holder(&self, now: Time) -> Option<Instance> {
-        self.election.lease(now).map(|ballot| ballot.instance).or(self.election.holder(now))
+        self.election
+            .lease(now)
+            .map(|ballot| ballot.instance)
+            .or(self.election.holder(now))
     }
 
     /// The dispatcher's state.
@@ -197,6 +204,8 @@
             nonce: 0,
             appended: 0,
             listed: Vec::new(),
+            enrolled: Time(0),
+            contacts: BTreeMap::new(),
             stopping: false,
             me,
         }
@@ -267,16 +276,25 @@
         let ballot = self.election.lease(now);
         let current = self.holder.as_ref().map(Holder::ballot);
         if ballot != current {
-            self.holder = ballot.map(|ballot| Holder::new(now, ballot, &self.me));
+            let club = &self.me.club;
+            self.contacts.clear();
+            self.holder = ballot.map(|ballot| Holder::new(now, ballot, club.clone()));
         }
     }
 
     fn run_duties(&mut self, now: Time, random: u64, queue: &mut Queue) {
         let settled = self.election.members_known(now);
-        let Some(duties) = &mut self.holder else { return };
-        duties.listed(&self.listed);
-        duties.members_settled(settled);
+        let Some(duties) = &mut self.holder else {
+            return;
+        };
+        duties.settle(settled);
         queue.perform(duties.tick(now, &self.state, random));
+        let deposed = duties.is_deposed();
+        self.enrol(now, queue);
+        if deposed {
+            self.election.resign(now);
+            self.holder = None;
+        }
     }
 
     fn receive(&mut self, now: Time, from: Instance, message: Message, queue: &mut Queue) {
@@ -298,17 +316,33 @@
                 queue.send_some(from, answer);
             }
             Message::Progress(next) => self.lagging(from, next, queue),
-            other => self.receive_duty(now, from, other, queue),
+            other => self.receive_duty(now, from, other),
         }
     }
 
     /// Takes a message that concerns the control holder only.
-    fn receive_duty(&mut self, now: Time, from: Instance, message: Message, queue: &mut Queue) {
+    fn receive_duty(&mut self, now: Time, from: Instance, message: Message) {
         if self.election.lease(now).is_none() {
             return;
         }
-        let Some(duties) = &mut self.holder else { return };
-        queue.perform(duties.receive(now, from, message, &self.state));
+        let Some(duties) = &mut self.holder else {
+            return;
+        };
+        match message {
+            Message::Report(report) => {
+                self.contacts.insert(from, report.member.peers);
+                duties.report(now, report);
+            }
+            Message::Assigned(upstream, version) => duties.assigned(from, upstream, version),
+            Message::Granted(upstream, incarnation, version) => {
+                duties.granted(now, upstream, incarnation, version);
+            }
+            Message::Stopped(upstream, version, left) => {
+                duties.stopped(now, from, upstream, version, left);
+            }
+            Message::Withheld(nonce) => duties.withheld(now, from, nonce),
+            _ => {}
+        }
     }
 
     fn leased(&mut self, now: Time, lease: crate::wire::Lease) {
@@ -319,25 +353,23 @@
         self.dispatcher.leased(now, pending.sent, lease);
     }
 
-    fn note_traffic(
-        &mut self,
-        now: Time,
-        upstream: Upstream,
-        traffic: Traffic,
-        queue: &mut Queue,
-    ) {
+    fn note_traffic(&mut self, now: Time, upstream: Upstream, traffic: Traffic, queue: &mut Queue) {
         for (shard, count) in traffic.served {
             self.dispatcher.served(upstream, shard, count);
         }
         self.dispatcher.busy(upstream, traffic.busy);
         let (exchanges, connections) = (traffic.exchanges, traffic.connections);
-        let news = self.dispatcher.in_use(now, upstream, exchanges, connections);
+        let news = self
+            .dispatcher
+            .in_use(now, upstream, exchanges, connections);
         self.tell_holder(news, queue);
     }
 
     /// Sends news to the holder whose orders the dispatcher follows.
     fn tell_holder(&self, news: impl IntoIterator<Item = Message>, queue: &mut Queue) {
-        let Some(ballot) = self.dispatcher.highest() else { return };
+        let Some(ballot) = self.dispatcher.highest() else {
+            return;
+        };
         for message in news {
             queue.send(ballot.instance, message);
         }
@@ -358,7 +390,10 @@
         }
         self.reported = now;
         self.nonce += 1;
-        self.report = Some(Pending { nonce: self.nonce, sent: now });
+        self.report = Some(Pending {
+            nonce: self.nonce,
+            sent: now,
+        });
         let report = Report {
             member: self.me.clone(),
             nonce: self.nonce,
@@ -379,12 +414,16 @@
         if let Some(holder) = self.holder(now) {
             return vec![holder];
         }
-        let Some(club) = self.club().map(|club| self.state.club(club)) else { return Vec::new() };
+        let Some(club) = self.club().map(|club| self.state.club(club)) else {
+            return Vec::new();
+        };
         let last = club.highest.map(|ballot| ballot.instance);
         let count = club.members.len().max(1);
         let start = random as usize % count;
         let others = club.members.iter().cycle().skip(start).take(count.min(3));
-        last.into_iter().chain(others.map(|member| member.instance)).collect()
+        last.into_iter()
+            .chain(others.map(|member| member.instance))
+            .collect()
     }
 
     fn hint_due(&mut self, now: Time, random: u64, queue: &mut Queue) {
@@ -392,7 +431,9 @@
             return;
         }
         self.hinted = now;
-        let Some(club) = self.club().map(|club| self.state.club(club)) else { return };
+        let Some(club) = self.club().map(|club| self.state.club(club)) else {
+            return;
+        };
         let count = club.members.len().max(1);
         if let Some(member) = club.members.get(random as usize % count) {
             queue.send(member.instance, Message::Progress(self.state.next()));
@@ -417,8 +458,9 @@
 
     fn address(&self, instance: Instance) -> Option<SocketAddr> {
         let members = self.state.clubs().iter().flat_map(|club| &club.members);
-        let known = members.filter(|member| member.instance == instance);
-        known.map(|member| member.peers).next()
+        let mut known = members.filter(|member| member.instance == instance);
+        let reported = self.contacts.get(&instance).copied();
+        known.next().map(|member| member.peers).or(reported)
     }
 }
 
@@ -443,11 +485,16 @@
     }
 
     fn send_some(&mut self, to: Instance, message: Option<Message>) {
-        self.0.extend(message.map(|message| Step::Send(to, message)));
+        self.0
+            .extend(message.map(|message| Step::Send(to, message)));
     }
 
     fn send_all(&mut self, messages: Vec<(Instance, Message)>) {
-        self.0.extend(messages.into_iter().map(|(to, message)| Step::Send(to, message)));
+        self.0.extend(
+            messages
+                .into_iter()
+                .map(|(to, message)| Step::Send(to, message)),
+        );
     }
 
     fn propose(&mut self, body: Body) {
--- a/crates/core/src/machine/recovery.rs
+++ b/crates/core/src/machine/recovery.rs
@@ -55,7 +55,10 @@
 
     /// Notes messages that only a holder sends.
     pub(super) fn heard(&mut self, now: Time, message: &Message) {
-        if matches!(message, Message::Lease(_) | Message::Assign(_) | Message::Stop(..)) {
+        if matches!(
+            message,
+            Message::Lease(_) | Message::Assign(_) | Message::Stop(..)
+        ) {
             self.holder_heard = now;
         }
     }
@@ -69,7 +72,9 @@
     }
 
     pub(super) fn log_answered(&mut self, now: Time) {
-        let fresh = self.log_answered.is_some_and(|last| now.since(last) < LOG_FRESH);
+        let fresh = self
+            .log_answered
+            .is_some_and(|last| now.since(last) < LOG_FRESH);
         if !fresh {
             self.log_since = now;
         }
@@ -77,8 +82,12 @@
     }
 
     fn due(&self, now: Time, first: bool, instance: u64) -> bool {
-        let fresh = self.log_answered.is_some_and(|last| now.since(last) < LOG_FRESH);
-        let waiting = self.attempted.is_some_and(|last| now.since(last) < RETRY_AFTER);
+        let fresh = self
+            .log_answered
+            .is_some_and(|last| now.since(last) < LOG_FRESH);
+        let waiting = self
+            .attempted
+            .is_some_and(|last| now.since(last) < RETRY_AFTER);
         if !fresh || waiting {
             return false;
         }
@@ -97,12 +106,21 @@
         if self.stopping || self.election.lease(now).is_some() {
             return;
         }
-        let expected = self.club().map_or(Offset(0), |club| self.state.club(club).term);
-        if !self.recovery.due(now, expected == Offset(0), self.me.instance.0) {
+        let expected = self
+            .club()
+            .map_or(Offset(0), |club| self.state.club(club).term);
+        if !self
+            .recovery
+            .due(now, expected == Offset(0), self.me.instance.0)
+        {
             return;
         }
         self.recovery.attempted = Some(now);
         let (club, voter) = (self.me.club.clone(), self.me.clone());
-        queue.propose(Body::Reset { club, expected, voter });
+        queue.propose(Body::Reset {
+            club,
+            expected,
+            voter,
+        });
     }
 }
--- a/crates/core/src/machine/replay.rs
+++ b/crates/core/src/machine/replay.rs
@@ -49,7 +49,12 @@
     /// Starts over at the earliest record that is left.
     pub(super) fn trimmed(&mut self, earliest: Offset) {
         let (assembler, records) = (Assembler::default(), Vec::new());
-        self.restore = Some(Restore { earliest, next: earliest, assembler, records });
+        self.restore = Some(Restore {
+            earliest,
+            next: earliest,
+            assembler,
+            records,
+        });
     }
 }
 
@@ -62,7 +67,13 @@
         self.next = offset.next();
         let record = Record::decode(&bytes);
         self.records.push((offset, bytes));
-        let Ok(Record { body: Body::Checkpoint(chunk), .. }) = record else { return None };
+        let Ok(Record {
+            body: Body::Checkpoint(chunk),
+            ..
+        }) = record
+        else {
+            return None;
+        };
         let state = self.assembler.take(&chunk)?;
         // Records between the copy and the earliest one left would be missing.
         (state.next() >= self.earliest).then_some(state)
@@ -114,8 +125,12 @@
     }
 
     fn restore(&mut self, offset: Offset, bytes: Bytes) {
-        let Some(restore) = &mut self.replay.restore else { return };
-        let Some(state) = restore.take(offset, bytes) else { return };
+        let Some(restore) = &mut self.replay.restore else {
+            return;
+        };
+        let Some(state) = restore.take(offset, bytes) else {
+            return;
+        };
         let records = std::mem::take(&mut restore.records);
         self.replay.restore = None;
         if state.next() > self.state.next() {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -67,12 +67,20 @@
         let preset = state.active().map(|active| Arc::clone(&active.preset));
         let activation = state.active().map_or(0, |active| active.count);
         let members = state.clubs().iter().flat_map(|club| &club.members);
-        let peers = members.map(|member| (member.instance, member.peers)).collect();
+        let peers = members
+            .map(|member| (member.instance, member.peers))
+            .collect();
         let keys = (0..state.upstreams().len() as u32).map(Upstream);
         let targets = keys.map(|key| target(state, key)).collect();
         let routes = preset.iter().flat_map(|preset| &preset.services);
         let routes = routes.filter_map(|limits| route(state, limits)).collect();
-        Table { preset, activation, routes, targets, peers }
+        Table {
+            preset,
+            activation,
+            routes,
+            targets,
+            peers,
+        }
     }
 
     /// Route of the named service.
@@ -95,12 +103,18 @@
     /// Shard of a key.
     pub fn shard(&self, key: &[u8]) -> Shard {
         let index = xxh3_64(key) % u64::from(self.limits.shards.max(1));
-        Shard { service: self.service, index: index as u16 }
+        Shard {
+            service: self.service,
+            index: index as u16,
+        }
     }
 
     /// Owner and standby of a shard.
     pub fn place(&self, shard: Shard) -> Place {
-        self.places.get(usize::from(shard.index)).copied().unwrap_or_default()
+        self.places
+            .get(usize::from(shard.index))
+            .copied()
+            .unwrap_or_default()
     }
 }
 
@@ -109,7 +123,15 @@
     let places = state.service(service).plan.places.clone();
     let upstreams = state.upstreams_of(service).collect();
     let limits = limits.clone();
-    Some((limits.name.clone(), Route { service, limits, places, upstreams }))
+    Some((
+        limits.name.clone(),
+        Route {
+            service,
+            limits,
+            places,
+            upstreams,
+        },
+    ))
 }
 
 fn target(state: &State, key: Upstream) -> Target {
--- a/crates/load/src/slopes/sizes.rs
+++ b/crates/load/src/slopes/sizes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use medlarreel_core::ids::{Epoch, Instance, Offset, Proposal, Service, Shard, Upstream, Version};
+use medlarreel_core::preset::Fencing;
 use medlarreel_core::record::{Body, Chunk, Record, Released};
 use medlarreel_core::wire::{Ask, Assignment, Frame, Lease, Message, Observed, Report, Vote};
 
@@ -197,6 +198,8 @@
         version: version(),
         upstream: Upstream(14_000),
         incarnation: BIG,
+        session: 0,
+        fencing: Fencing::Checked,
         shards: (0..shards).map(shard).collect(),
         allowance: 6,
         primary: Instance(BIG),
@@ -210,6 +213,11 @@
         silence: Some(Duration::from_millis(12)),
         incarnation: BIG,
         version: Some(version()),
+        assigned: Some(version()),
+        allowance: 6,
+        open: false,
+        claims: Vec::new(),
+        loads: Vec::new(),
         held: 69,
         draining: false,
         served: 1_200,
@@ -221,6 +229,8 @@
         highest: ballot(),
         next: Offset(1_000_000),
         leaving: false,
+        session: 0,
+        older: 0,
         upstreams: (0..upstreams).map(observed).collect(),
     }
 }
--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -160,7 +160,9 @@
 
     /// Whether the headers carry the peer token.
     pub fn is_peer(&self, headers: &HeaderMap) -> bool {
-        let given = headers.get(&call::PEER).map_or(&[][..], HeaderValue::as_bytes);
+        let given = headers
+            .get(&call::PEER)
+            .map_or(&[][..], HeaderValue::as_bytes);
         same(given, self.peer_token.as_bytes())
     }
 
@@ -183,17 +185,26 @@
         if from < first {
             return None;
         }
-        Some(kept.iter().filter(|record| record.0 >= from).cloned().collect())
+        Some(
+            kept.iter()
+                .filter(|record| record.0 >= from)
+                .cloned()
+                .collect(),
+        )
     }
 
     fn lock_records(&self) -> std::sync::MutexGuard<'_, VecDeque<(Offset, Bytes)>> {
-        self.records.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.records
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// Whether requests can be served now.
     pub fn ready(&self) -> bool {
         let snapshot = self.snapshot.load();
-        snapshot.established && snapshot.table.preset.is_some() && !self.withdrawn.load(Ordering::Acquire)
+        snapshot.established
+            && snapshot.table.preset.is_some()
+            && !self.withdrawn.load(Ordering::Acquire)
     }
 }
 
--- a/crates/medlarreel/src/bin/medlarreeld.rs
+++ b/crates/medlarreel/src/bin/medlarreeld.rs
@@ -28,11 +28,16 @@
         print!("{}", options.usage(USAGE));
         return Ok(0);
     }
-    let Some(path) = matches.opt_str("settings") else { eyre::bail!("{USAGE}") };
-    let settings = Settings::load(Path::new(&path)).map_err(|rejected| eyre::eyre!("{rejected}"))?;
+    let Some(path) = matches.opt_str("settings") else {
+        eyre::bail!("{USAGE}")
+    };
+    let settings =
+        Settings::load(Path::new(&path)).map_err(|rejected| eyre::eyre!("{rejected}"))?;
     start_logging(&settings);
     let daemon = Daemon::start(&settings)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let code = runtime.block_on(async {
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/medlarreel/src/clock.rs
+++ b/crates/medlarreel/src/clock.rs
@@ -13,7 +13,9 @@
 impl Clock {
     /// Clock that starts now, at one second so that earlier times can be expressed.
     pub fn start() -> Clock {
-        Clock { origin: Instant::now() }
+        Clock {
+            origin: Instant::now(),
+        }
     }
 
     /// Time now.
--- a/crates/medlarreel/src/control.rs
+++ b/crates/medlarreel/src/control.rs
@@ -98,7 +98,11 @@
     /// Hands over control and dispatch duties.
     pub async fn stop(&self) {
         let (reply, done) = oneshot::channel();
-        if self.inputs.send(Input::Command(Command::Stop(reply))).is_ok() {
+        if self
+            .inputs
+            .send(Input::Command(Command::Stop(reply)))
+            .is_ok()
+        {
             // A closed channel means that the control thread has ended already.
             done.await.ok();
         }
@@ -112,19 +116,25 @@
 /// If the thread or its runtime cannot be started.
 pub fn start(setup: Setup) -> std::io::Result<Handle> {
     let (inputs, queue) = mpsc::unbounded_channel();
-    let handle = Handle { inputs: inputs.clone() };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("control".into()).spawn(move || {
-        let work = async move {
-            match Worker::new(setup, inputs) {
-                Ok(worker) => worker.run(queue).await,
-                Err(error) => tracing::error!(%error, "control thread cannot open its socket"),
-            }
-        };
-        tokio::task::LocalSet::new().block_on(&runtime, work);
-        // Without control state the process cannot keep its promises.
-        std::process::exit(70);
-    })?;
+    let handle = Handle {
+        inputs: inputs.clone(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            let work = async move {
+                match Worker::new(setup, inputs) {
+                    Ok(worker) => worker.run(queue).await,
+                    Err(error) => tracing::error!(%error, "control thread cannot open its socket"),
+                }
+            };
+            tokio::task::LocalSet::new().block_on(&runtime, work);
+            // Without control state the process cannot keep its promises.
+            std::process::exit(70);
+        })?;
     Ok(handle)
 }
 
@@ -151,7 +161,12 @@
         let socket = Arc::new(UdpSocket::from_std(setup.socket)?);
         let codec = wire::frame::Codec::new(&setup.secret, &setup.member.club);
         let now = setup.app.clock.now();
-        tasks::receive(Arc::clone(&socket), codec.clone(), Arc::clone(&setup.app), inputs.clone());
+        tasks::receive(
+            Arc::clone(&socket),
+            codec.clone(),
+            Arc::clone(&setup.app),
+            inputs.clone(),
+        );
         tasks::poll_list(Arc::clone(&setup.list), inputs.clone());
         Ok(Worker {
             machine: Machine::new(setup.member, now),
@@ -236,7 +251,10 @@
                 self.read_log(Duration::ZERO);
             }
             Err(Failure::Trimmed(earliest)) => {
-                tracing::warn!(earliest = earliest.0, "records were trimmed, restoring a checkpoint");
+                tracing::warn!(
+                    earliest = earliest.0,
+                    "records were trimmed, restoring a checkpoint"
+                );
                 self.feed(Event::Trimmed(earliest));
                 self.read_log(Duration::ZERO);
             }
@@ -292,9 +310,18 @@
     }
 
     fn call(&mut self, upstream: Upstream, request: Option<grant::Request>) {
-        let Some(address) = self.addresses.get(&upstream).copied() else { return };
+        let Some(address) = self.addresses.get(&upstream).copied() else {
+            return;
+        };
         let server = Arc::clone(&self.server);
-        tasks::call(server, upstream, address, request, self.now(), self.inputs.clone());
+        tasks::call(
+            server,
+            upstream,
+            address,
+            request,
+            self.now(),
+            self.inputs.clone(),
+        );
     }
 
     fn read_log(&mut self, delay: Duration) {
@@ -307,6 +334,11 @@
             return;
         }
         self.fetching = true;
-        tasks::fetch(self.peers.clone(), peer, self.machine.next(), self.inputs.clone());
+        tasks::fetch(
+            self.peers.clone(),
+            peer,
+            self.machine.next(),
+            self.inputs.clone(),
+        );
     }
 }
--- a/crates/medlarreel/src/control/proposals.rs
+++ b/crates/medlarreel/src/control/proposals.rs
@@ -25,14 +25,26 @@
 impl Fate {
     /// Fate that is not known yet.
     pub fn unknown(proposal: Proposal) -> Fate {
-        Fate { proposal, offset: None, rejected: None }
+        Fate {
+            proposal,
+            offset: None,
+            rejected: None,
+        }
     }
 }
 
 impl From<Settled> for Fate {
     fn from(settled: Settled) -> Fate {
-        let Settled { proposal, offset, rejected } = settled;
-        Fate { proposal, offset: Some(offset), rejected }
+        let Settled {
+            proposal,
+            offset,
+            rejected,
+        } = settled;
+        Fate {
+            proposal,
+            offset: Some(offset),
+            rejected,
+        }
     }
 }
 
@@ -55,13 +67,12 @@
 
 impl Proposals {
     /// Waits for the fate of a proposal.
-    pub(super) fn open(
-        &mut self,
-        now: Time,
-        proposal: Proposal,
-        reply: oneshot::Sender<Fate>,
-    ) {
-        self.0.push(Waiting { proposal, until: now + WAIT, reply });
+    pub(super) fn open(&mut self, now: Time, proposal: Proposal, reply: oneshot::Sender<Fate>) {
+        self.0.push(Waiting {
+            proposal,
+            until: now + WAIT,
+            reply,
+        });
     }
 
     /// Answers the proposals whose fate is known or whose time is over.
--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -32,7 +32,9 @@
     /// What the traffic threads did since the last call.
     pub(super) fn traffic(&mut self) -> Vec<(Upstream, Traffic)> {
         let lanes = self.lanes.iter();
-        lanes.map(|(upstream, lane)| (*upstream, lane.traffic())).collect()
+        lanes
+            .map(|(upstream, lane)| (*upstream, lane.traffic()))
+            .collect()
     }
 }
 
@@ -62,8 +64,9 @@
             self.app.retries.set_percent(preset.retry);
         }
         let keys = (0..state.upstreams().len() as u32).map(Upstream);
-        self.addresses =
-            keys.map(|key| (key, state.upstream(key).server.address)).collect();
+        self.addresses = keys
+            .map(|key| (key, state.upstream(key).server.address))
+            .collect();
         self.app.publish(Snapshot {
             established,
             log_reachable: self.log_reachable,
@@ -86,7 +89,11 @@
         metrics.set("holds_control", i64::from(holder == Some(me)));
         if self.published.holder != holder {
             let id = holder.map_or(0, |instance| instance.0);
-            tracing::info!(holder = id, mine = holder == Some(me), "control holder changed");
+            tracing::info!(
+                holder = id,
+                mine = holder == Some(me),
+                "control holder changed"
+            );
         }
         if self.published.log_reachable != self.log_reachable {
             tracing::info!(reachable = self.log_reachable, "log service changed");
@@ -101,9 +108,7 @@
         let old = std::mem::take(&mut self.published.peers);
         let fresh = members.map(|member| {
             let known = old.get(&member.instance).cloned();
-            let pool = known.unwrap_or_else(|| {
-                Arc::new(Pool::new(member.peers, PEER_CONNECTIONS))
-            });
+            let pool = known.unwrap_or_else(|| Arc::new(Pool::new(member.peers, PEER_CONNECTIONS)));
             (member.instance, pool)
         });
         self.published.peers = fresh.collect();
@@ -123,7 +128,9 @@
         };
         for assignment in self.machine.dispatcher().sendable_now(now) {
             let entry = state.upstream(assignment.upstream);
-            let Some(service) = preset.service(&entry.server.service) else { continue };
+            let Some(service) = preset.service(&entry.server.service) else {
+                continue;
+            };
             let limits = queue_limits(state, &preset, service, assignment.allowance);
             let known = self.published.lanes.get(&assignment.upstream).cloned();
             let known = known.filter(|lane| lane.pool().address() == entry.server.address);
@@ -132,8 +139,15 @@
                 let pool = Pool::new(entry.server.address, usize::from(service.connections));
                 Arc::new(Lane::new(now, pool, limits.clone()))
             });
-            let shards = assignment.shards.iter().map(|(shard, epoch)| (shard.index, *epoch));
-            let permit = Permit { until, shards: shards.collect(), slots: assignment.allowance };
+            let shards = assignment
+                .shards
+                .iter()
+                .map(|(shard, epoch)| (shard.index, *epoch));
+            let permit = Permit {
+                until,
+                shards: shards.collect(),
+                slots: assignment.allowance,
+            };
             lane.renew(now, permit, limits);
             kept.insert(assignment.upstream, lane);
         }
@@ -145,12 +159,7 @@
     }
 }
 
-fn queue_limits(
-    state: &State,
-    preset: &Preset,
-    service: &ServiceLimits,
-    allowance: u16,
-) -> Limits {
+fn queue_limits(state: &State, preset: &Preset, service: &ServiceLimits, allowance: u16) -> Limits {
     let clubs = preset.clubs.iter();
     let weights = clubs.filter_map(|club| Some((state.club_named(&club.name)?, club.weight)));
     Limits {
--- a/crates/medlarreel/src/control/tasks.rs
+++ b/crates/medlarreel/src/control/tasks.rs
@@ -8,7 +8,7 @@
 use medlarreel_core::ids::{Offset, Upstream};
 use medlarreel_core::record::Record;
 use medlarreel_core::time::Time;
-use medlarreel_core::wire::frame::{Codec, MAX_FRAME, Replay};
+use medlarreel_core::wire::frame::{Codec, MAX_FRAME};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
@@ -115,12 +115,11 @@
 ) {
     spawn_local(async move {
         let mut buffer = vec![0; MAX_FRAME + 1];
-        let mut replay = Replay::default();
         loop {
-            let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
-            let frame = codec.decode(&buffer[..length]);
-            let fresh = frame.and_then(|frame| replay.check(&frame).map(|()| frame));
-            match fresh {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            match codec.decode(&buffer[..length]) {
                 Ok(frame) => drop(inputs.send(Input::Frame(frame.sender, frame.message))),
                 Err(_) => app.metrics.event("frame_dropped"),
             }
--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -74,7 +74,14 @@
         let home = settings.instance.club.clone();
         let domain = settings.instance.domain.clone();
         let limit = settings.limits.open_requests;
-        let app = Arc::new(App::new(me, home.clone(), domain.clone(), clock, token, limit));
+        let app = Arc::new(App::new(
+            me,
+            home.clone(),
+            domain.clone(),
+            clock,
+            token,
+            limit,
+        ));
         let member = Member {
             instance: me,
             club: home,
@@ -85,7 +92,10 @@
         let control = control::start(Setup {
             member,
             app: Arc::clone(&app),
-            log: Arc::new(HttpLog::new(&url(settings.platform.log), &settings.platform.stream)),
+            log: Arc::new(HttpLog::new(
+                &url(settings.platform.log),
+                &settings.platform.stream,
+            )),
             list: Arc::new(HttpList::new(&url(settings.platform.list))),
             server: Arc::new(HttpServer::new()),
             secret: Bytes::from(secret),
@@ -95,7 +105,13 @@
         let peers = serve_peers(&app, settings)?;
         serve_operators(&app, settings, control.clone())?;
         tracing::info!(instance = me.0, callers = %settings.listen.callers, "instance started");
-        Ok(Daemon { app, control, callers, peers, drain: settings.limits.drain })
+        Ok(Daemon {
+            app,
+            control,
+            callers,
+            peers,
+            drain: settings.limits.drain,
+        })
     }
 
     /// Shared state of the traffic threads.
@@ -126,7 +142,11 @@
         self.peers.stop(false);
         let cut_off = self.app.requests();
         tracing::info!(cut_off, "shutdown finished");
-        if finished && cut_off == 0 { 0 } else { EXIT_CUT_OFF }
+        if finished && cut_off == 0 {
+            0
+        } else {
+            EXIT_CUT_OFF
+        }
     }
 }
 
@@ -165,8 +185,11 @@
         app.metrics.refused(Code::TooManyRequests);
         return Refusal::from(Code::TooManyRequests).answer();
     };
-    let head =
-        Head { method: &incoming.method, path: &incoming.path, headers: &incoming.headers };
+    let head = Head {
+        method: &incoming.method,
+        path: &incoming.path,
+        headers: &incoming.headers,
+    };
     proxy::serve(&app, head, incoming.body).await
 }
 
@@ -179,7 +202,12 @@
         max_body: MAX_BODY,
     };
     let socket = bind_tcp(settings.listen.peers)?;
-    Ok(listen::start(Arc::clone(app), socket, limits, peers::serve)?)
+    Ok(listen::start(
+        Arc::clone(app),
+        socket,
+        limits,
+        peers::serve,
+    )?)
 }
 
 fn serve_operators(app: &Arc<App>, settings: &Settings, control: Handle) -> Result<Server> {
--- a/crates/medlarreel/src/dispatch/lane.rs
+++ b/crates/medlarreel/src/dispatch/lane.rs
@@ -15,7 +15,7 @@
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
 
-use super::pool::{Answer, Failure, Pool};
+use super::pool::Pool;
 use super::repeats::Repeats;
 use crate::clock::Clock;
 
@@ -93,7 +93,12 @@
     pub fn new(now: Time, pool: Pool, limits: admission::Limits) -> Lane {
         let queue = Queue::new(limits);
         let (waiting, served) = (HashMap::new(), HashMap::new());
-        let state = State { queue, waiting, next: 0, served };
+        let state = State {
+            queue,
+            waiting,
+            next: 0,
+            served,
+        };
         Lane {
             permit: ArcSwap::default(),
             pool,
@@ -126,9 +131,12 @@
         }
         match shard {
             None => Ok(None),
-            Some(shard) => {
-                permit.shards.get(&shard.index).copied().map(Some).ok_or(Code::NotOwner)
-            }
+            Some(shard) => permit
+                .shards
+                .get(&shard.index)
+                .copied()
+                .map(Some)
+                .ok_or(Code::NotOwner),
         }
     }
 
@@ -162,7 +170,11 @@
         let id = self.enqueue(now, rank, club, deadline, sender);
         // From here on the request's place is given back on every way out, also
         // when the caller leaves while it waits.
-        let slot = Slot { lane: self, clock, id };
+        let slot = Slot {
+            lane: self,
+            clock,
+            id,
+        };
         match tokio::time::timeout(deadline.since(now), turn).await {
             Ok(Ok(Ok(()))) => Ok(slot),
             Ok(Ok(Err(code))) => Err(code),
@@ -230,7 +242,15 @@
         state.next += 1;
         let id = state.next;
         state.waiting.insert(id, sender);
-        let events = state.queue.push(now, Ticket { id, rank, club, deadline });
+        let events = state.queue.push(
+            now,
+            Ticket {
+                id,
+                rank,
+                club,
+                deadline,
+            },
+        );
         state.report(events);
         state.start(now);
         id
@@ -246,7 +266,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
@@ -254,7 +276,10 @@
     /// Starts requests while slots are free.
     fn start(&mut self, now: Time) {
         while let Some(id) = self.queue.next(now) {
-            let taken = self.waiting.remove(&id).is_some_and(|turn| turn.send(Ok(())).is_ok());
+            let taken = self
+                .waiting
+                .remove(&id)
+                .is_some_and(|turn| turn.send(Ok(())).is_ok());
             if !taken {
                 self.queue.done(now, id);
             }
@@ -281,4 +306,3 @@
         }
     }
 }
-
--- a/crates/medlarreel/src/dispatch/pool.rs
+++ b/crates/medlarreel/src/dispatch/pool.rs
@@ -93,7 +93,11 @@
 impl Pool {
     /// Pool of at most `limit` connections.
     pub fn new(address: SocketAddr, limit: usize) -> Pool {
-        Pool { address, limit, state: Mutex::default() }
+        Pool {
+            address,
+            limit,
+            state: Mutex::default(),
+        }
     }
 
     /// Address of the other end.
@@ -108,7 +112,9 @@
 
     /// Whether a connection attempt has failed recently.
     pub fn suspect(&self) -> bool {
-        self.lock().failed.is_some_and(|failed| failed.elapsed() < SUSPECT_TIME)
+        self.lock()
+            .failed
+            .is_some_and(|failed| failed.elapsed() < SUSPECT_TIME)
     }
 
     /// Sends a request and reads the whole answer.
@@ -140,7 +146,9 @@
         // The other end may close an idle connection at any moment. The request
         // comes back unsent then, and a new connection is tried once.
         let left = time.saturating_sub(started.elapsed());
-        let Some(request) = request else { return Err(failure) };
+        let Some(request) = request else {
+            return Err(failure);
+        };
         if fresh || left.is_zero() {
             return Err(failure);
         }
@@ -181,11 +189,17 @@
         let attempt = async {
             let stream = TcpStream::connect(self.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT)).ok()?;
+            SockRef::from(&stream)
+                .set_tcp_user_timeout(Some(USER_TIMEOUT))
+                .ok()?;
             let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
             tokio::spawn(connection);
             let now = Instant::now();
-            Some(Link { sender, opened: now, used: now })
+            Some(Link {
+                sender,
+                opened: now,
+                used: now,
+            })
         };
         let outcome = tokio::time::timeout(time.min(CONNECT_LIMIT), attempt).await;
         let link = outcome.ok().flatten();
@@ -210,7 +224,9 @@
                 Some(request) => (Some(request), Failure::NotSent),
                 None => (None, Failure::Lost),
             })?;
-            read_answer(answer, max_body).await.map_err(|failure| (None, failure))
+            read_answer(answer, max_body)
+                .await
+                .map_err(|failure| (None, failure))
         };
         match tokio::time::timeout(time, exchange).await {
             Ok(Ok(answer)) => Ok((answer, link)),
@@ -220,7 +236,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
@@ -232,16 +250,20 @@
     }
 }
 
-async fn read_answer(
-    answer: http::Response<Incoming>,
-    max_body: usize,
-) -> Result<Answer, Failure> {
+async fn read_answer(answer: http::Response<Incoming>, max_body: usize) -> Result<Answer, Failure> {
     let (parts, body) = answer.into_parts();
-    let body = Limited::new(body, max_body).collect().await.map_err(|error| {
-        match error.downcast_ref::<http_body_util::LengthLimitError>() {
-            Some(_) => Failure::TooLarge,
-            None => Failure::Lost,
-        }
-    })?;
-    Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+    let body = Limited::new(body, max_body)
+        .collect()
+        .await
+        .map_err(
+            |error| match error.downcast_ref::<http_body_util::LengthLimitError>() {
+                Some(_) => Failure::TooLarge,
+                None => Failure::Lost,
+            },
+        )?;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
 }
--- a/crates/medlarreel/src/dispatch/repeats.rs
+++ b/crates/medlarreel/src/dispatch/repeats.rs
@@ -42,7 +42,12 @@
     /// No keys; whatever was sent before `now` is not known here.
     pub fn new(now: Time) -> Repeats {
         let table = Table::new(MAX_KEYS, Some(now));
-        Repeats(Mutex::new(State { table, answers: HashMap::new(), stored: 0, next: 0 }))
+        Repeats(Mutex::new(State {
+            table,
+            answers: HashMap::new(),
+            stored: 0,
+            next: 0,
+        }))
     }
 
     /// Records a key before its request is sent.
@@ -55,9 +60,12 @@
         state.drop_old(now);
         match state.table.begin(now, key, attempt) {
             Verdict::First => Ok(Known::First),
-            Verdict::Finished(id) => {
-                state.answers.get(&id).cloned().map(Known::Answered).ok_or(Code::KeyUnknown)
-            }
+            Verdict::Finished(id) => state
+                .answers
+                .get(&id)
+                .cloned()
+                .map(Known::Answered)
+                .ok_or(Code::KeyUnknown),
             Verdict::InProgress => Err(Code::KeyInProgress),
             Verdict::Unknown => Err(Code::KeyUnknown),
             Verdict::Full => Err(Code::QueueFull),
@@ -76,7 +84,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
--- a/crates/medlarreel/src/listen.rs
+++ b/crates/medlarreel/src/listen.rs
@@ -107,27 +107,38 @@
     let mut running = server.run();
     let handle = running.handle()?;
     std::thread::spawn(move || running.wait());
-    Ok(Server { stop: Box::new(move |graceful| handle.stop(graceful)) })
+    Ok(Server {
+        stop: Box::new(move |graceful| handle.stop(graceful)),
+    })
 }
 
 fn refuse(app: &App, code: Code) -> Answer {
     app.metrics.refused(code);
     let mut answer = Refusal::from(code).answer();
     // The rest of the body has not been read, so the connection cannot go on.
-    answer.headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    answer.headers.insert(
+        http::header::CONNECTION,
+        http::HeaderValue::from_static("close"),
+    );
     answer
 }
 
-async fn read(
-    request: Request<RequestExt<RequestBody>>,
-    limits: Limits,
-) -> Result<Incoming, Code> {
+async fn read(request: Request<RequestExt<RequestBody>>, limits: Limits) -> Result<Incoming, Code> {
     let (parts, body) = request.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
     let reading = read_body(body, limits.max_body);
     let body = tokio::time::timeout(limits.body_time, reading).await;
     let body = body.map_err(|_| Code::SlowRequest)??;
-    Ok(Incoming { method: parts.method, path, headers: parts.headers, body })
+    Ok(Incoming {
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+    })
 }
 
 async fn read_body(body: RequestExt<RequestBody>, limit: usize) -> Result<Bytes, Code> {
@@ -156,5 +167,9 @@
     let mut headers = HeaderMap::new();
     let kind = http::HeaderValue::from_static("text/plain; charset=utf-8");
     headers.insert(http::header::CONTENT_TYPE, kind);
-    Answer { status, headers, body: Bytes::copy_from_slice(text.as_bytes()) }
+    Answer {
+        status,
+        headers,
+        body: Bytes::copy_from_slice(text.as_bytes()),
+    }
 }
--- a/crates/medlarreel/src/metrics.rs
+++ b/crates/medlarreel/src/metrics.rs
@@ -90,13 +90,24 @@
         let latency = Family::new_with_constructor(new_histogram);
         let events = Family::default();
         let gauges = Family::default();
-        registry.register("requests", "Finished requests by result code", requests.clone());
+        registry.register(
+            "requests",
+            "Finished requests by result code",
+            requests.clone(),
+        );
         let text = "Time from arrival to answer";
         registry.register_with_unit("latency", text, Unit::Seconds, latency.clone());
         registry.register("events", "Control events", events.clone());
         registry.register("state", "Control state", gauges.clone());
         let ranks = Default::default();
-        Metrics { ranks, registry, requests, latency, events, gauges }
+        Metrics {
+            ranks,
+            registry,
+            requests,
+            latency,
+            events,
+            gauges,
+        }
     }
 
     /// Counts a request that was refused before it could be read.
@@ -112,8 +123,12 @@
 
     /// Counts a finished request.
     pub fn finished(&self, call: &Call, outcome: &Result<Answer, Refusal>, taken: Duration) {
-        self.counter(call.rank, outcome).fetch_add(1, Ordering::Relaxed);
-        let code = outcome.as_ref().err().map_or(0, |refusal| refusal.code.number());
+        self.counter(call.rank, outcome)
+            .fetch_add(1, Ordering::Relaxed);
+        let code = outcome
+            .as_ref()
+            .err()
+            .map_or(0, |refusal| refusal.code.number());
         let labels = RequestLabels {
             service: call.service.clone(),
             rank: call.rank.text(),
@@ -121,8 +136,13 @@
             code: u32::from(code),
         };
         self.requests.get_or_create(&labels).inc();
-        let labels = RankLabels { service: call.service.clone(), rank: call.rank.text() };
-        self.latency.get_or_create(&labels).observe(taken.as_secs_f64());
+        let labels = RankLabels {
+            service: call.service.clone(),
+            rank: call.rank.text(),
+        };
+        self.latency
+            .get_or_create(&labels)
+            .observe(taken.as_secs_f64());
     }
 
     fn counter(&self, rank: Rank, outcome: &Result<Answer, Refusal>) -> &AtomicU64 {
@@ -153,7 +173,9 @@
 
     /// Sets a value of the control state.
     pub fn set(&self, name: &'static str, value: i64) {
-        self.gauges.get_or_create(&EventLabels { event: name }).set(value);
+        self.gauges
+            .get_or_create(&EventLabels { event: name })
+            .set(value);
     }
 
     /// OpenMetrics text.
--- a/crates/medlarreel/src/operators.rs
+++ b/crates/medlarreel/src/operators.rs
@@ -44,7 +44,10 @@
 impl Operators {
     /// Serves a request on the operators' listener.
     pub async fn serve(self, app: Arc<App>, incoming: Incoming) -> Answer {
-        let (path, query) = incoming.path.split_once('?').unwrap_or((&incoming.path, ""));
+        let (path, query) = incoming
+            .path
+            .split_once('?')
+            .unwrap_or((&incoming.path, ""));
         let query: HashMap<_, _> = form(query).collect();
         match (&incoming.method, path) {
             (&Method::GET, "/healthz") => plain(StatusCode::OK, "ok\n"),
@@ -75,32 +78,67 @@
     }
 
     fn authorized(&self, headers: &HeaderMap) -> bool {
-        let given = headers.get(header::AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
-        given.strip_prefix(b"Bearer ").is_some_and(|token| same(token, self.token.as_bytes()))
+        let given = headers
+            .get(header::AUTHORIZATION)
+            .map_or(&[][..], HeaderValue::as_bytes);
+        given
+            .strip_prefix(b"Bearer ")
+            .is_some_and(|token| same(token, self.token.as_bytes()))
     }
 }
 
 fn publish(body: &Bytes) -> Result<Change, Code> {
-    let api::Publish { name, expected, text, proposal } = decode(body)?;
-    Ok(Change { proposal, body: Body::Publish { name, expected, text } })
+    let api::Publish {
+        name,
+        expected,
+        text,
+        proposal,
+    } = decode(body)?;
+    Ok(Change {
+        proposal,
+        body: Body::Publish {
+            name,
+            expected,
+            text,
+        },
+    })
 }
 
 fn activate(body: &Bytes) -> Result<Change, Code> {
-    let api::Activate { name, version, expected, proposal } = decode(body)?;
-    Ok(Change { proposal, body: Body::Activate { name, version, expected } })
+    let api::Activate {
+        name,
+        version,
+        expected,
+        proposal,
+    } = decode(body)?;
+    Ok(Change {
+        proposal,
+        body: Body::Activate {
+            name,
+            version,
+            expected,
+        },
+    })
 }
 
 fn release(body: &Bytes) -> Result<Change, Code> {
     let released = match decode(body)? {
-        api::Release { upstream: Some(name), domain: None, proposal } => {
-            (proposal, Released::Upstream(name))
-        }
-        api::Release { upstream: None, domain: Some(name), proposal } => {
-            (proposal, Released::Domain(name))
-        }
+        api::Release {
+            upstream: Some(name),
+            domain: None,
+            proposal,
+        } => (proposal, Released::Upstream(name)),
+        api::Release {
+            upstream: None,
+            domain: Some(name),
+            proposal,
+        } => (proposal, Released::Domain(name)),
         _ => return Err(Code::BadRequest),
     };
-    Ok(Change { proposal: released.0, body: Body::Release(released.1) })
+    Ok(Change {
+        proposal: released.0,
+        body: Body::Release(released.1),
+    })
 }
 
 fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T, Code> {
@@ -118,7 +156,9 @@
 fn metrics(app: &App) -> Answer {
     let mut answer = plain(StatusCode::OK, &app.metrics.encode());
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-    answer.headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer
+        .headers
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
     answer
 }
 
@@ -147,10 +187,17 @@
 
 fn json<T: Serialize>(status: u16, body: &T) -> Answer {
     let mut headers = HeaderMap::new();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let body = serde_json::to_vec(body).unwrap_or_default();
-    Answer { status, headers, body: Bytes::from(body) }
+    Answer {
+        status,
+        headers,
+        body: Bytes::from(body),
+    }
 }
 
 /// Pairs of a query string; percent-encoding is resolved.
--- a/crates/medlarreel/src/operators/overview.rs
+++ b/crates/medlarreel/src/operators/overview.rs
@@ -50,10 +50,16 @@
 
 fn holder(snapshot: &Snapshot, club: Option<&ClubState>) -> Option<status::Holder> {
     let instance = snapshot.holder?;
-    let ballot = club.and_then(|club| club.highest).filter(|ballot| ballot.instance == instance);
+    let ballot = club
+        .and_then(|club| club.highest)
+        .filter(|ballot| ballot.instance == instance);
     Some(status::Holder {
         instance: instance.0,
-        peers: snapshot.table.peer(instance).map(|peer| peer.to_string()).unwrap_or_default(),
+        peers: snapshot
+            .table
+            .peer(instance)
+            .map(|peer| peer.to_string())
+            .unwrap_or_default(),
         term: ballot.map_or(0, |ballot| ballot.term.0),
         round: ballot.map_or(0, |ballot| ballot.round),
     })
@@ -62,7 +68,9 @@
 fn members(app: &App, snapshot: &Snapshot, club: Option<&ClubState>) -> Vec<status::Member> {
     let members = club.into_iter().flat_map(|club| &club.members);
     let entries = members.map(|member| {
-        let reachable = snapshot.peer(member.instance).is_some_and(|pool| !pool.suspect());
+        let reachable = snapshot
+            .peer(member.instance)
+            .is_some_and(|pool| !pool.suspect());
         status::Member {
             instance: member.instance.0,
             domain: member.domain.clone(),
@@ -78,11 +86,15 @@
     let now = app.clock.now();
     let keys = (0..).map(Upstream).zip(snapshot.state.upstreams());
     let own = keys.filter(|(_, entry)| runs(app, snapshot, &entry.server.service));
-    own.map(|(key, entry)| upstream(snapshot, now, key, &entry.server)).collect()
+    own.map(|(key, entry)| upstream(snapshot, now, key, &entry.server))
+        .collect()
 }
 
 fn runs(app: &App, snapshot: &Snapshot, service: &str) -> bool {
-    snapshot.table.route(service).is_some_and(|route| route.limits.club == app.home)
+    snapshot
+        .table
+        .route(service)
+        .is_some_and(|route| route.limits.club == app.home)
 }
 
 fn upstream(
@@ -91,7 +103,10 @@
     key: Upstream,
     server: &medlarreel_core::record::Server,
 ) -> status::Upstream {
-    let likely = snapshot.table.target(key).and_then(|target| target.dispatchers.first());
+    let likely = snapshot
+        .table
+        .target(key)
+        .and_then(|target| target.dispatchers.first());
     let dispatcher = likely.and_then(|instance| snapshot.table.peer(*instance));
     let lane = snapshot.lanes.get(&key).map(|lane| lane.overview(now));
     let held = lane.as_ref().is_some_and(|lane| lane.left.is_some());
@@ -121,7 +136,11 @@
 }
 
 fn services(app: &App, snapshot: &Snapshot) -> Vec<status::Service> {
-    let own = snapshot.state.services().iter().filter(|service| runs(app, snapshot, &service.name));
+    let own = snapshot
+        .state
+        .services()
+        .iter()
+        .filter(|service| runs(app, snapshot, &service.name));
     let entries = own.map(|service| {
         let places = &service.plan.places;
         let mut owners = BTreeMap::new();
@@ -130,7 +149,10 @@
         }
         let named = owners.iter().filter_map(|(owner, shards)| {
             let upstream = snapshot.table.target(*owner)?.name.clone();
-            Some(status::Owned { upstream, shards: *shards })
+            Some(status::Owned {
+                upstream,
+                shards: *shards,
+            })
         });
         status::Service {
             name: service.name.clone(),
--- a/crates/medlarreel/src/operators/queries.rs
+++ b/crates/medlarreel/src/operators/queries.rs
@@ -39,7 +39,10 @@
     let place = route.place(shard);
     let target = |upstream: Upstream| snapshot.table.target(upstream);
     let name = |upstream: Upstream| target(upstream).map(|target| target.name.clone());
-    let dispatcher = place.owner.and_then(target).and_then(|target| target.dispatchers.first());
+    let dispatcher = place
+        .owner
+        .and_then(target)
+        .and_then(|target| target.dispatchers.first());
     let address = dispatcher.and_then(|instance| snapshot.table.peer(*instance));
     Ok(api::Owner {
         service: service.clone(),
@@ -54,7 +57,10 @@
 /// Latest change of the service's plan.
 fn placed(snapshot: &Snapshot, service: &str) -> Option<api::Entry> {
     let subject = format!("plan of {service}");
-    let entries = snapshot.state.audit().filter(|entry| entry.subject == subject);
+    let entries = snapshot
+        .state
+        .audit()
+        .filter(|entry| entry.subject == subject);
     entries.last().map(entry)
 }
 
@@ -62,7 +68,9 @@
     let after = query.get("after").and_then(|text| text.parse::<u64>().ok());
     let entries = snapshot.state.audit();
     let newer = entries.filter(|entry| after.is_none_or(|after| entry.offset.0 > after));
-    api::Audit { entries: newer.map(entry).collect() }
+    api::Audit {
+        entries: newer.map(entry).collect(),
+    }
 }
 
 /// JSON form of an audit entry.
@@ -77,16 +85,25 @@
 }
 
 fn presets(snapshot: &Snapshot) -> api::Presets {
-    let presets = snapshot.state.presets().iter().map(|(name, published)| api::Published {
-        name: name.clone(),
-        version: published.version,
-        text: published.text.clone(),
-    });
-    api::Presets { presets: presets.collect() }
+    let presets = snapshot
+        .state
+        .presets()
+        .iter()
+        .map(|(name, published)| api::Published {
+            name: name.clone(),
+            version: published.version,
+            text: published.text.clone(),
+        });
+    api::Presets {
+        presets: presets.collect(),
+    }
 }
 
 fn proposal(snapshot: &Snapshot, query: &HashMap<String, String>) -> Result<Fate, Code> {
-    let id = query.get("id").and_then(|text| text.parse().ok()).ok_or(Code::BadRequest)?;
+    let id = query
+        .get("id")
+        .and_then(|text| text.parse().ok())
+        .ok_or(Code::BadRequest)?;
     let settled = snapshot.state.settled(Proposal(id));
     Ok(settled.map_or_else(|| Fate::unknown(Proposal(id)), Fate::from))
 }
--- a/crates/medlarreel/src/peers.rs
+++ b/crates/medlarreel/src/peers.rs
@@ -26,7 +26,6 @@
 /// Connection attempts end after this time.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
-
 /// What a peer sent.
 #[derive(Debug)]
 pub enum Copied {
@@ -46,7 +45,10 @@
 impl Client {
     /// Client that presents the peer token.
     pub fn new(token: HeaderValue) -> Client {
-        Client { caller: Caller::new(CONNECT_LIMIT), token }
+        Client {
+            caller: Caller::new(CONNECT_LIMIT),
+            token,
+        }
     }
 
     /// Copies records from an offset on, or the whole state.
@@ -55,7 +57,9 @@
     ///
     /// If the peer does not answer or the copy cannot be decoded.
     pub async fn copy(&self, peer: SocketAddr, from: Offset) -> Result<Copied, Failure> {
-        let reply = self.get(format!("http://{peer}/records?from={}", from.0)).await?;
+        let reply = self
+            .get(format!("http://{peer}/records?from={}", from.0))
+            .await?;
         if reply.status == StatusCode::OK {
             let records = postcard::from_bytes(&reply.body).map_err(|_| Failure::Malformed)?;
             return Ok(Copied::Records(records));
@@ -92,7 +96,11 @@
     if !path.starts_with("/forward/") {
         return plain(StatusCode::NOT_FOUND, "not found\n");
     }
-    let head = Head { method: &incoming.method, path, headers: &incoming.headers };
+    let head = Head {
+        method: &incoming.method,
+        path,
+        headers: &incoming.headers,
+    };
     proxy::serve_forwarded(&app, head, incoming.body).await
 }
 
@@ -109,16 +117,21 @@
 fn state(app: &App) -> Answer {
     let snapshot = app.snapshot();
     if !snapshot.established {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "state is not established\n");
+        return plain(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "state is not established\n",
+        );
     }
     encoded(snapshot.state.as_ref())
 }
 
 fn encoded<T: serde::Serialize>(value: &T) -> Answer {
     match postcard::to_stdvec(value) {
-        Ok(bytes) => {
-            Answer { status: StatusCode::OK, headers: HeaderMap::new(), body: Bytes::from(bytes) }
-        }
+        Ok(bytes) => Answer {
+            status: StatusCode::OK,
+            headers: HeaderMap::new(),
+            body: Bytes::from(bytes),
+        },
         Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "cannot be encoded\n"),
     }
 }
--- a/crates/medlarreel/src/platform/http.rs
+++ b/crates/medlarreel/src/platform/http.rs
@@ -39,8 +39,12 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect));
         let mut builder = Client::builder(TokioExecutor::new());
-        builder.pool_idle_timeout(IDLE).pool_timer(TokioTimer::new());
-        Caller { client: builder.build(connector) }
+        builder
+            .pool_idle_timeout(IDLE)
+            .pool_timer(TokioTimer::new());
+        Caller {
+            client: builder.build(connector),
+        }
     }
 
     /// Sends a request and reads the whole answer within `limit`.
@@ -50,7 +54,11 @@
         limit: Duration,
     ) -> Result<Reply, Failure> {
         let exchange = async {
-            let answer = self.client.request(request).await.map_err(|_| Failure::Unavailable)?;
+            let answer = self
+                .client
+                .request(request)
+                .await
+                .map_err(|_| Failure::Unavailable)?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
             let body = body.map_err(|_| Failure::Unavailable)?.to_bytes();
@@ -70,10 +78,14 @@
 
 /// Builds a GET request.
 pub fn get(uri: String) -> Result<Request<Full<Bytes>>, Failure> {
-    Request::get(uri).body(Full::default()).map_err(|_| Failure::Malformed)
+    Request::get(uri)
+        .body(Full::default())
+        .map_err(|_| Failure::Malformed)
 }
 
 /// Builds a POST request with a body.
 pub fn post(uri: String, body: Bytes) -> Result<Request<Full<Bytes>>, Failure> {
-    Request::post(uri).body(Full::new(body)).map_err(|_| Failure::Malformed)
+    Request::post(uri)
+        .body(Full::new(body))
+        .map_err(|_| Failure::Malformed)
 }
--- a/crates/medlarreel/src/platform/list.rs
+++ b/crates/medlarreel/src/platform/list.rs
@@ -55,7 +55,10 @@
     /// Adapter for the list at `base`, such as `http://127.0.0.1:7001`.
     pub fn new(base: &str) -> HttpList {
         let uri = format!("{}/instances", base.trim_end_matches('/'));
-        HttpList { caller: Caller::new(READ_LIMIT), uri }
+        HttpList {
+            caller: Caller::new(READ_LIMIT),
+            uri,
+        }
     }
 
     async fn read_list(&self) -> Result<Vec<Listed>, Failure> {
--- a/crates/medlarreel/src/platform/log.rs
+++ b/crates/medlarreel/src/platform/log.rs
@@ -54,7 +54,10 @@
     /// Adapter for the stream of the service at `base`, such as `http://127.0.0.1:7000`.
     pub fn new(base: &str, stream: &str) -> HttpLog {
         let stream = format!("{}/streams/{stream}", base.trim_end_matches('/'));
-        HttpLog { caller: Caller::new(CONNECT_LIMIT), stream }
+        HttpLog {
+            caller: Caller::new(CONNECT_LIMIT),
+            stream,
+        }
     }
 
     async fn append_record(&self, record: Bytes) -> Result<Offset, Failure> {
@@ -63,7 +66,9 @@
         if reply.status != StatusCode::OK {
             return Err(Failure::Unavailable);
         }
-        reply.json::<Appended>().map(|appended| Offset(appended.offset))
+        reply
+            .json::<Appended>()
+            .map(|appended| Offset(appended.offset))
     }
 
     async fn read_batch(&self, from: Offset, wait: Duration) -> Result<Batch, Failure> {
@@ -97,8 +102,13 @@
 
 fn batch(page: Page) -> Result<Batch, Failure> {
     let records = page.records.into_iter().map(|entry| {
-        let data = BASE64_STANDARD.decode(entry.data).map_err(|_| Failure::Malformed)?;
+        let data = BASE64_STANDARD
+            .decode(entry.data)
+            .map_err(|_| Failure::Malformed)?;
         Ok((Offset(entry.offset), Bytes::from(data)))
     });
-    Ok(Batch { records: records.collect::<Result<_, _>>()?, next: Offset(page.next) })
+    Ok(Batch {
+        records: records.collect::<Result<_, _>>()?,
+        next: Offset(page.next),
+    })
 }
--- a/crates/medlarreel/src/platform/server.rs
+++ b/crates/medlarreel/src/platform/server.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use medlarreel_core::grant::{Answer, Request};
+use medlarreel_core::time::Time;
 
 use super::http::{Caller, get, post};
 use super::{Failure, Pending, Server};
@@ -14,6 +15,9 @@
 /// the time between renewals, so that calls do not pile up.
 const CALL_LIMIT: Duration = Duration::from_millis(240);
 
+/// Incarnation of upstreams that name none.
+const UNNAMED: u64 = 1;
+
 /// Upstreams that take grants over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpServer {
@@ -23,7 +27,9 @@
 impl HttpServer {
     /// Adapter for all upstreams.
     pub fn new() -> HttpServer {
-        HttpServer { caller: Caller::new(CALL_LIMIT) }
+        HttpServer {
+            caller: Caller::new(CALL_LIMIT),
+        }
     }
 
     async fn query_one(&self, address: SocketAddr) -> Result<Answer, Failure> {
@@ -33,7 +39,11 @@
 
     async fn grant_one(&self, address: SocketAddr, request: Request) -> Result<Answer, Failure> {
         let body = serde_json::to_vec(&request).map_err(|_| Failure::Malformed)?;
-        self.answer(post(format!("http://{address}/medlar/grant"), Bytes::from(body))?).await
+        self.answer(post(
+            format!("http://{address}/medlar/grant"),
+            Bytes::from(body),
+        )?)
+        .await
     }
 
     async fn answer(
@@ -43,11 +53,26 @@
         let reply = self.caller.call(request, CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => reply.json(),
+            StatusCode::NOT_FOUND => Ok(without_grants()),
             _ => Err(Failure::Unavailable),
         }
     }
 }
 
+/// Answer of an upstream that takes no grants: all it says is that it lives.
+fn without_grants() -> Answer {
+    Answer {
+        incarnation: UNNAMED,
+        clock: Time(0),
+        accepted: false,
+        version: None,
+        shards: Vec::new(),
+        in_flight: 0,
+        slots: 0,
+        draining: false,
+    }
+}
+
 impl Default for HttpServer {
     fn default() -> Self {
         HttpServer::new()
--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -51,10 +51,15 @@
     };
     drop(snapshot);
     let outcome = route(app, &call).await;
-    app.metrics.finished(&call, &outcome, app.clock.now().since(arrived));
+    app.metrics
+        .finished(&call, &outcome, app.clock.now().since(arrived));
     match outcome {
         Ok(answer) => answer,
-        Err(refusal) => Refusal { next: None, ..refusal }.answer(),
+        Err(refusal) => Refusal {
+            next: None,
+            ..refusal
+        }
+        .answer(),
     }
 }
 
@@ -87,8 +92,13 @@
 ) -> Result<(Call, Upstream), Code> {
     let path = head.path.strip_prefix("/forward").ok_or(Code::BadRequest)?;
     let head = Head { path, ..*head };
-    let upstream = head.headers.get(&call::UPSTREAM).and_then(|value| value.to_str().ok());
-    let upstream = upstream.and_then(|text| text.parse().ok()).ok_or(Code::BadRequest)?;
+    let upstream = head
+        .headers
+        .get(&call::UPSTREAM)
+        .and_then(|value| value.to_str().ok());
+    let upstream = upstream
+        .and_then(|text| text.parse().ok())
+        .ok_or(Code::BadRequest)?;
     let call = Call::read(&head, body, &snapshot.table, &app.home, app.clock.now())?;
     Ok((call, Upstream(upstream)))
 }
@@ -105,7 +115,10 @@
             Err(refusal) => refusal,
         };
         let now = app.clock.now();
-        let moving = matches!(refusal.code, Code::NoOwner | Code::NotOwner | Code::NotDispatcher);
+        let moving = matches!(
+            refusal.code,
+            Code::NoOwner | Code::NotOwner | Code::NotDispatcher
+        );
         if !moving || now >= hold_until.min(call.deadline) {
             return Err(refusal);
         }
@@ -115,7 +128,10 @@
 
 /// Tries each candidate once.
 async fn pass(app: &Arc<App>, snapshot: &Snapshot, call: &Call) -> Result<Answer, Refusal> {
-    let route = snapshot.table.route(&call.service).ok_or(Code::UnknownService)?;
+    let route = snapshot
+        .table
+        .route(&call.service)
+        .ok_or(Code::UnknownService)?;
     let mut last = Refusal::from(Code::NoOwner);
     let mut tried = Vec::new();
     for upstream in candidates(route, call) {
@@ -149,7 +165,14 @@
         }
         _ => {
             let (outcome, idempotent, deadline) = (last.outcome, call.idempotent, call.deadline);
-            app.retries.take(now, &Attempt { outcome, idempotent, deadline })
+            app.retries.take(
+                now,
+                &Attempt {
+                    outcome,
+                    idempotent,
+                    deadline,
+                },
+            )
         }
     }
 }
@@ -166,7 +189,9 @@
 
 /// Likely dispatchers, the best one last; those that cannot be reached first.
 fn dispatchers(app: &App, snapshot: &Snapshot, upstream: Upstream) -> Vec<Instance> {
-    let Some(target) = snapshot.table.target(upstream) else { return Vec::new() };
+    let Some(target) = snapshot.table.target(upstream) else {
+        return Vec::new();
+    };
     let suspect = |instance: &Instance| {
         *instance != app.me && snapshot.peer(*instance).is_none_or(|pool| pool.suspect())
     };
@@ -193,7 +218,9 @@
     }
     let host = pool.address().to_string();
     let request = call.forward(&host, &app.peer_token, upstream, left)?;
-    let sent = pool.exchange(request, left + FORWARD_SLACK, call.max_body).await;
+    let sent = pool
+        .exchange(request, left + FORWARD_SLACK, call.max_body)
+        .await;
     let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
     match Refusal::parse(&answer.headers) {
         Some(refusal) => Err(refusal),
@@ -211,7 +238,10 @@
     let Some(lane) = snapshot.lanes.get(&upstream) else {
         return Err(not_dispatcher(snapshot, app.me, upstream));
     };
-    let club = snapshot.state.club_named(&call.club).ok_or(Code::BadRequest)?;
+    let club = snapshot
+        .state
+        .club_named(&call.club)
+        .ok_or(Code::BadRequest)?;
     lane.permit(app.clock.now(), call.shard)?;
     let Some(key) = call.dedup.filter(|_| !call.idempotent) else {
         return send(app, lane, call, club).await;
@@ -280,9 +310,15 @@
 /// Separates refusals of the upstream from its answers.
 fn check_answer(mut answer: Answer, id: u64) -> Result<Answer, Refusal> {
     if let Some(refusal) = Refusal::parse(&answer.headers) {
-        return Err(Refusal { next: None, ..refusal });
+        return Err(Refusal {
+            next: None,
+            ..refusal
+        });
     }
-    let echoed = answer.headers.get(&call::REQUEST_ID).map(HeaderValue::as_bytes);
+    let echoed = answer
+        .headers
+        .get(&call::REQUEST_ID)
+        .map(HeaderValue::as_bytes);
     if echoed.is_some_and(|echoed| echoed != id.to_string().as_bytes()) {
         return Err(Code::AnswerMismatched.into());
     }
@@ -294,7 +330,10 @@
     let target = snapshot.table.target(upstream);
     let mut likely = target.into_iter().flat_map(|target| &target.dispatchers);
     let next = likely.find(|instance| **instance != me).copied();
-    Refusal { next, ..Code::NotDispatcher.into() }
+    Refusal {
+        next,
+        ..Code::NotDispatcher.into()
+    }
 }
 
 fn failed(failure: Failure) -> Code {
--- a/crates/medlarreel/src/proxy/call.rs
+++ b/crates/medlarreel/src/proxy/call.rs
@@ -13,11 +13,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request};
 use http_body_util::Full;
 use medlarreel_core::code::Code;
+use medlarreel_core::dedup;
 use medlarreel_core::ids::{Shard, Upstream};
 use medlarreel_core::preset::Rank;
 use medlarreel_core::route::{Route, Table};
 use medlarreel_core::time::Time;
-use medlarreel_core::dedup;
 use xxhash_rust::xxh3::xxh3_128;
 
 /// Key of the request, for keyed services.
@@ -160,7 +160,9 @@
         let shard = shard(route, key.as_ref())?;
         let limit = optional(head.headers, &DEADLINE, |text| text.parse().ok())?;
         let limit = limit.map(Duration::from_millis);
-        let limit = limit.unwrap_or(preset.ranks[rank.index()].deadline).min(MAX_DEADLINE);
+        let limit = limit
+            .unwrap_or(preset.ranks[rank.index()].deadline)
+            .min(MAX_DEADLINE);
         let attempt = optional(head.headers, &ATTEMPT, |text| text.parse().ok())?.unwrap_or(1);
         let dedup = idempotency(head.headers, &service, &club)?;
         Ok(Call {
@@ -202,7 +204,10 @@
         headers.insert(PEER, token.clone());
         headers.insert(UPSTREAM, HeaderValue::from(upstream.0));
         headers.insert(RANK, HeaderValue::from_static(self.rank.text()));
-        headers.insert(CLUB, HeaderValue::try_from(&self.club).map_err(|_| Code::BadRequest)?);
+        headers.insert(
+            CLUB,
+            HeaderValue::try_from(&self.club).map_err(|_| Code::BadRequest)?,
+        );
         headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
         headers.insert(ATTEMPT, HeaderValue::from(self.attempt));
         if let Some(key) = &self.key {
@@ -234,7 +239,10 @@
 
 /// Whether running a request of this method twice is harmless.
 fn idempotent(method: &Method) -> bool {
-    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS | Method::PUT | Method::DELETE)
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::OPTIONS | Method::PUT | Method::DELETE
+    )
 }
 
 fn shard(route: &Route, key: Option<&HeaderValue>) -> Result<Option<Shard>, Code> {
@@ -246,12 +254,10 @@
     }
 }
 
-fn idempotency(
-    headers: &HeaderMap,
-    service: &str,
-    club: &str,
-) -> Result<Option<dedup::Key>, Code> {
-    let Some(key) = headers.get(&IDEMPOTENCY) else { return Ok(None) };
+fn idempotency(headers: &HeaderMap, service: &str, club: &str) -> Result<Option<dedup::Key>, Code> {
+    let Some(key) = headers.get(&IDEMPOTENCY) else {
+        return Ok(None);
+    };
     if key.is_empty() || key.len() > MAX_KEY {
         return Err(Code::BadRequest);
     }
@@ -273,7 +279,8 @@
         !internal && !HOP_BY_HOP.contains(name) && !named.iter().any(|other| other == name.as_str())
     };
     let kept = headers.iter().filter(|(name, _)| passes(name));
-    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+    kept.map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Code> {
--- a/crates/medlarreel/src/proxy/refusal.rs
+++ b/crates/medlarreel/src/proxy/refusal.rs
@@ -30,7 +30,11 @@
 impl From<Code> for Refusal {
     fn from(code: Code) -> Refusal {
         let outcome = code.outcome().unwrap_or(Outcome::Unknown);
-        Refusal { code, outcome, next: None }
+        Refusal {
+            code,
+            outcome,
+            next: None,
+        }
     }
 }
 
@@ -39,9 +43,18 @@
     pub fn parse(headers: &HeaderMap) -> Option<Refusal> {
         let outcome = Outcome::parse(text(headers, &OUTCOME)?)?;
         let number: u16 = text(headers, &CODE)?.parse().ok()?;
-        let code = Code::ALL.iter().copied().find(|code| code.number() == number)?;
-        let next = text(headers, &TRY).and_then(|id| id.parse().ok()).map(Instance);
-        Some(Refusal { code, outcome, next })
+        let code = Code::ALL
+            .iter()
+            .copied()
+            .find(|code| code.number() == number)?;
+        let next = text(headers, &TRY)
+            .and_then(|id| id.parse().ok())
+            .map(Instance);
+        Some(Refusal {
+            code,
+            outcome,
+            next,
+        })
     }
 
     /// HTTP form of the refusal.
@@ -49,7 +62,10 @@
         let number = self.code.number();
         let status = StatusCode::from_u16(self.code.status());
         let mut headers = HeaderMap::new();
-        headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         headers.insert(CODE, HeaderValue::from(number));
         headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.text()));
         if let Some(next) = self.next {
--- a/crates/medlarreel/src/proxy/retries.rs
+++ b/crates/medlarreel/src/proxy/retries.rs
@@ -34,6 +34,8 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Budget> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -236,7 +236,9 @@
 
 echo "== preset"
 read -r _ _ _ operators <<< "${instances[0]}"
-control() { "$bin/medlarctl" --instance "$operators" --token "$token" "$@"; }
+control() { # COMMAND ARGUMENTS...
+    "$bin/medlarctl" "$1" --instance "$operators" --token "$token" "${@:2}"
+}
 await "$start_limit" "publishing the preset" control publish "$preset"
 await "$start_limit" "activating the preset" control activate "$preset_name"
 for instance in "${instances[@]}"; do
@@ -294,12 +296,13 @@
 Send a request:
   $bin/standin-client --to $callers --path /intake/items/1 --header 'medlar-key: key-1' --header 'medlar-rank: status'
 Look at the owner of a key, the state and the presets:
-  $bin/standin-client --to $operators --path '/control/owner?service=intake&key=key-1' --print-body
-  $bin/standin-client --to $operators --path /control/status --print-body
+  $bin/medlarctl owner --instance $operators intake key-1
+  $bin/medlarctl status --instance $operators
+  $bin/medlarctl audit --instance $operators
   $bin/standin-client --to $list --path /instances --print-body
 Publish and activate a changed preset:
-  $bin/medlarctl --instance $operators --token $token publish FILE
-  $bin/medlarctl --instance $operators --token $token activate NAME
+  $bin/medlarctl publish --instance $operators --token $token FILE
+  $bin/medlarctl activate --instance $operators --token $token NAME
 Freeze an upstream (ADDRESS from the list), and take the log away:
   $bin/standin-client --to ADDRESS --path /admin/faults --body '{"freeze": true}' --print-body
   $bin/standin-client --to $log --path /admin/faults --body '{"unavailable": "refuse"}' --print-body
