Test the election in a fake network with drifting clocks

A random schedule of cuts, pauses, lags, replacements and resets showed that candidates with equal rounds could split the votes repeatedly. A candidate now yields to a higher ballot, and stands under a higher round as soon as a voter reports that its round is used up.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -198,7 +198,11 @@
     /// Answers the question of another instance.
     pub fn ask(&mut self, now: Time, from: Instance, ask: Ask) -> Vote {
         self.expire(now);
-        let granted = self.accepts(now, from, &ask) && self.voter.grant(now, ask.ballot);
+        let acceptable = self.accepts(now, from, &ask);
+        if acceptable {
+            self.yield_to(now, ask.ballot);
+        }
+        let granted = acceptable && self.voter.grant(now, ask.ballot);
         if granted {
             self.voter.record(ask.ballot);
             self.learn(ask.ballot);
@@ -225,7 +229,6 @@
         } else if let Some(held) = self.held.as_mut().filter(|held| held.matches(&vote)) {
             held.count(from, &vote);
             self.confirm_roster(now);
-            self.rise_above(now, &vote);
         }
     }
 
@@ -363,20 +366,26 @@
 
     /// Starts to collect votes under a new ballot.
     fn stand(&mut self, now: Time) {
+        self.stand_at = None;
+        self.next_ask = now;
+        self.trial = Some(Candidacy::new(self.next_ballot(), now));
+    }
+
+    fn next_ballot(&mut self) -> Ballot {
         self.round = self.round.saturating_add(1);
-        let ballot = Ballot {
+        Ballot {
             term: self.term,
             round: self.round,
             instance: self.me,
-        };
-        self.stand_at = None;
-        self.next_ask = now;
-        self.trial = Some(Candidacy::new(ballot, now));
+        }
     }
 
     fn ask_if_due(&mut self, now: Time) {
-        let candidacy = self.trial.as_mut().or(self.held.as_mut());
-        let Some(candidacy) = candidacy.filter(|_| self.next_ask <= now) else {
+        if now < self.next_ask {
+            return;
+        }
+        self.rise(now);
+        let Some(candidacy) = self.trial.as_mut().or(self.held.as_mut()) else {
             return;
         };
         self.nonce += 1;
@@ -397,11 +406,25 @@
         self.settle_trial(now);
     }
 
-    /// Whether a voter still has to be asked; the holder renews every vote.
+    /// Changes to a higher ballot if a voter cannot support the present one.
+    ///
+    /// Votes under either ballot bind the voters to this instance, so a
+    /// holder's lease under the present ballot continues meanwhile.
+    fn rise(&mut self, now: Time) {
+        let started = match (&self.trial, &self.held) {
+            (Some(trial), _) if trial.is_outdated() => trial.started(),
+            (None, Some(held)) if held.is_outdated() => now,
+            _ => return,
+        };
+        self.trial = Some(Candidacy::new(self.next_ballot(), started));
+    }
+
+    /// Whether a voter has to be asked. A holder renews every vote; a candidate
+    /// also asks again who refused, as another candidate may have given up.
     fn is_open(&self, voter: Instance) -> bool {
         self.trial
             .as_ref()
-            .is_none_or(|trial| !trial.has_answer(voter))
+            .is_none_or(|trial| !trial.has_support(voter))
     }
 
     fn settle_trial(&mut self, now: Time) {
@@ -418,18 +441,15 @@
         }
     }
 
-    /// Stands under a higher ballot when a voter cannot support the present one.
-    ///
-    /// Votes given under either ballot bind the voters to this instance, so
-    /// the lease under the present ballot continues meanwhile.
-    fn rise_above(&mut self, now: Time, vote: &Vote) {
-        let ballot = self.lease(now).filter(|_| self.trial.is_none());
-        let outdated = ballot.is_some_and(|ballot| {
-            let (rank, seen) = ((ballot.term, ballot.round), vote.highest);
-            !vote.granted && seen != ballot && (seen.term, seen.round) >= rank
-        });
-        if outdated {
-            self.stand(now);
+    /// Ends a candidacy in favour of a higher ballot. Otherwise candidates that
+    /// stand at about the same time could split the votes again and again.
+    fn yield_to(&mut self, now: Time, ballot: Ballot) {
+        let lower = self
+            .trial
+            .as_ref()
+            .is_some_and(|trial| trial.ballot() < ballot);
+        if lower && self.held.is_none() {
+            self.give_up(now);
         }
     }
 
--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -28,6 +28,8 @@
     questions: VecDeque<(u64, Time)>,
     support: BTreeMap<Instance, Support>,
     refused: BTreeSet<Instance>,
+    /// Whether a voter has seen a ballot that this one does not exceed.
+    outdated: bool,
 }
 
 impl Candidacy {
@@ -38,6 +40,7 @@
             questions: VecDeque::new(),
             support: BTreeMap::new(),
             refused: BTreeSet::new(),
+            outdated: false,
         }
     }
 
@@ -45,6 +48,14 @@
         self.ballot
     }
 
+    pub(super) fn started(&self) -> Time {
+        self.started
+    }
+
+    pub(super) fn is_outdated(&self) -> bool {
+        self.outdated
+    }
+
     /// Whether the time to collect a first majority is over.
     pub(super) fn is_over(&self, now: Time) -> bool {
         self.started + TRIAL <= now
@@ -54,8 +65,8 @@
         vote.ballot == self.ballot
     }
 
-    pub(super) fn has_answer(&self, voter: Instance) -> bool {
-        self.support.contains_key(&voter) || self.refused.contains(&voter)
+    pub(super) fn has_support(&self, voter: Instance) -> bool {
+        self.support.contains_key(&voter)
     }
 
     /// Notes when a question is sent; its answers count from that time.
@@ -78,6 +89,7 @@
             self.add(from, since, vote.members);
         } else {
             self.refused.insert(from);
+            self.outdated |= self.is_exceeded_by(vote.highest);
         }
     }
 
@@ -85,7 +97,13 @@
         self.add(me, now, members);
     }
 
-    /// Answers arrive in any order, so that older ones must not shorten a vote.
+    /// Whether a voter that has seen `highest` needs a higher round.
+    fn is_exceeded_by(&self, highest: Ballot) -> bool {
+        let seen = highest.term == self.ballot.term && highest.round >= self.ballot.round;
+        seen && highest != self.ballot
+    }
+
+    /// Answers arrive in any order; an older one must not shorten a vote.
     fn add(&mut self, from: Instance, since: Time, members: u32) {
         let support = Support { since, members };
         let entry = self.support.entry(from).or_insert(support);
--- /dev/null
+++ b/crates/core/tests/network/mod.rs
@@ -0,0 +1,480 @@
+//! Fake network of electing instances in virtual time.
+//!
+//! True time is kept apart from the nodes' clocks, which drift by up to 1%.
+//! Messages are delayed, reordered, lost and duplicated until `CALM`, nodes
+//! pause, and all nodes fold one shared log, each with its own lag.
+
+use std::collections::BTreeMap;
+
+use medlarreel_core::control::Election;
+use medlarreel_core::fold::{ClubState, State};
+use medlarreel_core::ids::{Ballot, Club, Instance, Offset, Proposal};
+use medlarreel_core::record::{Author, Body, Member, Record};
+use medlarreel_core::time::Time;
+use medlarreel_core::wire::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// True time at which all faults of a disturbed network end, in microseconds.
+pub const CALM: u64 = 9_000_000;
+const TICK: u64 = 10_000;
+const CLUB: &str = "kashmir";
+
+/// Disturbance of the network or of a node, chosen by position among the nodes.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// Messages from one node to another are lost.
+    Cut(usize, usize),
+    /// Messages from and to a node are lost.
+    Isolate(usize),
+    /// The node does nothing and its messages wait.
+    Pause(usize),
+    /// The node reads no records.
+    Lag(usize),
+    /// Appends are applied only after the fault.
+    Outage,
+    /// The process ends; another one with a new identity starts.
+    Replace(usize),
+    /// The process starts again under its old identity.
+    Restart(usize),
+    /// A new process becomes the only voter of a new term.
+    Reset,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick(Instance),
+    Deliver(Instance, Instance, Message),
+    Append(Record),
+    Fault(Fault, u64),
+}
+
+struct Node {
+    election: Election,
+    offset: u64,
+    drift: i64,
+    folded: usize,
+    lagging: u64,
+    paused: u64,
+    waiting: Vec<(Instance, Message)>,
+    /// Undecided membership change.
+    change: Option<(Ballot, Proposal)>,
+    led: Option<Ballot>,
+}
+
+impl Node {
+    fn clock(&self, now: u64) -> Time {
+        let drift = now as i64 * self.drift / 1_000_000;
+        Time((self.offset + now).wrapping_add_signed(drift))
+    }
+}
+
+/// Network, log and nodes.
+pub struct Network {
+    pub now: u64,
+    /// Messages sent since the start.
+    pub sent: u64,
+    /// True time from which the network is undisturbed.
+    calm: u64,
+    rng: StdRng,
+    queue: BTreeMap<(u64, u64), Event>,
+    count: u64,
+    nodes: BTreeMap<Instance, Node>,
+    cuts: Vec<(Option<Instance>, Option<Instance>, u64)>,
+    outage: u64,
+    log: State,
+    history: Vec<ClubState>,
+    decided: BTreeMap<Proposal, usize>,
+    /// Highest ballot that has held control in the present term.
+    led: Option<Ballot>,
+    restarted: bool,
+}
+
+impl Network {
+    pub fn new(seed: u64, size: usize, calm: u64) -> Network {
+        let mut network = Network {
+            now: 0,
+            sent: 0,
+            calm,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            count: 0,
+            nodes: BTreeMap::new(),
+            cuts: Vec::new(),
+            outage: 0,
+            log: State::default(),
+            history: Vec::new(),
+            decided: BTreeMap::new(),
+            led: None,
+            restarted: false,
+        };
+        let ids: Vec<_> = (0..size).map(|_| network.start()).collect();
+        network.reset(ids[0]);
+        let ballot = network.founding_ballot(ids[0]);
+        for &id in &ids[1..] {
+            network.append(Body::Admit(author(ballot), member(id)));
+        }
+        // These admissions waited for nobody, so that all nodes must know them.
+        ids.into_iter().for_each(|id| network.catch_up(id));
+        network
+    }
+
+    pub fn schedule(&mut self, at: u64, fault: Fault, until: u64) {
+        self.push(at, Event::Fault(fault, until.min(self.calm)));
+    }
+
+    /// Runs until true time `until` and checks the exclusion after each event.
+    pub fn run(&mut self, until: u64) -> Result<(), String> {
+        while let Some(entry) = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= until)
+        {
+            self.now = entry.key().0;
+            match entry.remove() {
+                Event::Tick(id) => self.tick(id),
+                Event::Deliver(to, from, message) => self.deliver(to, from, message),
+                Event::Append(record) => self.apply(record),
+                Event::Fault(fault, until) => self.disturb(fault, until),
+            }
+            self.check()?;
+        }
+        self.now = until;
+        Ok(())
+    }
+
+    /// Nodes that hold control of the present term now.
+    pub fn holders(&self) -> Vec<(Instance, Ballot)> {
+        let term = self.club().term;
+        let holding = |(&id, node): (&Instance, &Node)| {
+            let ballot = node.election.lease(node.clock(self.now))?;
+            (ballot.term == term).then_some((id, ballot))
+        };
+        self.nodes.iter().filter_map(holding).collect()
+    }
+
+    /// Whether a majority of the present members is running.
+    pub fn has_majority(&self) -> bool {
+        let members = &self.club().members;
+        let running = |member: &&Member| self.nodes.contains_key(&member.instance);
+        members.iter().filter(running).count() > members.len() / 2
+    }
+
+    pub fn kill(&mut self, id: Instance) {
+        self.nodes.remove(&id);
+    }
+
+    pub fn resign(&mut self, id: Instance) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&id).expect("node runs");
+        node.election.resign(node.clock(now));
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let holders = self.holders();
+        if holders.len() > 1 {
+            return Err(format!("two holders at {}: {holders:?}", self.now));
+        }
+        let Some(&(_, ballot)) = holders.first() else {
+            return Ok(());
+        };
+        // A voter that restarts under its old identity forgets the highest
+        // ballot, so the order of ballots is promised only without that.
+        if self.led.is_some_and(|led| ballot < led) && !self.restarted {
+            return Err(format!("{ballot:?} follows {:?} at {}", self.led, self.now));
+        }
+        self.led = self.led.max(Some(ballot));
+        Ok(())
+    }
+
+    fn club(&self) -> &ClubState {
+        self.log.club(Club(0))
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.queue.insert((at, self.count), event);
+    }
+
+    fn start(&mut self) -> Instance {
+        let id = Instance(self.rng.random());
+        self.launch(id);
+        self.push(self.now, Event::Tick(id));
+        id
+    }
+
+    fn launch(&mut self, id: Instance) {
+        let drift = match self.rng.random_range(0..3) {
+            0 => -10_000,
+            1 => 10_000,
+            _ => self.rng.random_range(-10_000..=10_000),
+        };
+        let mut node = Node {
+            election: Election::new(id, Time(0)),
+            offset: self.rng.random_range(0..1 << 40),
+            drift,
+            folded: 0,
+            lagging: 0,
+            paused: 0,
+            waiting: Vec::new(),
+            change: None,
+            led: None,
+        };
+        node.election = Election::new(id, node.clock(self.now));
+        self.nodes.insert(id, node);
+    }
+
+    fn tick(&mut self, id: Instance) {
+        let (now, random) = (self.now, self.rng.random());
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let next = node.paused.max(now + TICK);
+        if node.paused <= now {
+            self.fold(id);
+            let node = self.nodes.get_mut(&id).expect("node runs");
+            let waiting = std::mem::take(&mut node.waiting);
+            let messages = node.election.tick(node.clock(now), random);
+            waiting
+                .into_iter()
+                .for_each(|(from, message)| self.deliver(id, from, message));
+            messages
+                .into_iter()
+                .for_each(|(to, message)| self.send(id, to, message));
+            self.lead(id);
+        }
+        self.push(next, Event::Tick(id));
+    }
+
+    fn fold(&mut self, id: Instance) {
+        let newest = self.history.len();
+        let node = self.nodes.get_mut(&id).expect("node runs");
+        if node.lagging > self.now || node.folded == newest {
+            return;
+        }
+        let calm = self.now >= self.calm;
+        node.folded = if calm {
+            newest
+        } else {
+            self.rng.random_range(node.folded + 1..=newest)
+        };
+        let time = node.clock(self.now);
+        node.election.observe(time, &self.history[node.folded - 1]);
+    }
+
+    /// The holder makes itself known in the log and changes the membership.
+    fn lead(&mut self, id: Instance) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&id).expect("node runs");
+        let time = node.clock(now);
+        let Some(ballot) = node.election.lease(time) else {
+            return;
+        };
+        if node.led != Some(ballot) {
+            node.led = Some(ballot);
+            self.propose(Body::Lead(author(ballot)));
+            return;
+        }
+        let decided = |proposal| {
+            self.decided
+                .get(&proposal)
+                .is_some_and(|&at| at < node.folded)
+        };
+        let undecided = node
+            .change
+            .is_some_and(|(under, proposal)| under == ballot && !decided(proposal));
+        if undecided || !node.election.members_known(time) {
+            return;
+        }
+        let known = self.history[node.folded - 1].members.clone();
+        if let Some(body) = self.choose_change(ballot, &known) {
+            let proposal = self.propose(body);
+            let node = self.nodes.get_mut(&id).expect("node runs");
+            node.change = Some((ballot, proposal));
+        }
+    }
+
+    fn choose_change(&mut self, ballot: Ballot, known: &[Member]) -> Option<Body> {
+        let is_known = |id| known.iter().any(|member| member.instance == id);
+        let gone = known
+            .iter()
+            .find(|member| !self.nodes.contains_key(&member.instance));
+        let fresh = self.nodes.keys().find(|&&id| !is_known(id));
+        if let Some(&id) = fresh.filter(|_| gone.is_none() || known.len() < 4) {
+            return Some(Body::Admit(author(ballot), member(id)));
+        }
+        let index = self.rng.random_range(0..known.len());
+        let removed = gone.or(Some(&known[index])
+            .filter(|_| known.len() > 3 && self.now < self.calm && self.rng.random_ratio(1, 20)))?;
+        Some(Body::Remove {
+            author: author(ballot),
+            instance: removed.instance,
+            cause: "test".to_owned(),
+        })
+    }
+
+    fn propose(&mut self, body: Body) -> Proposal {
+        let proposal = Proposal(self.rng.random());
+        let delay = self.delay();
+        let at = (self.now + delay).max(self.outage);
+        self.push(at, Event::Append(Record { proposal, body }));
+        proposal
+    }
+
+    fn append(&mut self, body: Body) {
+        let proposal = Proposal(self.rng.random());
+        self.apply(Record { proposal, body });
+    }
+
+    fn apply(&mut self, record: Record) {
+        let offset = self.log.next();
+        self.decided.insert(record.proposal, self.history.len());
+        let term = self.log.clubs().first().map(|club| club.term);
+        let _ = self.log.apply(offset, record);
+        if term != Some(self.club().term) {
+            self.led = None;
+        }
+        self.history.push(self.club().clone());
+    }
+
+    fn send(&mut self, from: Instance, to: Instance, message: Message) {
+        self.sent += 1;
+        let now = self.now;
+        let matches = |end: Option<Instance>, id| end.is_none_or(|end| end == id);
+        let cut = self.cuts.iter().any(|&(source, target, until)| {
+            now < until && matches(source, from) && matches(target, to)
+        });
+        let copies = if cut || now < self.calm && self.rng.random_ratio(1, 20) {
+            0
+        } else if now < self.calm && self.rng.random_ratio(1, 20) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let at = now + self.delay();
+            self.push(at, Event::Deliver(to, from, message.clone()));
+        }
+    }
+
+    fn delay(&mut self) -> u64 {
+        let short = self.rng.random_range(1..3_000);
+        if self.now < self.calm && self.rng.random_ratio(1, 10) {
+            let long = self.rng.random_range(1..1_500_000);
+            return long.min(self.calm - self.now) + short;
+        }
+        short
+    }
+
+    fn deliver(&mut self, to: Instance, from: Instance, message: Message) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&to) else {
+            return;
+        };
+        if node.paused > now {
+            node.waiting.push((from, message));
+            return;
+        }
+        let time = node.clock(now);
+        match message {
+            Message::Ask(ask) => {
+                let vote = node.election.ask(time, from, ask);
+                self.send(to, from, Message::Vote(vote));
+            }
+            Message::Vote(vote) => node.election.vote(time, from, vote),
+            Message::Resign(ballot) => node.election.resigned(time, from, ballot),
+            _ => {}
+        }
+    }
+
+    fn pick(&self, index: usize) -> Instance {
+        let count = self.nodes.len();
+        *self.nodes.keys().nth(index % count).expect("nodes exist")
+    }
+
+    fn disturb(&mut self, fault: Fault, until: u64) {
+        match fault {
+            Fault::Cut(from, to) => {
+                let (from, to) = (self.pick(from), self.pick(to));
+                self.cuts.push((Some(from), Some(to), until));
+            }
+            Fault::Isolate(index) => {
+                let id = self.pick(index);
+                self.cuts.push((Some(id), None, until));
+                self.cuts.push((None, Some(id), until));
+            }
+            Fault::Pause(index) => self.node_at(index).paused = until,
+            Fault::Lag(index) => self.node_at(index).lagging = until,
+            Fault::Outage => self.outage = until,
+            Fault::Replace(index) => self.replace(index),
+            Fault::Restart(index) => self.restart(index),
+            Fault::Reset => {
+                let id = self.start();
+                self.reset(id);
+            }
+        }
+    }
+
+    fn node_at(&mut self, index: usize) -> &mut Node {
+        let id = self.pick(index);
+        self.nodes.get_mut(&id).expect("node runs")
+    }
+
+    /// Replaces a node unless the members would lose their majority for good.
+    fn replace(&mut self, index: usize) {
+        let id = self.pick(index);
+        let node = self.nodes.remove(&id).expect("node runs");
+        if self.has_majority() {
+            self.start();
+        } else {
+            self.nodes.insert(id, node);
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.restarted = true;
+        let id = self.pick(index);
+        self.launch(id);
+        self.catch_up(id);
+    }
+
+    fn catch_up(&mut self, id: Instance) {
+        let (now, club) = (self.now, self.club().clone());
+        let node = self.nodes.get_mut(&id).expect("node runs");
+        node.folded = self.history.len();
+        node.election.observe(node.clock(now), &club);
+    }
+
+    fn reset(&mut self, voter: Instance) {
+        let expected = self.log.clubs().first().map_or(Offset(0), |club| club.term);
+        self.append(Body::Reset {
+            club: CLUB.to_owned(),
+            expected,
+            voter: member(voter),
+        });
+    }
+
+    /// Ballot under which the first members are admitted before the run.
+    fn founding_ballot(&self, instance: Instance) -> Ballot {
+        let term = self.club().term;
+        Ballot {
+            term,
+            round: 0,
+            instance,
+        }
+    }
+}
+
+fn author(ballot: Ballot) -> Author {
+    let club = CLUB.to_owned();
+    Author { club, ballot }
+}
+
+pub fn member(instance: Instance) -> Member {
+    Member {
+        instance,
+        club: CLUB.to_owned(),
+        domain: "a".to_owned(),
+        peers: ([127, 0, 0, 1], 1).into(),
+    }
+}
