--- a/crates/core/src/control/extension.rs
+++ b/crates/core/src/control/extension.rs
@@ -40,7 +40,10 @@
 const QUESTIONS: usize = 8;
 
 /// Times at which the last questions were sent, by nonce.
-#[derive(Clone, Debug, Default)]
+///
+/// Nonces count up from the random instance id, so that an answer meant for
+/// another instance, for instance one at the same address before, matches none.
+#[derive(Clone, Debug)]
 struct Questions {
     nonce: u64,
     sent: VecDeque<(u64, Time)>,
@@ -48,13 +51,21 @@
 }
 
 impl Questions {
+    fn new(me: Instance) -> Questions {
+        Questions {
+            nonce: me.0,
+            sent: VecDeque::new(),
+            next: Time(0),
+        }
+    }
+
     /// Nonce of a new question if one is due.
     fn ask(&mut self, now: Time) -> Option<u64> {
         if now < self.next {
             return None;
         }
         self.next = now + REPEAT;
-        self.nonce += 1;
+        self.nonce = self.nonce.wrapping_add(1);
         self.sent.push_back((self.nonce, now));
         if self.sent.len() > QUESTIONS {
             self.sent.pop_front();
@@ -95,7 +106,7 @@
             members: BTreeSet::new(),
             supported: now + longest(EXTENSION),
             promised: now + longest(PROMISE_MAX),
-            questions: Questions::default(),
+            questions: Questions::new(me),
             support: BTreeMap::new(),
             extended: Time(0),
         }
@@ -205,10 +216,10 @@
 
 impl Withholding {
     /// Begins to collect promises from the failure domain's admitted members.
-    pub fn new(members: impl IntoIterator<Item = Instance>) -> Withholding {
+    pub fn new(me: Instance, members: impl IntoIterator<Item = Instance>) -> Withholding {
         Withholding {
             rosters: vec![members.into_iter().collect()],
-            questions: Questions::default(),
+            questions: Questions::new(me),
             promises: BTreeMap::new(),
         }
     }
