--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! comes out as typed values. The same inputs give the same outputs, so a test
 //! bench can drive every part in virtual time.
 
+pub mod checkpoint;
 pub mod code;
 pub mod control;
 pub mod fold;
