--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -181,6 +181,7 @@
     let answered = now + Duration::from_millis(200);
 
     election.vote(answered, B, support(ask, 3));
+    election.vote(answered, C, support(ask, 3));
 
     let end = now + shortest(LEASE);
     assert_eq!(
