--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -24,6 +24,7 @@
 use crate::time::Time;
 use crate::wire::{Message, Report};
 
+mod copying;
 mod enrolment;
 mod recovery;
 mod replay;
@@ -125,6 +126,7 @@
     appended: u64,
     listed: Vec<Listed>,
     enrolled: Time,
+    copying: copying::Copying,
     /// Addresses of instances that have reported, members or not.
     contacts: BTreeMap<Instance, SocketAddr>,
     stopping: bool,
@@ -205,6 +207,7 @@
             appended: 0,
             listed: Vec::new(),
             enrolled: Time(0),
+            copying: copying::Copying::default(),
             contacts: BTreeMap::new(),
             stopping: false,
             me,
@@ -269,6 +272,7 @@
         }
         self.report_due(now, random, queue);
         self.hint_due(now, random, queue);
+        self.copy_due(now, queue);
         self.reset_due(now, queue);
     }
 
--- a/crates/core/src/machine/replay.rs
+++ b/crates/core/src/machine/replay.rs
@@ -74,7 +74,8 @@
         else {
             return None;
         };
-        let state = self.assembler.take(&chunk)?;
+        // A copy that is not valid is followed by a later one.
+        let state = self.assembler.add(chunk).ok().flatten()?;
         // Records between the copy and the earliest one left would be missing.
         (state.next() >= self.earliest).then_some(state)
     }
@@ -106,9 +107,9 @@
         let before = self.state.next();
         for (offset, bytes) in records {
             if source == Source::Log && self.replay.restore.is_some() {
-                self.restore(offset, bytes);
+                self.restore(now, offset, bytes);
             } else if offset == self.state.next() {
-                self.apply(offset, &bytes);
+                self.apply(now, offset, &bytes);
             }
         }
         if self.state.next() != before {
@@ -124,7 +125,7 @@
         self.recovery.log_answered(now);
     }
 
-    fn restore(&mut self, offset: Offset, bytes: Bytes) {
+    fn restore(&mut self, now: Time, offset: Offset, bytes: Bytes) {
         let Some(restore) = &mut self.replay.restore else {
             return;
         };
@@ -138,14 +139,22 @@
         }
         for (offset, bytes) in records {
             if offset == self.state.next() {
-                self.apply(offset, &bytes);
+                self.apply(now, offset, &bytes);
             }
         }
     }
 
-    fn apply(&mut self, offset: Offset, bytes: &[u8]) {
+    fn apply(&mut self, now: Time, offset: Offset, bytes: &[u8]) {
+        let record = Record::decode(bytes);
+        if let Ok(Record {
+            body: Body::Checkpoint(chunk),
+            ..
+        }) = &record
+        {
+            self.copying.seen(now, chunk);
+        }
         let state = Arc::make_mut(&mut self.state);
-        match Record::decode(bytes) {
+        match record {
             // The fold remembers a rejected proposal's code for its author.
             Ok(record) => drop(state.apply(offset, record)),
             Err(_) => state.skip(offset),
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -13,6 +13,7 @@
 use crate::record::Member;
 
 pub mod frame;
+pub mod token;
 
 pub use frame::Frame;
 
--- a/crates/core/src/wire/frame.rs
+++ b/crates/core/src/wire/frame.rs
@@ -1,4 +1,11 @@
 //! Authenticated form of messages.
+//!
+//! A datagram is a version byte, the postcard form of a `Frame` and a tag. The
+//! tag is an HMAC-SHA256 under the cluster's secret over the club's name, the
+//! version byte and the body, so that a frame of another cluster, club or
+//! version is refused before its body is decoded.
+
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use hmac::{Hmac, Mac};
@@ -9,15 +16,23 @@
 use crate::code::Code;
 use crate::ids::Instance;
 
-/// Largest encoded frame, in bytes.
-pub const MAX_FRAME: usize = 60_000;
-
 /// Version of the frame format.
-const VERSION: u8 = 1;
+pub const VERSION: u8 = 1;
 
-/// Length of the authentication tag, in bytes.
+/// Largest datagram, in bytes; the limit of UDP is 65,507.
+pub const MAX_FRAME: usize = 60_000;
+
+/// Length of the tag, in bytes.
 const TAG: usize = 32;
 
+/// Number of senders that a `Replay` remembers.
+pub const SENDERS: usize = 1_024;
+
+/// Number of counters per sender that may arrive out of order.
+pub const WINDOW: u64 = 1_024;
+
+const WORDS: usize = WINDOW as usize / 64;
+
 /// Message with its sender.
 #[data(value)]
 pub struct Frame {
@@ -29,77 +44,171 @@
     pub message: Message,
 }
 
-/// Encodes and decodes frames of one club.
-#[derive(Clone, Debug)]
-pub struct Codec {
-    key: Hmac<Sha256>,
-    counter: u64,
-}
+/// Key under which the instances of a club authenticate their frames.
+#[derive(Clone)]
+pub struct Key(Hmac<Sha256>);
 
-impl Codec {
-    /// Codec for the club's frames under the cluster secret.
-    pub fn new(secret: &[u8], club: &str) -> Codec {
-        let mut key = mac(secret);
-        key.update(club.as_bytes());
-        Codec { key, counter: 0 }
+impl Key {
+    /// Key of a club, from the cluster's secret and the club's name.
+    pub fn new(secret: &[u8], club: &str) -> Key {
+        let mac = Hmac::new_from_slice(secret).expect("HMAC takes secrets of any length");
+        let length = (club.len() as u64).to_le_bytes();
+        Key(mac.chain_update(length).chain_update(club))
     }
 
-    /// Encodes a message.
+    fn mac(&self, signed: &[u8]) -> Hmac<Sha256> {
+        self.0.clone().chain_update(signed)
+    }
+}
+
+impl Frame {
+    /// Encodes the frame as a datagram.
     ///
     /// # Errors
     ///
-    /// `Code::FrameOversized` beyond `MAX_FRAME`.
-    pub fn encode(&mut self, sender: Instance, message: Message) -> Result<Bytes, Code> {
-        self.counter += 1;
-        let frame = Frame {
-            sender,
-            counter: self.counter,
-            message,
-        };
-        let body = postcard::to_extend(&frame, vec![VERSION]).map_err(|_| Code::FrameMalformed)?;
-        let tag = self.tag(&body);
-        let whole = [&body[..], &tag[..]].concat();
-        if whole.len() > MAX_FRAME {
+    /// `FrameOversized` if it would exceed `MAX_FRAME`.
+    pub fn encode(&self, key: &Key) -> Result<Bytes, Code> {
+        let mut buffer =
+            postcard::to_extend(self, vec![VERSION]).expect("frames have no unserializable parts");
+        if buffer.len() + TAG > MAX_FRAME {
             return Err(Code::FrameOversized);
         }
-        Ok(Bytes::from(whole))
+        let tag = key.mac(&buffer).finalize().into_bytes();
+        buffer.extend_from_slice(&tag);
+        Ok(Bytes::from(buffer))
     }
 
     /// Checks and decodes a datagram.
     ///
     /// # Errors
     ///
-    /// One of the `Frame` codes.
-    pub fn decode(&self, bytes: &[u8]) -> Result<Frame, Code> {
-        if bytes.len() > MAX_FRAME {
+    /// `FrameOversized`, `FrameVersion`, `FrameForeign` for a wrong tag, or
+    /// `FrameMalformed`.
+    pub fn decode(key: &Key, datagram: &[u8]) -> Result<Frame, Code> {
+        if datagram.len() > MAX_FRAME {
             return Err(Code::FrameOversized);
         }
-        let length = bytes.len().checked_sub(TAG).ok_or(Code::FrameMalformed)?;
-        let (body, tag) = bytes.split_at(length);
-        let mut key = self.key.clone();
-        key.update(body);
-        key.verify_slice(tag).map_err(|_| Code::FrameForeign)?;
-        match body.split_first() {
-            Some((&VERSION, rest)) => postcard::from_bytes(rest).map_err(|_| Code::FrameMalformed),
-            _ => Err(Code::FrameVersion),
+        let version = *datagram.first().ok_or(Code::FrameMalformed)?;
+        if version != VERSION {
+            return Err(Code::FrameVersion);
+        }
+        let (signed, tag) = datagram
+            .split_last_chunk::<TAG>()
+            .ok_or(Code::FrameMalformed)?;
+        let mac = key.mac(signed);
+        mac.verify_slice(tag).map_err(|_| Code::FrameForeign)?;
+        let body = signed.get(1..).ok_or(Code::FrameMalformed)?;
+        match postcard::take_from_bytes(body) {
+            Ok((frame, [])) => Ok(frame),
+            _ => Err(Code::FrameMalformed),
         }
     }
+}
+
+/// Counters of one sender.
+#[derive(Clone, Debug)]
+struct Seen {
+    highest: u64,
+    /// Bit `counter % WINDOW` is set if that counter was seen; it stands for
+    /// the one counter of that remainder within the window.
+    bits: [u64; WORDS],
+    /// When the sender was last heard, counted in accepted frames.
+    heard: u64,
+}
 
-    fn tag(&self, body: &[u8]) -> [u8; TAG] {
-        let mut key = self.key.clone();
-        key.update(body);
-        key.finalize().into_bytes().into()
+impl Seen {
+    fn new(counter: u64) -> Seen {
+        Seen {
+            highest: counter,
+            bits: [0; WORDS],
+            heard: 0,
+        }
     }
+
+    /// Notes the counter; returns whether it is new.
+    fn note(&mut self, counter: u64) -> bool {
+        if counter > self.highest {
+            self.advance(counter);
+        } else if self.highest - counter >= WINDOW {
+            return false;
+        }
+        let (word, mask) = position(counter);
+        let new = self.bits[word] & mask == 0;
+        self.bits[word] |= mask;
+        new
+    }
+
+    /// Moves the window up and clears the counters that enter it.
+    fn advance(&mut self, counter: u64) {
+        if counter - self.highest >= WINDOW {
+            self.bits = [0; WORDS];
+        } else {
+            for entering in self.highest + 1..=counter {
+                let (word, mask) = position(entering);
+                self.bits[word] &= !mask;
+            }
+        }
+        self.highest = counter;
+    }
+}
+
+fn position(counter: u64) -> (usize, u64) {
+    let bit = counter % WINDOW;
+    ((bit / 64) as usize, 1 << (bit % 64))
 }
 
-/// Token that instances with the same secret present to each other over HTTP.
-pub fn token(secret: &[u8]) -> String {
-    let mut key = mac(secret);
-    key.update(b"peer token");
-    let tag = key.finalize().into_bytes();
-    tag.iter().map(|byte| format!("{byte:02x}")).collect()
+/// Guard against frames that arrive twice.
+///
+/// It keeps a window of counters for each of the `SENDERS` heard last. Only
+/// processes that know the secret are senders, so an older one is most likely
+/// gone. A repeated frame of a forgotten sender is accepted once more; the
+/// nonces and versions in messages keep that harmless.
+#[derive(Clone, Debug, Default)]
+pub struct Replay {
+    senders: BTreeMap<Instance, Seen>,
+    accepted: u64,
 }
 
-fn mac(secret: &[u8]) -> Hmac<Sha256> {
-    Hmac::new_from_slice(secret).expect("HMAC takes keys of any length")
+impl Replay {
+    /// Guard that has seen nothing yet.
+    pub fn new() -> Replay {
+        Replay::default()
+    }
+
+    /// Number of senders that are remembered.
+    pub fn senders(&self) -> usize {
+        self.senders.len()
+    }
+
+    /// Accepts an authenticated frame unless it was seen before.
+    ///
+    /// # Errors
+    ///
+    /// `FrameReplayed` if the counter was seen before or lies `WINDOW` or more
+    /// behind the highest one.
+    pub fn accept(&mut self, sender: Instance, counter: u64) -> Result<(), Code> {
+        if !self.senders.contains_key(&sender) {
+            self.make_room();
+        }
+        let seen = self
+            .senders
+            .entry(sender)
+            .or_insert_with(|| Seen::new(counter));
+        if !seen.note(counter) {
+            return Err(Code::FrameReplayed);
+        }
+        self.accepted += 1;
+        seen.heard = self.accepted;
+        Ok(())
+    }
+
+    fn make_room(&mut self) {
+        if self.senders.len() < SENDERS {
+            return;
+        }
+        let oldest = self.senders.iter().min_by_key(|(_, seen)| seen.heard);
+        if let Some(sender) = oldest.map(|(&sender, _)| sender) {
+            self.senders.remove(&sender);
+        }
+    }
 }
--- a/crates/medlarreel/src/bin/medlarreeld.rs
+++ b/crates/medlarreel/src/bin/medlarreeld.rs
@@ -1,5 +1,6 @@
 //! Entry instance of medlarreel.
 
+use std::io::IsTerminal;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -55,7 +56,9 @@
 }
 
 fn start_logging(settings: &Settings) {
-    let logs = tracing_subscriber::fmt().with_max_level(settings.log.level);
+    let logs = tracing_subscriber::fmt()
+        .with_max_level(settings.log.level)
+        .with_ansi(std::io::stdout().is_terminal());
     match settings.log.format {
         Format::Text => logs.init(),
         Format::Json => logs.json().init(),
--- a/crates/medlarreel/src/control.rs
+++ b/crates/medlarreel/src/control.rs
@@ -13,12 +13,13 @@
 use bytes::Bytes;
 use medlarreel_core::code::Code;
 use medlarreel_core::fold::State;
+use medlarreel_core::grant;
 use medlarreel_core::ids::{Instance, Offset, Proposal, Upstream};
 use medlarreel_core::machine::{Action, Event, Listed, Machine, Source};
 use medlarreel_core::record::{Body, Member, Record};
 use medlarreel_core::time::Time;
 use medlarreel_core::wire::Message;
-use medlarreel_core::{grant, wire};
+use medlarreel_core::wire::frame::{self, Frame};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 
@@ -145,7 +146,8 @@
     log: Arc<dyn Log>,
     server: Arc<dyn Server>,
     socket: Arc<UdpSocket>,
-    codec: wire::frame::Codec,
+    key: frame::Key,
+    sent: u64,
     inputs: mpsc::UnboundedSender<Input>,
     proposals: proposals::Proposals,
     published: publish::Published,
@@ -159,11 +161,11 @@
     fn new(setup: Setup, inputs: mpsc::UnboundedSender<Input>) -> std::io::Result<Worker> {
         setup.socket.set_nonblocking(true)?;
         let socket = Arc::new(UdpSocket::from_std(setup.socket)?);
-        let codec = wire::frame::Codec::new(&setup.secret, &setup.member.club);
+        let key = frame::Key::new(&setup.secret, &setup.member.club);
         let now = setup.app.clock.now();
         tasks::receive(
             Arc::clone(&socket),
-            codec.clone(),
+            key.clone(),
             Arc::clone(&setup.app),
             inputs.clone(),
         );
@@ -175,7 +177,8 @@
             log: setup.log,
             server: setup.server,
             socket,
-            codec,
+            key,
+            sent: 0,
             inputs,
             proposals: proposals::Proposals::default(),
             published: publish::Published::default(),
@@ -296,8 +299,14 @@
     }
 
     fn send(&mut self, to: SocketAddr, message: Message) {
-        let frame = self.codec.encode(self.app.me, message);
-        match frame {
+        self.sent += 1;
+        let (sender, counter) = (self.app.me, self.sent);
+        let frame = Frame {
+            sender,
+            counter,
+            message,
+        };
+        match frame.encode(&self.key) {
             // Datagrams may be lost on the way as well; the machine repeats them.
             Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
             Err(Code::FrameOversized) => self.app.metrics.event("frame_oversized"),
--- a/crates/medlarreel/src/control/tasks.rs
+++ b/crates/medlarreel/src/control/tasks.rs
@@ -8,7 +8,7 @@
 use medlarreel_core::ids::{Offset, Upstream};
 use medlarreel_core::record::Record;
 use medlarreel_core::time::Time;
-use medlarreel_core::wire::frame::{Codec, MAX_FRAME};
+use medlarreel_core::wire::frame::{Frame, Key, MAX_FRAME, Replay};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
@@ -109,17 +109,23 @@
 /// Receives frames; counts and drops those that do not pass the checks.
 pub(super) fn receive(
     socket: Arc<UdpSocket>,
-    codec: Codec,
+    key: Key,
     app: Arc<App>,
     inputs: UnboundedSender<Input>,
 ) {
     spawn_local(async move {
         let mut buffer = vec![0; MAX_FRAME + 1];
+        let mut replay = Replay::new();
         loop {
             let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            match codec.decode(&buffer[..length]) {
+            let frame = Frame::decode(&key, &buffer[..length]);
+            let fresh = frame.and_then(|frame| {
+                replay.accept(frame.sender, frame.counter)?;
+                Ok(frame)
+            });
+            match fresh {
                 Ok(frame) => drop(inputs.send(Input::Frame(frame.sender, frame.message))),
                 Err(_) => app.metrics.event("frame_dropped"),
             }
--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -156,7 +156,7 @@
 
 /// Token derived from the secret, so that the secret itself never travels.
 fn peer_token(secret: &str) -> Result<HeaderValue> {
-    let tag = medlarreel_core::wire::frame::token(secret.as_bytes());
+    let tag = medlarreel_core::wire::token::peer_token(secret.as_bytes());
     Ok(HeaderValue::try_from(tag)?)
 }
 
