--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -188,9 +188,9 @@
         if !renewer.is_due(view.now, order.version, peer.session, repeat) {
             return;
         }
-        let sends = view.is_checked(upstream) || instance == order.primary;
-        renewer.sends = sends || (renewer.sends && renewer.told.is_some());
-        renewer.presumed &= !sends;
+        // All senders of an unchecked upstream stopped before another one was named.
+        renewer.sends = view.is_checked(upstream) || instance == order.primary;
+        renewer.presumed &= !renewer.sends;
         renewer.session = peer.session;
         renewer.told = Some((order.version, view.now));
         let assignment = assignment(view, upstream, order, peer.session);
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -1,7 +1,19 @@
 //! Ownership of shards: the dispatcher's rules and runs of a whole club.
 
+#[path = "ownership/checker.rs"]
+mod checker;
+#[path = "ownership/club.rs"]
+mod club;
+#[path = "ownership/net.rs"]
+mod net;
+#[path = "ownership/world.rs"]
+mod world;
+
 use std::time::Duration;
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
 use medlarreel_core::grant::dispatcher::{Action, Dispatcher};
 use medlarreel_core::grant::{Answer, Register};
 use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Service, Shard, Upstream, Version};
@@ -9,6 +21,9 @@
 use medlarreel_core::time::Time;
 use medlarreel_core::wire::{Assignment, Lease, Message};
 
+use club::{SHARDS, Shape, USUAL};
+use world::{MS, World};
+
 const ME: Instance = Instance(7);
 const UPSTREAM: Upstream = Upstream(0);
 const SHARD: Shard = Shard {
@@ -167,3 +182,212 @@
     let stopped = Message::Stopped(UPSTREAM, version(1, 2), Duration::ZERO);
     assert_eq!(dispatcher.in_use(ms(40), UPSTREAM, 0, 0), vec![stopped]);
 }
+
+const SECOND: u64 = 1_000 * MS;
+
+fn assert_clean(world: &World) {
+    let violations = &world.checker.violations;
+    assert!(
+        violations.is_empty(),
+        "{} violations, first: {}",
+        violations.len(),
+        violations[0]
+    );
+}
+
+fn longest_gap(world: &World, from: u64, to: u64) -> u64 {
+    let gaps = world.checker.gaps(from, to, SHARDS, usize::MAX);
+    gaps.into_iter().max().unwrap()
+}
+
+/// Club in which every shard has been served for a while.
+fn settled(seed: u64) -> World {
+    let mut world = World::new(seed, USUAL);
+    world.run_until(8 * SECOND);
+    let gap = longest_gap(&world, 7 * SECOND, 8 * SECOND);
+    assert!(gap < 100 * MS, "not settled: gap of {gap} us");
+    world
+}
+
+/// Ownership of every shard at this moment, by the newest run.
+fn runners(world: &World) -> Vec<usize> {
+    let mut runners = vec![usize::MAX; usize::from(SHARDS)];
+    for run in &world.checker.runs {
+        runners[usize::from(run.shard)] = run.upstream;
+    }
+    runners
+}
+
+/// Guards against a club that does not come into service or stops again.
+#[test]
+fn every_shard_is_served() {
+    let mut world = settled(1);
+    world.run_until(20 * SECOND);
+    assert!(longest_gap(&world, 8 * SECOND, 20 * SECOND) < 100 * MS);
+    assert_clean(&world);
+}
+
+/// Guards against shards that stay with a frozen or killed upstream, and against
+/// two owners when it returns; with and without the log, over a lossy network.
+#[test]
+fn a_lost_upstream_is_replaced_within_3_s() {
+    for seed in 0..16 {
+        let mut world = settled(seed);
+        let (killed, log_away) = (seed % 2 == 0, seed % 4 < 2);
+        world.queue.faults = if seed % 8 < 4 { 5 } else { 0 };
+        if log_away {
+            world.log_away_until = u64::MAX;
+        }
+        if killed {
+            world.servers[2].alive = false;
+        } else {
+            world.servers[2].frozen_until = 14 * SECOND;
+        }
+        world.run_until(20 * SECOND);
+        let gap = longest_gap(&world, 8 * SECOND, 20 * SECOND);
+        println!(
+            "seed {seed}: killed {killed}, log away {log_away}: {} ms",
+            gap / MS
+        );
+        assert!(gap < 3 * SECOND, "seed {seed}: unavailable for {gap} us");
+        assert_clean(&world);
+    }
+}
+
+/// Guards against a takeover that waits for an isolated failure domain, or that
+/// does not wait for its leases.
+#[test]
+fn a_cut_domain_is_replaced_within_3_s() {
+    for seed in 0..12 {
+        let mut world = settled(seed);
+        // Domain 0 contains the holder, whose replacement takes up to 2 s more.
+        let domain = (seed % 3) as usize;
+        world.cut = (domain, 14 * SECOND);
+        world.run_until(20 * SECOND);
+        let gaps = world.checker.gaps(8 * SECOND, 14 * SECOND, SHARDS, domain);
+        let gap = gaps.into_iter().max().unwrap();
+        println!("seed {seed}: domain {domain}: {} ms", gap / MS);
+        let most = if domain == 0 { 5 } else { 3 };
+        assert!(gap < most * SECOND, "seed {seed}: unavailable for {gap} us");
+        assert_clean(&world);
+    }
+}
+
+/// Guards against a move that interrupts service: an upstream joins, another leaves.
+#[test]
+fn planned_moves_take_under_50_ms() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, USUAL);
+        world.servers[5].alive = false;
+        world.run_until(8 * SECOND);
+        let before = runners(&world);
+        world.pace = 2 * MS;
+        world.servers[5].alive = true;
+        world.run_until(12 * SECOND);
+        let joined = runners(&world);
+        world.servers[1].draining = true;
+        world.run_until(16 * SECOND);
+        let left = runners(&world);
+
+        let moved = |a: &[usize], b: &[usize]| a.iter().zip(b).filter(|(a, b)| a != b).count();
+        let (join, leave) = (moved(&before, &joined), moved(&joined, &left));
+        assert!(join > 0 && left.iter().all(|&runner| runner != 1));
+        let gap = longest_gap(&world, 8 * SECOND, 16 * SECOND);
+        println!("seed {seed}: {join} and {leave} shards moved, longest gap {gap} us");
+        assert!(gap < 52 * MS, "seed {seed}: unavailable for {gap} us");
+        assert_clean(&world);
+    }
+}
+
+/// One fault of a random schedule; spans in milliseconds.
+#[derive(Clone, Debug)]
+enum Fault {
+    Pause(usize, u64),
+    Kill(usize),
+    Freeze(usize, u64),
+    Restart(usize),
+    Drain(usize),
+    Join,
+    Cut(usize, u64),
+    LogAway(u64),
+    Lossy(u32),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let span = || 200u64..6_000;
+    prop_oneof![
+        3 => (0usize..6, span()).prop_map(|(index, span)| Fault::Pause(index, span)),
+        2 => (0usize..6).prop_map(Fault::Kill),
+        3 => (0usize..6, span()).prop_map(|(index, span)| Fault::Freeze(index, span)),
+        1 => (0usize..6).prop_map(Fault::Restart),
+        1 => (0usize..6).prop_map(Fault::Drain),
+        1 => Just(Fault::Join),
+        2 => (0usize..3, span()).prop_map(|(domain, span)| Fault::Cut(domain, span)),
+        1 => span().prop_map(Fault::LogAway),
+        2 => (0u32..30).prop_map(Fault::Lossy),
+    ]
+}
+
+fn schedule() -> impl Strategy<Value = (u64, Vec<(u64, Fault)>)> {
+    let faults = proptest::collection::vec((50u64..2_500, fault()), 4..14);
+    (any::<u64>(), faults)
+}
+
+fn inject(world: &mut World, fault: &Fault) {
+    let now = world.now;
+    match *fault {
+        Fault::Pause(index, span) => world.pause(index, span * MS),
+        Fault::Kill(index) => {
+            world.processes[index].alive = false;
+            let domain = World::domain_of(&world.processes[index]) as u64;
+            let id = world.processes.len() as u64 + 1;
+            world.start(club::member(id, domain), 0);
+        }
+        Fault::Freeze(server, span) => world.servers[server].frozen_until = now + span * MS,
+        Fault::Restart(server) => world.restart_server(server),
+        Fault::Drain(server) => world.servers[server].draining ^= true,
+        Fault::Join => world.servers[5].alive = true,
+        Fault::Cut(domain, span) => world.cut = (domain, now + span * MS),
+        Fault::LogAway(span) => world.log_away_until = now + span * MS,
+        Fault::Lossy(percent) => world.queue.faults = percent,
+    }
+}
+
+/// Runs random schedules and returns the number of requests that ran.
+fn explore(cases: u32, shape: Shape) -> usize {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let seed = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, seed);
+    let runs = std::cell::Cell::new(0);
+    let outcome = runner.run(&schedule(), |(seed, faults)| {
+        let mut world = World::new(seed, shape);
+        world.pace = 20 * MS;
+        world.servers[5].alive = false;
+        world.run_until(6 * SECOND);
+        for (delay, fault) in &faults {
+            world.run_until(world.now + delay * MS);
+            inject(&mut world, fault);
+        }
+        world.run_until(world.now + 5 * SECOND);
+        runs.set(runs.get() + world.checker.runs.len());
+        let first = world.checker.violations.first();
+        prop_assert!(first.is_none(), "{}", first.unwrap());
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+    runs.get()
+}
+
+/// Guards against two owners of a shard and against overspent allowances under
+/// any combination of faults.
+#[test]
+fn checked_upstreams_never_share_a_shard() {
+    assert!(explore(96, USUAL) > 0);
+}
--- /dev/null
+++ b/crates/core/tests/ownership/club.rs
@@ -0,0 +1,177 @@
+//! The state of a small club in the log, and its checked preset.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarreel_core::fold::{Active, ClubState, Place, Plan, Published, Release, ServerState};
+use medlarreel_core::fold::{Entry, ServiceState, Settled, State};
+use medlarreel_core::ids::{Domain, Instance, Offset, Service};
+use medlarreel_core::preset::{ClubShare, Fencing, Isolation, Preset, RankLimits, ServiceLimits};
+use medlarreel_core::record::{Member, Server};
+
+pub const SHARDS: u16 = 36;
+pub const SLOTS: u16 = 6;
+pub const CLUB: &str = "kashmir";
+
+/// How a test's club differs from the usual one.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub fencing: Fencing,
+    pub isolation: Isolation,
+    pub lifetime: Option<Duration>,
+    pub budget: u32,
+    pub upstreams: u32,
+    pub instances: u64,
+}
+
+pub const USUAL: Shape = Shape {
+    fencing: Fencing::Checked,
+    isolation: Isolation::Lapse,
+    lifetime: None,
+    budget: 30,
+    upstreams: 6,
+    instances: 6,
+};
+
+pub fn member(id: u64, domain: u64) -> Member {
+    Member {
+        instance: Instance(id),
+        club: CLUB.into(),
+        domain: format!("d{domain}"),
+        peers: "127.0.0.1:7000".parse().unwrap(),
+    }
+}
+
+fn service(name: &str, keyed: bool, shape: Shape) -> ServiceLimits {
+    ServiceLimits {
+        name: name.into(),
+        club: CLUB.into(),
+        keyed,
+        shards: if keyed { SHARDS } else { 1 },
+        slots: SLOTS,
+        connections: 100,
+        fencing: shape.fencing,
+        isolation: shape.isolation,
+        request_lifetime: shape.lifetime,
+        deduplicates: false,
+        queue: 100,
+        max_body: 1_000,
+    }
+}
+
+fn preset(shape: Shape) -> Preset {
+    let limits = RankLimits {
+        deadline: Duration::from_secs(1),
+        floor: 0,
+    };
+    let share = ClubShare {
+        name: CLUB.into(),
+        share: 100,
+        weight: 1,
+    };
+    Preset {
+        name: "ordinary".into(),
+        budget: shape.budget,
+        clubs: vec![share],
+        services: vec![
+            service("intake", true, shape),
+            service("workshop", false, shape),
+        ],
+        ranks: [limits.clone(), limits.clone(), limits],
+        retry: 10,
+    }
+}
+
+/// Upstreams of `intake`, then one of `workshop`, in three domains.
+fn server(index: u32, shape: Shape) -> ServerState {
+    let keyed = index < shape.upstreams;
+    let (service, name) = if keyed {
+        (0, "intake")
+    } else {
+        (1, "workshop")
+    };
+    let domain = index % 3;
+    ServerState {
+        server: Server {
+            name: format!("{name}-{index}"),
+            service: name.into(),
+            domain: format!("d{domain}"),
+            address: "127.0.0.1:8000".parse().unwrap(),
+            fencing: shape.fencing,
+            weight: SLOTS,
+        },
+        service: Service(service),
+        domain: Domain(domain as u16),
+    }
+}
+
+type Parts = (
+    Offset,
+    BTreeMap<String, Published>,
+    Option<Active>,
+    Vec<ClubState>,
+    Vec<String>,
+    Vec<ServiceState>,
+    Vec<ServerState>,
+    VecDeque<Release>,
+    VecDeque<Settled>,
+    VecDeque<Entry>,
+);
+
+/// The state after the records that set the club up.
+///
+/// It is read from its serialized form, so that these tests need neither the
+/// text of a preset nor its parser.
+pub fn state(shape: Shape) -> State {
+    let members = (0..shape.instances).map(|id| member(id + 1, id % 3));
+    let club = ClubState {
+        name: CLUB.into(),
+        term: Offset(0),
+        highest: None,
+        heard: Offset(0),
+        members: members.collect(),
+        version: 1,
+        reserved: shape.budget,
+    };
+    let active = Active {
+        count: 1,
+        version: 1,
+        since: Offset(1),
+        preset: Arc::new(preset(shape)),
+    };
+    let places = vec![Place::default(); usize::from(SHARDS)];
+    let services = [("intake", places), ("workshop", Vec::new())];
+    let services = services.map(|(name, places)| ServiceState {
+        name: name.into(),
+        plan: Plan { version: 0, places },
+    });
+    let parts: Parts = (
+        Offset(10),
+        BTreeMap::new(),
+        Some(active),
+        vec![club],
+        vec!["d0".into(), "d1".into(), "d2".into()],
+        services.into(),
+        (0..=shape.upstreams)
+            .map(|index| server(index, shape))
+            .collect(),
+        VecDeque::new(),
+        VecDeque::new(),
+        VecDeque::new(),
+    );
+    let bytes = postcard::to_stdvec(&parts).unwrap();
+    postcard::from_bytes(&bytes).unwrap()
+}
+
+/// The state with another budget, as after an activation.
+pub fn with_budget(state: &State, budget: u32) -> State {
+    let bytes = postcard::to_stdvec(state).unwrap();
+    let mut parts: Parts = postcard::from_bytes(&bytes).unwrap();
+    let active = parts.2.as_mut().unwrap();
+    Arc::make_mut(&mut active.preset).budget = budget;
+    active.count += 1;
+    let reserved = &mut parts.3[0].reserved;
+    *reserved = (*reserved).max(budget);
+    postcard::from_bytes(&postcard::to_stdvec(&parts).unwrap()).unwrap()
+}
