--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -278,7 +278,8 @@
         }
     }
 
-    /// Oldest entry of the lowest rank that has more entries than its floor.
+    /// Entry that goes: of the lowest rank that has more entries than its floor,
+    /// the oldest one of the club with the most entries for its weight.
     fn choose_victim(&self) -> Option<u64> {
         let over = |rank: &Rank| {
             let floor = self.floors.entries(*rank, self.limits.entries);
--- a/crates/core/src/admission/backlog.rs
+++ b/crates/core/src/admission/backlog.rs
@@ -1,5 +1,6 @@
-//! Waiting entries, ordered by class and deadline, and by age within a rank.
+//! Waiting entries, ordered by deadline and by age within their class.
 
+use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeMap;
 
 use medlarreel_macros::data;
@@ -35,6 +36,7 @@
     /// Slot time received so far, divided by weight.
     pass: i128,
     order: BTreeMap<(Time, u64), u64>,
+    ages: BTreeMap<u64, u64>,
 }
 
 /// Entries of one rank.
@@ -43,7 +45,8 @@
     classes: Vec<Class>,
     /// Virtual time of the class that was served last.
     clock: i128,
-    ages: BTreeMap<u64, u64>,
+    /// Number of entries of all classes.
+    len: usize,
 }
 
 /// Waiting entries of all ranks.
@@ -70,7 +73,7 @@
     }
 
     pub fn len_of(&self, rank: Rank) -> usize {
-        self.lanes[rank.index()].ages.len()
+        self.lanes[rank.index()].len
     }
 
     pub fn contains(&self, id: u64) -> bool {
@@ -89,10 +92,14 @@
         Some(self.places[id].entry)
     }
 
-    /// Id of the entry of a rank that was queued first.
+    /// Oldest entry of the rank's class that has the most entries for its weight.
+    ///
+    /// If the rank's oldest entry went instead, a club that floods a rank would
+    /// push out the few entries of the others before their turn.
     pub fn oldest(&self, rank: Rank) -> Option<u64> {
-        let (_, id) = self.lanes[rank.index()].ages.first_key_value()?;
-        Some(*id)
+        let classes = self.lanes[rank.index()].classes.iter();
+        let class = classes.max_by(|one, other| one.compare_excess(other))?;
+        class.ages.first_key_value().map(|(_, id)| *id)
     }
 
     /// Earliest deadline of all entries.
@@ -168,7 +175,7 @@
         Lane {
             classes,
             clock: 0,
-            ages: BTreeMap::new(),
+            len: 0,
         }
     }
 
@@ -182,15 +189,16 @@
         class
             .order
             .insert((ticket.deadline, place.sequence), ticket.id);
-        self.ages.insert(place.sequence, ticket.id);
+        class.ages.insert(place.sequence, ticket.id);
+        self.len += 1;
     }
 
     fn remove(&mut self, place: &Place) {
         let deadline = place.entry.ticket.deadline;
-        self.classes[place.class]
-            .order
-            .remove(&(deadline, place.sequence));
-        self.ages.remove(&place.sequence);
+        let class = &mut self.classes[place.class];
+        class.order.remove(&(deadline, place.sequence));
+        class.ages.remove(&place.sequence);
+        self.len -= 1;
     }
 
     /// Id at the head of the class that has received the least for its weight.
@@ -208,6 +216,16 @@
             weight: i128::from(weight.max(1)),
             pass: 0,
             order: BTreeMap::new(),
+            ages: BTreeMap::new(),
         }
     }
+
+    /// Orders classes by entries for their weight, then by the age of the oldest.
+    fn compare_excess(&self, other: &Class) -> Ordering {
+        let entries = |class: &Class| class.ages.len() as i128;
+        let mine = entries(self) * other.weight;
+        let theirs = entries(other) * self.weight;
+        let oldest = |class: &Class| class.ages.first_key_value().map(|(age, _)| Reverse(*age));
+        mine.cmp(&theirs).then(oldest(self).cmp(&oldest(other)))
+    }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -208,8 +208,23 @@
             let ranks = self.waiting.iter().map(|(ticket, _)| ticket.rank);
             ranks.max().expect("something waits")
         });
-        let oldest = self.waiting.iter().position(|(t, _)| t.rank == rank);
-        let (ticket, _) = self.waiting.remove(oldest.expect("rank has entries"));
+        let excess = |ticket: &Ticket| {
+            let class = |one: &Ticket| (one.rank, one.club);
+            let peers = self
+                .waiting
+                .iter()
+                .filter(|(t, _)| class(t) == class(ticket));
+            peers.count() * if ticket.club == Club(0) { 1 } else { 3 }
+        };
+        let of_rank = self.waiting.iter().filter(|(t, _)| t.rank == rank);
+        let most = of_rank.map(|(t, _)| excess(t)).max();
+        let oldest = |(t, _): &(Ticket, u64)| t.rank == rank && Some(excess(t)) == most;
+        let at = self
+            .waiting
+            .iter()
+            .position(oldest)
+            .expect("rank has entries");
+        let (ticket, _) = self.waiting.remove(at);
         assert_eq!(ticket.id, id);
     }
 
@@ -317,6 +332,21 @@
     );
 }
 
+/// Guards against a club's flood pushing out the other clubs' entries of its rank.
+#[test]
+fn a_flooding_club_loses_its_own_entries() {
+    let mut queue = Queue::new(limits(10, 0, [0; 3]));
+    let mut calm = ticket(0, Rank::Order, 9_000);
+    calm.club = Club(1);
+    queue.push(Time(0), calm);
+
+    let pushed = |id| queue.push(Time(id), ticket(id, Rank::Order, 9_000));
+    let events: Vec<Event> = (1..100).flat_map(pushed).collect();
+
+    assert_eq!(events.len(), 90);
+    assert!(!events.contains(&Event::Shed(0)));
+}
+
 /// Guards against a club that served alone for long being locked out by a newcomer.
 #[test]
 fn an_idle_club_saves_up_no_claim() {
