--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -71,8 +71,6 @@
     pub club: Club,
     /// When it was started.
     pub since: Time,
-    expected: i64,
-    by_floor: bool,
 }
 
 /// Waiting and running requests of one upstream.
@@ -207,10 +205,8 @@
         let Some(running) = self.running.remove(&id) else {
             return false;
         };
-        let actual = micros(now.0.saturating_sub(running.since.0));
-        let error = actual - running.expected;
-        self.estimates[running.rank.index()].observe(actual);
-        self.charge(running.rank, running.club, error, running.by_floor);
+        let length = now.0.saturating_sub(running.since.0);
+        self.estimates[running.rank.index()].observe(micros(length));
         true
     }
 
@@ -310,21 +306,23 @@
             self.lapsed.push(ticket.id);
             return None;
         }
-        let expected = self.cost(ticket.rank);
         let running = Running {
             rank: ticket.rank,
             club: ticket.club,
             since: now,
-            expected,
-            by_floor,
         };
         self.running.insert(ticket.id, running);
-        self.charge(ticket.rank, ticket.club, expected, by_floor);
+        self.charge(ticket.rank, ticket.club, by_floor);
         Some(ticket.id)
     }
 
-    /// Accounts slot time to a rank and a club; negative amounts correct an estimate.
-    fn charge(&mut self, rank: Rank, club: Club, cost: i64, by_floor: bool) {
+    /// Accounts the expected slot time of a started request to its rank and club.
+    ///
+    /// The smoothed mean adds up to the true slot time over some dozens of runs.
+    /// Charging each run's true length instead made the floors' service bursty,
+    /// and a short queue ran empty in each burst.
+    fn charge(&mut self, rank: Rank, club: Club, by_floor: bool) {
+        let cost = self.cost(rank);
         self.backlog.charge(rank, club, cost);
         for other in Rank::ALL {
             if other == rank || self.backlog.len_of(other) > 0 {
--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -7,9 +7,14 @@
 /// Run time that is assumed before the first one is measured, in microseconds.
 const FIRST_ESTIMATE: i64 = 1_000;
 
-/// Run times that a rank's account may be ahead or behind by. A single request
-/// that hangs must not cost its rank the floor for minutes.
-const ACCOUNT_BOUND: i64 = 8;
+/// Mean run times that a rank's account may be ahead or behind by.
+const ACCOUNT_BOUND: i64 = 32;
+
+/// Runs over which the mean is smoothed.
+const SMOOTHING: i64 = 32;
+
+/// Runs after which the largest run time has decayed by a factor of e.
+const MEMORY: i64 = 256;
 
 /// Slot time owed to each rank because of its floor, in hundredths of a microsecond.
 #[data(plain)]
@@ -52,10 +57,10 @@
     /// Time that the rank received by priority leaves no debt.
     pub fn spend(&mut self, rank: Rank, cost: i64, by_floor: bool) {
         let owed = &mut self.owed[rank.index()];
-        if by_floor {
-            *owed -= 100 * cost;
-        } else if cost > 0 {
-            *owed = (*owed - 100 * cost).max((*owed).min(0));
+        let before = *owed;
+        *owed -= 100 * cost;
+        if !by_floor {
+            *owed = (*owed).max(before.min(0));
         }
     }
 
@@ -77,12 +82,12 @@
     percent
 }
 
-/// Smoothed mean and deviation of run times, in microseconds.
+/// Smoothed mean and recent maximum of run times, in microseconds.
 #[data(plain)]
 #[derive(Default)]
 pub struct Estimate {
     mean: Option<i64>,
-    deviation: i64,
+    longest: i64,
 }
 
 impl Estimate {
@@ -92,21 +97,16 @@
 
     /// Run time that few requests exceed; 0 before the first measurement.
     ///
-    /// Mean plus four deviations, as TCP sets its retransmission timer: it
-    /// covers 98% of exponentially distributed run times.
+    /// A mean with deviations misses rare long runs: with one run in twenty
+    /// twenty times longer, a third of the slot time went to late answers. A
+    /// quarter is added because the maximum decays between two long runs.
     pub fn longest(&self) -> u64 {
-        let mean = self.mean.unwrap_or(0);
-        (mean + 4 * self.deviation).unsigned_abs()
+        (self.longest + self.longest / 4).unsigned_abs()
     }
 
     pub fn observe(&mut self, sample: i64) {
-        let Some(mean) = &mut self.mean else {
-            self.mean = Some(sample);
-            self.deviation = sample / 2;
-            return;
-        };
-        let error = sample - *mean;
-        *mean += error / 8;
-        self.deviation += (error.abs() - self.deviation) / 4;
+        self.longest = sample.max(self.longest - self.longest / MEMORY);
+        let mean = self.mean.get_or_insert(sample);
+        *mean += (sample - *mean) / SMOOTHING;
     }
 }
