--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -162,12 +162,12 @@
             let weight = u64::from(self.weight(now, candidate.upstream));
             let queue = (u64::from(candidate.queue) + 1) * 1_000_000;
             let load = queue.checked_div(weight)?;
-            Some((load, candidate.reported.unwrap_or(u32::MAX)))
+            let reported = candidate.reported.unwrap_or(u32::MAX);
+            let order = scramble(draw, candidate.upstream);
+            Some((load, reported, order, candidate.upstream))
         };
-        let least = candidates.iter().filter_map(load).min()?;
-        let tied = || candidates.iter().filter(|one| load(one) == Some(least));
-        let index = draw % tied().count() as u64;
-        tied().nth(index as usize).map(|one| one.upstream)
+        let (.., upstream) = candidates.iter().filter_map(load).min()?;
+        Some(upstream)
     }
 
     /// Upstreams that may be ejected at once: a third of those that stay.
@@ -266,3 +266,9 @@
         }
     }
 }
+
+/// Order of an upstream among equals, different for each draw.
+fn scramble(draw: u64, upstream: Upstream) -> u64 {
+    let mixed = draw ^ u64::from(upstream.0).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    (mixed ^ (mixed >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93)
+}
--- a/crates/core/tests/admission/flood.rs
+++ b/crates/core/tests/admission/flood.rs
@@ -230,8 +230,16 @@
     });
 }
 
-/// Guards against a flood of the most urgent rank starving the others.
+/// Guards against a flood of the most urgent rank starving the others, and
+/// against floors that take more than their part from urgent work.
 #[test]
 fn a_status_flood_leaves_the_floors() {
-    compare(Rank::Status, check_common);
+    compare(Rank::Status, |slots, calm, flooded| {
+        check_common(slots, calm, flooded);
+        for rank in [1, 2] {
+            let share = flooded.given[rank] as f64 / (u64::from(slots) * LENGTH) as f64;
+            let floor = f64::from(FLOORS[rank]) / 100.0;
+            assert!(share <= 1.05 * floor, "rank {rank} took {share:.4}");
+        }
+    });
 }
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -137,6 +137,33 @@
     assert_eq!(group.choose(Time(0), &[], 0), None);
 }
 
+/// Guards against all instances sending to the same one of several equal upstreams.
+#[test]
+fn draws_spread_over_equal_upstreams() {
+    let group = group(4);
+    let candidate = |key| Candidate {
+        upstream: Upstream(key),
+        queue: 0,
+        reported: None,
+    };
+    let candidates = [0, 1, 2, 3].map(candidate);
+    let mut counts = [0; 4];
+
+    for draw in 0..4_000_u64 {
+        let chosen = group.choose(
+            Time(0),
+            &candidates,
+            draw.wrapping_mul(0xA076_1D64_78BD_642F),
+        );
+        counts[chosen.expect("all are alive").0 as usize] += 1;
+    }
+
+    assert!(
+        counts.iter().all(|count| (800..1_200).contains(count)),
+        "{counts:?}"
+    );
+}
+
 proptest! {
     /// Guards against an instance with a fault of its own ejecting the fleet.
     #[test]
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod dedup;
 pub mod fold;
+pub mod health;
 pub mod retry;
 pub mod sharing;
 pub mod sizes;
@@ -22,7 +23,7 @@
 
 type Command = (&'static str, &'static str, fn() -> Vec<Table>);
 
-const COMMANDS: [Command; 7] = [
+const COMMANDS: [Command; 8] = [
     (
         "sharing",
         "ways to share an upstream's slots, in virtual time",
@@ -35,6 +36,7 @@
     ),
     ("dedup", "begin and finish by entries", dedup::tables),
     ("retry", "earn and decide by requests", retry::tables),
+    ("health", "choose and review by upstreams", health::tables),
     (
         "fold",
         "apply by shards and members, and memory",
--- a/crates/load/src/slopes/fold.rs
+++ b/crates/load/src/slopes/fold.rs
@@ -17,7 +17,7 @@
 
 /// Tables by shards and by members.
 pub fn tables() -> Vec<Table> {
-    vec![by_shards(), by_members()]
+    vec![by_shards(), by_members(), by_outcomes()]
 }
 
 fn by_shards() -> Table {
@@ -89,6 +89,28 @@
     table
 }
 
+fn by_outcomes() -> Table {
+    let columns = ["records", "alive ns", "slope", "state bytes"];
+    let mut table = Table::new("fold::State apply, by records applied before", &columns);
+    let mut last = None;
+    for records in [16, 256, 4_096, 65_536] {
+        let mut state = with_members(10);
+        (0..records).for_each(|_| apply(&mut state, Body::Alive(author())));
+        let alive = measure(&state, APPLIES, |state| {
+            (0..APPLIES).for_each(|_| apply(state, Body::Alive(author())));
+        });
+        let size = f64::from(records);
+        table.row(vec![
+            records.to_string(),
+            format!("{alive:.0}"),
+            slope(last, size, alive),
+            format!("{:.0}", heap_bytes(&state)),
+        ]);
+        last = Some((size, alive));
+    }
+    table
+}
+
 /// Applies a record that must be accepted.
 fn apply(state: &mut State, body: Body) {
     let offset = state.next();
