--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -66,6 +66,7 @@
     ClubState {
         name: "kashmir".to_owned(),
         term: Offset(term),
+        first: true,
         highest: None,
         heard: Offset(0),
         members: members.iter().copied().map(member).collect(),
--- a/crates/core/tests/frame.rs
+++ b/crates/core/tests/frame.rs
@@ -5,6 +5,7 @@
 use hmac::{Hmac, Mac};
 use medlarreel_core::code::Code;
 use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Service, Shard, Upstream, Version};
+use medlarreel_core::preset::Fencing;
 use medlarreel_core::record::Member;
 use medlarreel_core::wire::frame::{Key, MAX_FRAME, Replay, SENDERS, VERSION, WINDOW};
 use medlarreel_core::wire::{Ask, Assignment, Frame, Message, Report};
@@ -40,6 +41,8 @@
         },
         upstream: Upstream(4),
         incarnation: 5,
+        session: 6,
+        fencing: Fencing::Checked,
         shards: (0..shards).map(shard).collect(),
         allowance: 6,
         primary: Instance(7),
@@ -59,6 +62,8 @@
         highest: ballot(),
         next: Offset(3),
         leaving: false,
+        session: 4,
+        older: 5,
         upstreams: Vec::new(),
     })
 }
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -37,7 +37,7 @@
 
 fn ballot(round: u32) -> Ballot {
     Ballot {
-        term: Offset(0),
+        term: Offset(1),
         round,
         instance: Instance(1),
     }
@@ -50,7 +50,7 @@
 
 fn epoch(count: u64) -> Epoch {
     Epoch {
-        term: Offset(0),
+        term: Offset(1),
         round: 1,
         count,
     }
--- a/crates/core/tests/ownership/club.rs
+++ b/crates/core/tests/ownership/club.rs
@@ -103,6 +103,7 @@
         },
         service: Service(service),
         domain: Domain(domain as u16),
+        since: Offset(0),
     }
 }
 
@@ -127,7 +128,9 @@
     let members = (0..shape.instances).map(|id| member(id + 1, id % 3));
     let club = ClubState {
         name: CLUB.into(),
-        term: Offset(0),
+        // Every club with members has had a `Reset`; this one's is its first.
+        term: Offset(1),
+        first: true,
         highest: None,
         heard: Offset(0),
         members: members.collect(),
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -6,7 +6,7 @@
 use medlarreel_core::grant::dispatcher::{self, Dispatcher, Permit};
 use medlarreel_core::grant::{Answer, Register, Request};
 use medlarreel_core::holder::{self, Holder};
-use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Proposal, Service, Shard, Upstream};
+use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Proposal, Shard, Upstream};
 use medlarreel_core::preset::Fencing;
 use medlarreel_core::record::{Body, Member, Record};
 use medlarreel_core::time::Time;
@@ -14,7 +14,7 @@
 use rand::Rng;
 
 use crate::checker::{Checker, Run};
-use crate::club::{self, CLUB, SHARDS, Shape};
+use crate::club::{self, CLUB, Shape};
 use crate::net::{Clock, Queue};
 
 pub const MS: u64 = 1_000;
@@ -102,7 +102,7 @@
             cut: (9, 0),
             deaf: None,
             limit: shape.budget,
-            term: Offset(0),
+            term: Offset(1),
             round: 0,
             pace: STEP,
         };
@@ -264,7 +264,7 @@
         let now = self.local(index);
         let process = &mut self.processes[index];
         let ballot = Ballot {
-            term: if group == 0 { Offset(0) } else { self.term },
+            term: if group == 0 { Offset(1) } else { self.term },
             round: self.round,
             instance: process.member.instance,
         };
@@ -361,7 +361,7 @@
         let mut observed = process.dispatcher.observed(now);
         let dispatcher = &process.dispatcher;
         let least = Ballot {
-            term: Offset(0),
+            term: Offset(1),
             round: 0,
             instance: Instance(0),
         };
