--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -71,10 +71,13 @@
 #[test]
 fn silence_counts_only_while_nothing_answers() {
     let mut group = group(3);
-    for upstream in 0..2 {
+    for upstream in 0..3 {
         group.observe(Time(0), Upstream(upstream), Evidence::Sent);
     }
-    group.observe(Time(900 * MS), Upstream(0), Evidence::Abandoned);
+    // Upstream 2 has nothing outstanding afterwards, so no answer is due.
+    for upstream in [0, 2] {
+        group.observe(Time(900 * MS), Upstream(upstream), Evidence::Abandoned);
+    }
     exchange(&mut group, 1_000 * MS, 0, Evidence::Probed);
 
     group.review(Time(1_600 * MS));
