--- a/crates/load/src/slopes/sharing.rs
+++ b/crates/load/src/slopes/sharing.rs
@@ -24,6 +24,8 @@
 const SERVICE: f64 = 5_000.0;
 /// One way between two processes of a failure domain, in microseconds.
 const HOP: u64 = 250;
+/// Hops of the table that varies them, in microseconds.
+const HOPS: [u64; 4] = [25, 100, 250, 500];
 const DEADLINES: [u64; 3] = [100_000, 200_000, 500_000];
 const SEEDS: u64 = 5;
 
@@ -73,39 +75,58 @@
     },
 ];
 
-/// One table for each number of slots and regime.
+/// Figures of a run, in the order of the columns.
+const COLUMNS: [&str; 7] = [
+    "way",
+    "wasted slots %",
+    "overrun sends %",
+    "status p50 ms",
+    "status p99 ms",
+    "status in time %",
+    "useful work %",
+];
+
+/// One table for each number of slots and regime, and one by hop.
 pub fn tables() -> Vec<Table> {
-    let sizes = [2, 6].into_iter();
-    sizes
-        .flat_map(|slots| REGIMES.map(|(name, load)| compare(slots, name, load)))
-        .collect()
+    let regimes = |slots| REGIMES.map(|(name, load)| compare(slots, name, load));
+    let mut tables: Vec<Table> = [2, 6].into_iter().flat_map(regimes).collect();
+    tables.push(by_hop());
+    tables
 }
 
 fn compare(slots: u64, regime: &str, load: [f64; 3]) -> Table {
     let title = format!(
-        "sharing {slots} slots among {INSTANCES} instances, {regime}, {SEEDS} seeds: median (min..max)"
+        "sharing {slots} slots among {INSTANCES} instances, {regime}, hop {HOP} us, {SEEDS} seeds: median (min..max)"
     );
-    let columns = [
-        "way",
-        "wasted slots %",
-        "overrun sends %",
-        "status p50 ms",
-        "status p99 ms",
-        "status in time %",
-        "useful work %",
-    ];
-    let mut table = Table::new(&title, &columns);
+    let mut table = Table::new(&title, &COLUMNS);
     for way in WAYS {
-        let runs: Vec<[f64; 6]> = (0..SEEDS)
-            .map(|seed| Bench::new(way, slots, load, seed).run())
-            .collect();
-        let mut cells = vec![way.name.to_owned()];
-        cells.extend((0..6).map(|column| spread(runs.iter().map(|run| run[column]).collect())));
-        table.row(cells);
+        add_row(&mut table, way.name.to_owned(), way, slots, load, HOP);
     }
     table
 }
 
+/// The ways that keep the slot count, by the length of a hop.
+fn by_hop() -> Table {
+    let (regime, load) = REGIMES[1];
+    let title = format!("sharing 2 slots, {regime}, by hop, {SEEDS} seeds: median (min..max)");
+    let mut table = Table::new(&title, &COLUMNS);
+    for hop in HOPS {
+        for way in &WAYS[2..] {
+            let name = format!("{}, hop {hop} us", way.name);
+            add_row(&mut table, name, *way, 2, load, hop);
+        }
+    }
+    table
+}
+
+fn add_row(table: &mut Table, name: String, way: Way, slots: u64, load: [f64; 3], hop: u64) {
+    let run = |seed| Bench::new(way, slots, load, hop, seed).run();
+    let runs: Vec<[f64; 6]> = (0..SEEDS).map(run).collect();
+    let mut cells = vec![name];
+    cells.extend((0..6).map(|column| spread(runs.iter().map(|run| run[column]).collect())));
+    table.row(cells);
+}
+
 fn spread(mut values: Vec<f64>) -> String {
     values.sort_by(f64::total_cmp);
     let (low, high) = (values[0], values[values.len() - 1]);
@@ -135,6 +156,7 @@
 struct Bench {
     way: Way,
     slots: u64,
+    hop: u64,
     rates: [f64; 3],
     draws: [StdRng; 3],
     queues: Vec<Queue>,
@@ -154,7 +176,7 @@
 }
 
 impl Bench {
-    fn new(way: Way, slots: u64, load: [f64; 3], seed: u64) -> Bench {
+    fn new(way: Way, slots: u64, load: [f64; 3], hop: u64, seed: u64) -> Bench {
         let capacity = slots as f64 / SERVICE;
         let count = (way.queues)(slots);
         let limits = Limits {
@@ -167,6 +189,7 @@
         Bench {
             way,
             slots,
+            hop,
             rates: load.map(|part| part * capacity),
             draws: [0, 1, 2].map(|rank| StdRng::seed_from_u64(seed * 3 + rank)),
             queues: (0..count).map(|_| Queue::new(limits.clone())).collect(),
@@ -252,7 +275,7 @@
         };
         self.jobs.insert(id, job);
         self.arrived += u64::from(rank == 0);
-        self.later(now + away * HOP, Step::Push(id));
+        self.later(now + away * self.hop, Step::Push(id));
     }
 
     fn push(&mut self, now: u64, id: u64) {
@@ -267,7 +290,7 @@
     fn start(&mut self, now: u64, queue: usize) {
         while let Some(id) = self.queues[queue].next(Time(now)) {
             let lent = u64::from(self.way.lends) * self.jobs[&id].away;
-            self.later(now + (lent + 1) * HOP, Step::Begin(id));
+            self.later(now + (lent + 1) * self.hop, Step::Begin(id));
         }
         for id in self.queues[queue].expire(Time(now)) {
             self.jobs.remove(&id);
@@ -278,7 +301,7 @@
         self.sends += 1;
         if self.busy == self.slots {
             self.refused += 1;
-            self.later(now + HOP, Step::Done(id));
+            self.later(now + self.hop, Step::Done(id));
             return;
         }
         self.busy += 1;
@@ -290,7 +313,7 @@
         let job = self.jobs[&id];
         // A lent slot is used by the caller's own instance, so its answer takes one hop.
         let forwarded = u64::from(!self.way.lends) * job.away;
-        let answered = now + (1 + forwarded) * HOP;
+        let answered = now + (1 + forwarded) * self.hop;
         if answered <= job.ticket.deadline.0 {
             self.useful += job.length;
             self.in_time += u64::from(job.ticket.rank == Rank::Status);
@@ -299,7 +322,7 @@
             self.latency.saturating_record(answered - job.arrived);
         }
         let returned = u64::from(self.way.lends) * job.away;
-        self.later(now + (1 + returned) * HOP, Step::Done(id));
+        self.later(now + (1 + returned) * self.hop, Step::Done(id));
     }
 
     fn done(&mut self, now: u64, id: u64) {
--- a/crates/load/src/slopes/sizes.rs
+++ b/crates/load/src/slopes/sizes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarreel_core::ids::{Epoch, Instance, Offset, Proposal, Service, Shard, Upstream, Version};
-use medlarreel_core::record::{Body, Chunk, Record, Released};
+use medlarreel_core::record::{Author, Body, Chunk, Record, Released};
 use medlarreel_core::wire::{Ask, Assignment, Frame, Lease, Message, Observed, Report, Vote};
 
 use super::fold::{author, member, plan, server};
@@ -87,14 +87,14 @@
             voter: member(BIG),
         },
     );
-    add("Lead", "-", Body::Lead(author()));
-    add("Admit", "-", Body::Admit(author(), member(BIG)));
+    add("Lead", "-", Body::Lead(holder()));
+    add("Admit", "-", Body::Admit(holder(), member(BIG)));
     let (instance, cause) = (Instance(BIG), "silent for 3 s".to_owned());
     add(
         "Remove",
         "-",
         Body::Remove {
-            author: author(),
+            author: holder(),
             instance,
             cause,
         },
@@ -104,14 +104,18 @@
         add(
             "Enroll",
             &format!("{servers} upstreams"),
-            Body::Enroll(author(), list),
+            Body::Enroll(holder(), list),
         );
     }
     for changes in [1, 69, 1_024, 10_000] {
-        add("Plan", &format!("{changes} changes"), plan(500, changes));
+        add(
+            "Plan",
+            &format!("{changes} changes"),
+            by_holder(plan(500, changes)),
+        );
     }
-    add("Yield", "-", Body::Yield(author(), 500));
-    add("Alive", "-", Body::Alive(author()));
+    add("Yield", "-", Body::Yield(holder(), 500));
+    add("Alive", "-", Body::Alive(holder()));
     let chunk = Chunk {
         upto: Offset(1_000_000),
         index: 1,
@@ -140,6 +144,20 @@
     ballot
 }
 
+/// Author with a ballot of realistic size.
+fn holder() -> Author {
+    let mut author = author();
+    author.ballot = ballot();
+    author
+}
+
+fn by_holder(mut body: Body) -> Body {
+    if let Body::Plan { author, .. } = &mut body {
+        *author = holder();
+    }
+    body
+}
+
 fn version() -> Version {
     Version {
         ballot: ballot(),
