--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -342,7 +342,7 @@
         }
     }
 
-    fn to_holder(&mut self, from: usize, message: Message) {
+    fn holder_receives(&mut self, from: usize, message: Message) {
         if let Some(holder) = self.holder_of(self.processes[from].group) {
             let to = self.processes[holder].member.instance;
             self.send(from, to, message);
@@ -381,7 +381,7 @@
             });
         }
         for report in reports {
-            self.to_holder(index, Message::Report(report));
+            self.holder_receives(index, Message::Report(report));
         }
     }
 
@@ -498,7 +498,7 @@
         let upstream = Upstream(server as u32);
         let messages = process.dispatcher.in_use(now, upstream, open, open);
         for message in messages {
-            self.to_holder(index, message);
+            self.holder_receives(index, message);
         }
     }
 
@@ -588,7 +588,7 @@
         let process = &mut self.processes[index];
         let news = process.dispatcher.answered(now, upstream, asked, answer);
         if let Some(news) = news {
-            self.to_holder(index, news);
+            self.holder_receives(index, news);
         }
         self.tick_dispatcher(index);
     }
