Release all ballots of a resigning instance

A holder whose attempt at a higher ballot had failed gave up only its present ballot, so that some voters stayed bound to it for the rest of their vote.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -324,6 +324,7 @@
             && known
     }
 
+    /// Highest ballot for the answer; round 0 stands for none.
     fn highest(&self) -> Ballot {
         self.voter.highest().unwrap_or(Ballot {
             term: self.term,
@@ -373,6 +374,12 @@
 
     fn next_ballot(&mut self) -> Ballot {
         self.round = self.round.saturating_add(1);
+        self.own_ballot()
+    }
+
+    /// Ballot of this instance for the highest round; no ballot that it has
+    /// used is higher.
+    fn own_ballot(&self) -> Ballot {
         Ballot {
             term: self.term,
             round: self.round,
@@ -465,11 +472,11 @@
     /// Gives up every ballot so far and tells the voters.
     fn give_up(&mut self, now: Time) {
         self.previous = None;
-        let last = self.trial.take().or(self.held.take());
-        self.held = None;
-        let Some(ballot) = last.map(|candidacy| candidacy.ballot()) else {
+        let candidacies = [self.trial.take(), self.held.take()];
+        if candidacies.iter().all(Option::is_none) {
             return;
-        };
+        }
+        let ballot = self.own_ballot();
         self.voter.release(now, ballot);
         self.stand_at = None;
         // Questions that were not sent yet must not follow the resignation.
