--- a/crates/core/tests/extension.rs
+++ b/crates/core/tests/extension.rs
@@ -275,6 +275,20 @@
     assert_eq!(long, Some(Message::Withheld(3)));
 }
 
+/// Guards against support that a member gave between two promises.
+#[test]
+fn promise_counts_from_the_last_interruption() {
+    let mut holder = Withholding::new(HOLDER, [Instance(1)]);
+    for at in [0, 3 * SECOND] {
+        let question = holder.tick(Time(at)).remove(0);
+        if let (member, Message::Withhold(nonce, _)) = question {
+            holder.withheld(Time(at), member, nonce);
+        }
+    }
+
+    assert!(!holder.is_free(Time(3 * SECOND)));
+}
+
 /// Guards against a majority of new members that knows nothing of the support
 /// which the members before them gave.
 #[test]
