Bound allowances after a takeover, learn of newer holders from upstreams

An unaccounted upstream could be given more slots than it had, while the old holder's allowances elsewhere were still in force. A dispatcher of an older term went on after an upstream followed the new one, and could regrant a restarted upstream.

--- a/crates/core/src/grant/dispatcher.rs
+++ b/crates/core/src/grant/dispatcher.rs
@@ -234,6 +234,12 @@
         answer: Answer,
     ) -> Option<Message> {
         self.lapse(now);
+        // An upstream that follows a newer holder reveals it. Without this, a
+        // cut-off majority of an older term would go on, and could grant shards
+        // again to an upstream that restarts and forgets the newer version.
+        if let Some(version) = answer.version {
+            self.learn(now, version.ballot);
+        }
         let entry = self.entries.get_mut(&upstream)?;
         entry.answered(now, upstream, asked, answer)
     }
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -155,6 +155,8 @@
     /// Takes in an instance's report; `tick` answers it with a dispatch lease.
     pub fn report(&mut self, now: Time, report: Report) {
         self.deposed |= report.highest > self.ballot;
+        let seen = report.upstreams.iter().filter_map(|seen| seen.version);
+        self.deposed |= seen.into_iter().any(|version| version.ballot > self.ballot);
         let instance = report.member.instance;
         for seen in &report.upstreams {
             self.observe(now, instance, report.session, seen);
--- a/crates/core/src/holder/adoption.rs
+++ b/crates/core/src/holder/adoption.rs
@@ -63,11 +63,9 @@
             .entry(instance)
             .or_insert(Renewer::new(session, false));
         renewer.presumed = false;
-        if target.first.is_none() && seen.allowance > 0 {
-            let largest = target.issued.iter().map(|(_, allowance)| *allowance);
-            if largest.max() < Some(seen.allowance) {
-                target.issued.push((None, seen.allowance));
-            }
+        let older = (None, seen.allowance);
+        if target.first.is_none() && !target.issued.contains(&older) {
+            target.issued.push(older);
         }
     }
 
--- a/crates/core/src/holder/budget.rs
+++ b/crates/core/src/holder/budget.rs
@@ -19,13 +19,25 @@
         let mut free = limit.saturating_sub(used);
         for (&upstream, wanted) in upstreams.iter().zip(wanted) {
             let reserved = self.reserved(view, upstream);
-            let target = self.target(upstream);
             let growth = u32::from(wanted).saturating_sub(reserved).min(free);
             free -= growth;
-            target.allowance = wanted.min((reserved + growth) as u16);
+            // While more may be in use than the limit, no allowance may grow
+            // beyond the smallest one that may be in force.
+            let most = if used <= limit {
+                reserved + growth
+            } else {
+                self.least_allowance(upstream)
+            };
+            self.target(upstream).allowance = wanted.min(most as u16);
         }
     }
 
+    fn least_allowance(&self, upstream: Upstream) -> u32 {
+        let issued = self.targets[&upstream].issued.iter();
+        let least = issued.map(|(_, allowance)| *allowance).min();
+        u32::from(least.unwrap_or(0))
+    }
+
     /// Slots that may be in use at all upstreams of the club.
     pub(super) fn slots_reserved(&self, view: &View) -> u32 {
         let upstreams = view.upstreams().into_iter();
