--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -76,7 +76,8 @@
     pub cut: (usize, u64),
     /// Groups that cannot read the log.
     pub deaf: Option<u8>,
-    pub limit: u32,
+    /// Fold of the whole log.
+    pub truth: State,
     term: Offset,
     round: u32,
     /// Time between the runs of each shard.
@@ -97,11 +98,11 @@
             servers: Vec::new(),
             checker: Checker::default(),
             log: Vec::new(),
-            base,
             log_away_until: 0,
             cut: (9, 0),
             deaf: None,
-            limit: shape.budget,
+            truth: base.clone(),
+            base,
             term: Offset(1),
             round: 0,
             pace: STEP,
@@ -215,7 +216,6 @@
         let base = self.base.next().0;
         let known = (state.next().0 - base) as usize;
         for record in &self.log[known..] {
-            // Rejected records take their place in the log as well.
             let _ = state.apply(state.next(), record.clone());
         }
     }
@@ -279,7 +279,7 @@
         self.term = Offset(self.base.next().0 + self.log.len() as u64 + 1);
         self.append(Body::Reset {
             club: CLUB.into(),
-            expected: Offset(0),
+            expected: Offset(1),
             voter,
         });
         self.deaf = Some(0);
@@ -287,7 +287,10 @@
 
     pub fn append(&mut self, body: Body) {
         let proposal = Proposal(self.log.len() as u64 + 1);
-        self.log.push(Record { proposal, body });
+        let record = Record { proposal, body };
+        // Rejected records take their place in the log as well.
+        let _ = self.truth.apply(self.truth.next(), record.clone());
+        self.log.push(record);
     }
 
     /// Actions of the holder; a holder that finds its lease ended is dropped.
@@ -342,7 +345,7 @@
         }
     }
 
-    fn holder_receives(&mut self, from: usize, message: Message) {
+    fn tell_holder(&mut self, from: usize, message: Message) {
         if let Some(holder) = self.holder_of(self.processes[from].group) {
             let to = self.processes[holder].member.instance;
             self.send(from, to, message);
@@ -381,7 +384,7 @@
             });
         }
         for report in reports {
-            self.holder_receives(index, Message::Report(report));
+            self.tell_holder(index, Message::Report(report));
         }
     }
 
@@ -466,7 +469,10 @@
         for server in 0..self.shape.upstreams as usize {
             let dispatcher = &self.processes[index].dispatcher;
             let assignment = dispatcher.assignment(now, Upstream(server as u32));
-            let shards = assignment.map(|own| own.shards.clone()).unwrap_or_default();
+            let mut shards = assignment.map(|own| own.shards.clone()).unwrap_or_default();
+            // Few slots must not serve the first shards only.
+            let start = self.queue.random.random_range(0..=shards.len());
+            shards.rotate_left(start);
             for (shard, _) in shards {
                 self.request(index, server, shard);
             }
@@ -498,7 +504,7 @@
         let upstream = Upstream(server as u32);
         let messages = process.dispatcher.in_use(now, upstream, open, open);
         for message in messages {
-            self.holder_receives(index, message);
+            self.tell_holder(index, message);
         }
     }
 
@@ -571,7 +577,8 @@
         });
         let sum = allowances.sum();
         self.checker.held(self.now, &held);
-        self.checker.allowances(self.now, sum, self.limit);
+        let limit = self.truth.clubs()[0].reserved;
+        self.checker.allowances(self.now, sum, limit);
     }
 
     fn answer(&mut self, to: Instance, server: usize, asked: Time, answer: Answer) {
@@ -588,7 +595,7 @@
         let process = &mut self.processes[index];
         let news = process.dispatcher.answered(now, upstream, asked, answer);
         if let Some(news) = news {
-            self.holder_receives(index, news);
+            self.tell_holder(index, news);
         }
         self.tick_dispatcher(index);
     }
@@ -615,6 +622,15 @@
         self.queue.at(end + 500, Event::Done(from, server));
     }
 
+    /// Puts another budget in force, as an activation in the log would.
+    pub fn set_budget(&mut self, budget: u32) {
+        self.base = club::with_budget(&self.base, budget);
+        self.truth = club::with_budget(&self.truth, budget);
+        for process in &mut self.processes {
+            process.state = club::with_budget(&process.state, budget);
+        }
+    }
+
     /// Replaces the upstream's process by a new one that holds nothing.
     pub fn restart_server(&mut self, server: usize) {
         let incarnation = self.queue.random.random_range(2..u64::MAX);
