Test the election with frequent membership changes

With few members to admit, random schedules never showed what happens when a voter accepts a candidate that knows only an older membership. Spare instances and more removals make that fault visible.

--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -40,6 +40,9 @@
 
 fn disturbed(seed: u64, size: usize, faults: &[(u64, Fault, u64)]) -> Network {
     let mut network = Network::new(seed, size, CALM);
+    // Instances that are not members yet let the membership change often.
+    network.start();
+    network.start();
     for &(at, fault, length) in faults {
         network.schedule(at * 1_000, fault, (at + length) * 1_000);
     }
@@ -296,6 +299,26 @@
     assert!(!election.members_known(now));
 }
 
+/// Guards against a holder that never counts the majority of the membership
+/// that it has changed to.
+#[test]
+fn informed_majority_replaces_the_previous_one() {
+    let (mut election, mut now) = voter();
+    let ask = stand(&mut election, &mut now);
+    election.vote(now, B, support(ask, 3));
+    let mut state = club(1, 4, &[A, B, C, Instance(4)]);
+    state.highest = Some(ask.ballot);
+
+    election.observe(now, &state);
+    let again = stand(&mut election, &mut now);
+    election.vote(now, B, support(again, 4));
+    let known = election.members_known(now);
+    election.vote(now, C, support(again, 4));
+
+    assert!(!known);
+    assert!(election.members_known(now));
+}
+
 /// Guards against a holder that keeps control of a term that was reset.
 #[test]
 fn reset_ends_the_lease() {
--- a/crates/core/tests/network/mod.rs
+++ b/crates/core/tests/network/mod.rs
@@ -209,7 +209,8 @@
         self.queue.insert((at, self.count), event);
     }
 
-    fn start(&mut self) -> Instance {
+    /// Starts an instance that is not a member.
+    pub fn start(&mut self) -> Instance {
         let id = Instance(self.rng.random());
         self.launch(id);
         self.push(self.now, Event::Tick(id));
@@ -320,7 +321,7 @@
         }
         let index = self.rng.random_range(0..known.len());
         let removed = gone.or(Some(&known[index])
-            .filter(|_| known.len() > 3 && self.now < self.calm && self.rng.random_ratio(1, 20)))?;
+            .filter(|_| known.len() > 3 && self.now < self.calm && self.rng.random_ratio(1, 5)))?;
         Some(Body::Remove {
             author: author(ballot),
             instance: removed.instance,
