--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -313,6 +313,8 @@
     LogAway(u64),
     Lossy(u32),
     Budget(u32),
+    /// The operator vouches that an upstream is gone, and it is.
+    Release(usize),
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -328,6 +330,7 @@
         1 => span().prop_map(Fault::LogAway),
         2 => (0u32..30).prop_map(Fault::Lossy),
         1 => (0u32..42).prop_map(Fault::Budget),
+        1 => (0usize..6).prop_map(Fault::Release),
     ]
 }
 
@@ -354,6 +357,11 @@
         Fault::LogAway(span) => world.log_away_until = now + span * MS,
         Fault::Lossy(percent) => world.queue.faults = percent,
         Fault::Budget(slots) => world.set_budget(slots),
+        Fault::Release(server) => {
+            world.servers[server].alive = false;
+            let name = format!("intake-{server}");
+            world.append(Body::Release(Released::Upstream(name)));
+        }
     }
 }
 
