Split the virtual-time tests; compute usable upstreams once per tick

A shard is taken from its upstream only if the log allows the new one whatever becomes of the plan in flight. Without its own Lead in the fold, a holder gives out no allowance above the smallest in force.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -72,9 +72,27 @@
     /// Whether the fold contains this holder's `Lead`, and so every record of
     /// its predecessors that can still take effect.
     led: bool,
+    /// Upstreams of the club's services.
+    upstreams: Vec<Upstream>,
+    /// Keyed services of the club.
+    keyed: Vec<Service>,
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    fn new(now: Time, state: &'a State, club: Club, ballot: Ballot) -> View<'a> {
+        let mut view = View {
+            now,
+            state,
+            club,
+            led: state.club(club).highest == Some(ballot),
+            upstreams: Vec::new(),
+            keyed: Vec::new(),
+        };
+        view.upstreams = view.own_upstreams();
+        view.keyed = view.own_keyed();
+        view
+    }
+
     fn limits(&self, service: Service) -> Option<&ServiceLimits> {
         let active = self.state.active()?;
         active.preset.service(&self.state.service(service).name)
@@ -98,8 +116,7 @@
         limits.is_some_and(|limits| limits.isolation == Isolation::Lapse)
     }
 
-    /// Upstreams of the club's services.
-    fn upstreams(&self) -> Vec<Upstream> {
+    fn own_upstreams(&self) -> Vec<Upstream> {
         let club = &self.state.club(self.club).name;
         let keys = (0..self.state.upstreams().len() as u32).map(Upstream);
         let own = |key: &Upstream| {
@@ -109,8 +126,7 @@
         keys.filter(own).collect()
     }
 
-    /// Keyed services of the club.
-    fn keyed(&self) -> Vec<Service> {
+    fn own_keyed(&self) -> Vec<Service> {
         let club = &self.state.club(self.club).name;
         let keys = (0..self.state.services().len() as u16).map(Service);
         let own = |key: &Service| {
@@ -218,13 +234,7 @@
         if self.deposed {
             return Vec::new();
         }
-        let led = entry.highest == Some(self.ballot);
-        let view = View {
-            now,
-            state,
-            club,
-            led,
-        };
+        let view = View::new(now, state, club, self.ballot);
         self.lease(now);
         self.write(&view);
         self.withhold(&view, random);
--- a/crates/core/src/holder/adoption.rs
+++ b/crates/core/src/holder/adoption.rs
@@ -23,13 +23,13 @@
 impl Holder {
     /// Takes over reported claims to shards whose owner is not known yet.
     pub(super) fn adopt(&mut self, view: &View) {
-        for service in view.keyed() {
+        for &service in &view.keyed {
             let shards = view.state.service(service).plan.places.len();
             self.ledgers
                 .entry(service)
                 .or_insert_with(|| Ledger::new(shards));
         }
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.target(upstream);
         }
         let older = self.take_older();
@@ -142,7 +142,7 @@
     /// does not end its rights, until it has reported otherwise.
     fn presume(&mut self, view: &View) {
         let members = &view.state.club(view.club).members;
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             if view.is_checked(upstream) && view.lapses(upstream) {
                 continue;
             }
@@ -173,7 +173,7 @@
         let releases = state.releases().filter(|release| release.offset > noted);
         for release in releases {
             self.journal.released = release.offset;
-            for upstream in view.upstreams() {
+            for &upstream in &view.upstreams {
                 if names(state, &release.released, upstream) {
                     self.target(upstream).released = Some(view.now);
                 }
--- a/crates/core/src/holder/budget.rs
+++ b/crates/core/src/holder/budget.rs
@@ -9,21 +9,23 @@
 impl Holder {
     /// Sets the allowance of each upstream.
     pub(super) fn divide(&mut self, view: &View) {
-        let upstreams = view.upstreams();
-        for &upstream in &upstreams {
+        let upstreams = &view.upstreams;
+        for &upstream in upstreams {
             self.note_ended(view, upstream);
         }
         let used: u32 = upstreams.iter().map(|&key| self.reserved(view, key)).sum();
-        let limit = self.limit(view, used);
-        let wanted = self.shares(view, &upstreams, limit);
+        // Without its own `Lead`, the fold may lack a decrease that the
+        // predecessor confirmed.
+        let limit = view.state.club_limit(view.club);
+        let wanted = self.shares(view, limit);
         let mut free = limit.saturating_sub(used);
         for (&upstream, wanted) in upstreams.iter().zip(wanted) {
             let reserved = self.reserved(view, upstream);
             let growth = u32::from(wanted).saturating_sub(reserved).min(free);
             free -= growth;
-            // While more may be in use than the limit, no allowance may grow
-            // beyond the smallest one that may be in force.
-            let most = if used <= limit {
+            // While more may be in use than the limit, or the limit is not known
+            // for sure, no allowance exceeds the smallest that may be in force.
+            let most = if view.led && used <= limit {
                 reserved + growth
             } else {
                 self.least_allowance(upstream)
@@ -40,27 +42,19 @@
 
     /// Slots that may be in use at all upstreams of the club.
     pub(super) fn slots_reserved(&self, view: &View) -> u32 {
-        let upstreams = view.upstreams().into_iter();
-        upstreams.map(|key| self.reserved(view, key)).sum()
-    }
-
-    /// Slots that may be given out. A holder that has not folded its own `Lead`
-    /// may not know of a decrease that its predecessor confirmed, so it gives
-    /// out no more than it found in use.
-    fn limit(&self, view: &View, used: u32) -> u32 {
-        let limit = view.state.club_limit(view.club);
-        if view.led { limit } else { limit.min(used) }
+        let upstreams = view.upstreams.iter();
+        upstreams.map(|&key| self.reserved(view, key)).sum()
     }
 
     /// Allowance of each upstream once all slots are free: all its slots, or a
     /// part in proportion to them.
-    fn shares(&self, view: &View, upstreams: &[Upstream], limit: u32) -> Vec<u16> {
+    fn shares(&self, view: &View, limit: u32) -> Vec<u16> {
         let slots = |&upstream: &Upstream| {
             let alive = self.targets[&upstream].is_alive(view.now);
             let limits = view.limits_of(upstream).filter(|_| alive);
             limits.map_or(0, |limits| u32::from(limits.slots))
         };
-        let slots: Vec<u32> = upstreams.iter().map(slots).collect();
+        let slots: Vec<u32> = view.upstreams.iter().map(slots).collect();
         let total: u32 = slots.iter().sum();
         if total <= limit {
             return slots.into_iter().map(|part| part as u16).collect();
--- a/crates/core/src/holder/journal.rs
+++ b/crates/core/src/holder/journal.rs
@@ -122,9 +122,9 @@
     /// Whether the instance may still serve an upstream. While it is a member,
     /// a later holder takes this into account as well.
     fn may_serve(&self, view: &View, instance: Instance) -> bool {
-        let upstreams = view.upstreams();
+        let mut upstreams = view.upstreams.iter();
         !self.surveyed
-            || upstreams.into_iter().any(|upstream| {
+            || upstreams.any(|&upstream| {
                 let target = self.targets.get(&upstream);
                 let renewer = target.and_then(|target| target.renewers.get(&instance));
                 renewer.is_some_and(|renewer| {
--- a/crates/core/src/holder/ledger.rs
+++ b/crates/core/src/holder/ledger.rs
@@ -1,5 +1,7 @@
 //! Who may hold each shard, and who shall.
 
+use std::collections::BTreeSet;
+
 use medlarreel_macros::data;
 
 use super::{Holder, View};
@@ -7,6 +9,9 @@
 use crate::ids::{Epoch, Service, Shard, Upstream, Version};
 use crate::record::Change;
 
+/// Upstreams that can be given shards.
+type Usable = BTreeSet<Upstream>;
+
 /// Who may hold a shard.
 #[data(plain)]
 pub(super) enum Hold {
@@ -87,13 +92,15 @@
 impl Holder {
     /// Brings every shard a step closer to its owner.
     pub(super) fn reconcile(&mut self, view: &View) {
-        for service in view.keyed() {
+        let upstreams = view.upstreams.iter().copied();
+        let usable: Usable = upstreams.filter(|&key| self.is_usable(view, key)).collect();
+        for &service in &view.keyed {
             let Some(mut ledger) = self.ledgers.remove(&service) else {
                 continue;
             };
             for index in 0..ledger.slots.len() {
                 self.free(view, service, index, &mut ledger);
-                self.direct(view, service, index, &mut ledger);
+                self.direct(view, &usable, service, index, &mut ledger);
             }
             self.ledgers.insert(service, ledger);
         }
@@ -116,21 +123,29 @@
     }
 
     /// Takes the shard from an upstream that shall not keep it, or gives a free one out.
-    fn direct(&mut self, view: &View, service: Service, index: usize, ledger: &mut Ledger) {
+    fn direct(
+        &mut self,
+        view: &View,
+        usable: &Usable,
+        service: Service,
+        index: usize,
+        ledger: &mut Ledger,
+    ) {
         let place = view.state.place(shard(service, index));
         let version = view.state.service(service).plan.version;
         let slot = &ledger.slots[index];
         match slot.hold {
             Hold::Held(upstream, _) => {
                 let pinned = slot.pinned == Some(version);
-                let wanted = self.wanted(view, place, Some(upstream), pinned);
-                if wanted.is_some_and(|wanted| wanted != upstream) {
+                let wanted = wanted(usable, place, Some(upstream), pinned);
+                let other = wanted.filter(|&to| to != upstream);
+                if other.is_some_and(|to| ledger.allows(index, place, to)) {
                     self.target(upstream).shards.remove(&(index as u16));
                     ledger.slots[index].hold = Hold::Ending(upstream, None);
                 }
             }
             Hold::Free => {
-                let wanted = self.wanted(view, place, None, false);
+                let wanted = wanted(usable, place, None, false);
                 if let Some(upstream) = wanted.filter(|&to| ledger.allows(index, place, to)) {
                     let epoch = self.next_epoch();
                     self.target(upstream).shards.insert(index as u16, epoch);
@@ -143,24 +158,6 @@
         }
     }
 
-    /// The candidate that shall hold the shard; `None` if there is no better one.
-    fn wanted(
-        &self,
-        view: &View,
-        place: Place,
-        current: Option<Upstream>,
-        pinned: bool,
-    ) -> Option<Upstream> {
-        let usable = |upstream: &Upstream| self.is_usable(view, *upstream);
-        let healthy = current.filter(usable);
-        if pinned && healthy.is_some() {
-            return healthy;
-        }
-        let owner = place.owner.filter(usable);
-        let standby = place.standby.filter(usable);
-        owner.or(healthy).or(standby)
-    }
-
     pub(super) fn is_usable(&self, view: &View, upstream: Upstream) -> bool {
         let target = self.targets.get(&upstream);
         target.is_some_and(|target| target.is_usable(view.now))
@@ -179,6 +176,23 @@
     }
 }
 
+/// The candidate that shall hold the shard; `None` if there is no better one.
+fn wanted(
+    usable: &Usable,
+    place: Place,
+    current: Option<Upstream>,
+    pinned: bool,
+) -> Option<Upstream> {
+    let usable = |upstream: &Upstream| usable.contains(upstream);
+    let healthy = current.filter(usable);
+    if pinned && healthy.is_some() {
+        return healthy;
+    }
+    let owner = place.owner.filter(usable);
+    let standby = place.standby.filter(usable);
+    owner.or(healthy).or(standby)
+}
+
 pub(super) fn shard(service: Service, index: usize) -> Shard {
     Shard {
         service,
--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -16,7 +16,7 @@
 impl Holder {
     /// Chooses the dispatcher and backup of each upstream.
     pub(super) fn appoint(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             let domain = view.state.domain(view.domain(upstream));
             let members = view.state.club(view.club).members.iter();
             let live = members.filter(|member| {
@@ -39,7 +39,7 @@
 
     /// Issues a new order for each upstream that shall hold something else than before.
     pub(super) fn issue(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.date_unissued(view, upstream);
             if !self.differs(upstream) {
                 continue;
@@ -127,7 +127,7 @@
 
     /// Sends orders and stops to the instances that have not acknowledged them.
     pub(super) fn remind(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.forget_former(view, upstream);
             self.send_order(view, upstream);
             if let Some(version) = self.stop_wanted(view, upstream) {
--- a/crates/core/src/holder/planner.rs
+++ b/crates/core/src/holder/planner.rs
@@ -31,10 +31,10 @@
 impl Holder {
     /// Appends a new plan for each service whose plan no longer fits.
     pub(super) fn replan(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.note_eligible(view, upstream);
         }
-        for service in view.keyed() {
+        for &service in &view.keyed {
             let Some(mut ledger) = self.ledgers.remove(&service) else {
                 continue;
             };
--- /dev/null
+++ b/crates/core/tests/ownership/schedules.rs
@@ -0,0 +1,131 @@
+//! Random schedules of faults.
+
+use medlarreel_core::preset::Fencing;
+use medlarreel_core::record::{Body, Released};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::club::{Shape, USUAL};
+use crate::world::{MS, World};
+use crate::{SECOND, club, split};
+
+/// One fault of a random schedule; spans in milliseconds.
+#[derive(Clone, Debug)]
+enum Fault {
+    Pause(usize, u64),
+    Kill(usize),
+    Freeze(usize, u64),
+    Restart(usize),
+    Drain(usize),
+    Join,
+    Cut(usize, u64),
+    LogAway(u64),
+    Lossy(u32),
+    Budget(u32),
+    /// The operator vouches that an upstream is gone, and it is.
+    Release(usize),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let span = || 200u64..6_000;
+    prop_oneof![
+        3 => (0usize..6, span()).prop_map(|(index, span)| Fault::Pause(index, span)),
+        2 => (0usize..6).prop_map(Fault::Kill),
+        3 => (0usize..6, span()).prop_map(|(index, span)| Fault::Freeze(index, span)),
+        1 => (0usize..6).prop_map(Fault::Restart),
+        1 => (0usize..6).prop_map(Fault::Drain),
+        1 => Just(Fault::Join),
+        2 => (0usize..3, span()).prop_map(|(domain, span)| Fault::Cut(domain, span)),
+        1 => span().prop_map(Fault::LogAway),
+        2 => (0u32..30).prop_map(Fault::Lossy),
+        1 => (0u32..42).prop_map(Fault::Budget),
+        1 => (0usize..6).prop_map(Fault::Release),
+    ]
+}
+
+fn schedule() -> impl Strategy<Value = (u64, Vec<(u64, Fault)>)> {
+    let faults = proptest::collection::vec((50u64..2_500, fault()), 4..14);
+    (any::<u64>(), faults)
+}
+
+fn inject(world: &mut World, fault: &Fault) {
+    let now = world.now;
+    match *fault {
+        Fault::Pause(index, span) => world.pause(index, span * MS),
+        Fault::Kill(index) => {
+            world.processes[index].alive = false;
+            let domain = World::domain_of(&world.processes[index]) as u64;
+            let id = world.processes.len() as u64 + 1;
+            world.start(club::member(id, domain), 0);
+        }
+        Fault::Freeze(server, span) => world.servers[server].frozen_until = now + span * MS,
+        Fault::Restart(server) => world.restart_server(server),
+        Fault::Drain(server) => world.servers[server].draining ^= true,
+        Fault::Join => world.servers[5].alive = true,
+        Fault::Cut(domain, span) => world.cut = (domain, now + span * MS),
+        Fault::LogAway(span) => world.log_away_until = now + span * MS,
+        Fault::Lossy(percent) => world.queue.faults = percent,
+        Fault::Budget(slots) => world.set_budget(slots),
+        Fault::Release(server) => {
+            world.servers[server].alive = false;
+            let name = format!("intake-{server}");
+            world.append(Body::Release(Released::Upstream(name)));
+        }
+    }
+}
+
+/// Runs random schedules and returns the number of requests that ran.
+fn explore(cases: u32, shape: Shape, prepare: fn(&mut World)) -> usize {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let seed = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, seed);
+    let runs = std::cell::Cell::new(0);
+    let outcome = runner.run(&schedule(), |(seed, faults)| {
+        let mut world = World::new(seed, shape);
+        world.pace = 20 * MS;
+        world.servers[5].alive = false;
+        world.run_until(6 * SECOND);
+        prepare(&mut world);
+        for (delay, fault) in &faults {
+            world.run_until(world.now + delay * MS);
+            inject(&mut world, fault);
+        }
+        world.run_until(world.now + 5 * SECOND);
+        runs.set(runs.get() + world.checker.runs.len());
+        let first = world.checker.violations.first();
+        prop_assert!(first.is_none(), "{}", first.unwrap());
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+    runs.get()
+}
+
+/// Guards against two owners of a shard and against overspent allowances under
+/// any combination of faults.
+#[test]
+fn checked_upstreams_never_share_a_shard() {
+    assert!(explore(32, USUAL, |_| ()) > 0);
+}
+
+/// Guards against a new term that takes over while the old one still serves.
+#[test]
+fn a_new_term_never_shares_a_shard_with_the_old_one() {
+    assert!(explore(24, USUAL, split) > 0);
+}
+
+/// Guards against two senders of upstreams that run whatever they receive.
+#[test]
+fn unchecked_upstreams_never_share_a_shard() {
+    let shape = Shape {
+        fencing: Fencing::Unchecked,
+        ..USUAL
+    };
+    assert!(explore(24, shape, |_| ()) > 0);
+}
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -3,19 +3,19 @@
 use std::collections::BTreeMap;
 
 use medlarreel_core::fold::State;
-use medlarreel_core::grant::dispatcher::{self, Dispatcher, Permit};
+use medlarreel_core::grant::dispatcher::{self, Dispatcher};
 use medlarreel_core::grant::{Answer, Register, Request};
 use medlarreel_core::holder::{self, Holder};
-use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Proposal, Shard, Upstream};
-use medlarreel_core::preset::Fencing;
+use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Proposal};
 use medlarreel_core::record::{Body, Member, Record};
 use medlarreel_core::time::Time;
 use medlarreel_core::wire::{Message, Report};
 use rand::Rng;
 
-use crate::checker::{Checker, Run};
+use crate::checker::Checker;
 use crate::club::{self, CLUB, Shape};
 use crate::net::{Clock, Queue};
+use crate::servers::Server;
 
 pub const MS: u64 = 1_000;
 const STEP: u64 = 10 * MS;
@@ -38,28 +38,19 @@
 /// One process of the system.
 pub struct Process {
     pub member: Member,
-    clock: Clock,
+    pub clock: Clock,
     pub dispatcher: Dispatcher,
     pub holder: Option<Holder>,
     /// True end of the control lease.
-    holds_until: u64,
-    state: State,
-    asked: BTreeMap<u64, Time>,
-    reported: u64,
+    pub holds_until: u64,
+    pub state: State,
+    pub asked: BTreeMap<u64, Time>,
+    pub reported: u64,
     pub paused_until: u64,
     pub alive: bool,
     /// Instances of another group neither see nor read the log of this one.
     pub group: u8,
-    exchanges: BTreeMap<usize, u32>,
-}
-
-/// One upstream.
-pub struct Server {
-    clock: Clock,
-    register: Register,
-    pub frozen_until: u64,
-    pub alive: bool,
-    pub draining: bool,
+    pub exchanges: BTreeMap<usize, u32>,
 }
 
 pub struct World {
@@ -155,19 +146,29 @@
         process.member.domain[1..].parse().unwrap()
     }
 
-    fn index(&self, instance: Instance) -> usize {
+    pub fn index(&self, instance: Instance) -> usize {
         let mut processes = self.processes.iter();
         processes
             .position(|entry| entry.member.instance == instance)
             .unwrap()
     }
 
-    fn is_up(&self, index: usize) -> bool {
+    pub fn is_up(&self, index: usize) -> bool {
         let process = &self.processes[index];
         process.alive && self.now >= process.paused_until
     }
 
-    fn is_cut(&self, a: usize, b: usize) -> bool {
+    /// False if the instance cannot act now; the event is kept while it is paused.
+    pub fn is_awake(&mut self, index: usize, event: impl FnOnce() -> Event) -> bool {
+        let process = &self.processes[index];
+        if process.alive && self.now < process.paused_until {
+            self.queue.at(process.paused_until, event());
+            return false;
+        }
+        process.alive
+    }
+
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
         self.now < self.cut.1 && a != b && (a == self.cut.0 || b == self.cut.0)
     }
 
@@ -198,7 +199,7 @@
         self.queue.at(self.now + STEP, Event::Step);
     }
 
-    fn local(&self, index: usize) -> Time {
+    pub fn local(&self, index: usize) -> Time {
         self.processes[index].clock.read(self.now)
     }
 
@@ -345,7 +346,7 @@
         }
     }
 
-    fn tell_holder(&mut self, from: usize, message: Message) {
+    pub fn tell_holder(&mut self, from: usize, message: Message) {
         if let Some(holder) = self.holder_of(self.processes[from].group) {
             let to = self.processes[holder].member.instance;
             self.send(from, to, message);
@@ -390,11 +391,7 @@
 
     fn deliver(&mut self, to: Instance, from: Instance, message: Message) {
         let index = self.index(to);
-        if !self.is_up(index) {
-            if self.processes[index].alive {
-                let at = self.processes[index].paused_until;
-                self.queue.at(at, Event::Message(to, from, message));
-            }
+        if !self.is_awake(index, || Event::Message(to, from, message.clone())) {
             return;
         }
         let now = self.local(index);
@@ -437,7 +434,7 @@
         self.tick_holder(index);
     }
 
-    fn tick_dispatcher(&mut self, index: usize) {
+    pub fn tick_dispatcher(&mut self, index: usize) {
         let now = self.local(index);
         let me = self.processes[index].member.instance;
         for action in self.processes[index].dispatcher.tick(now) {
@@ -452,189 +449,4 @@
             }
         }
     }
-
-    // Requests for every shard that the instance may send.
-
-    fn load_all(&mut self) {
-        for index in 0..self.processes.len() {
-            if self.is_up(index) {
-                self.load(index);
-            }
-        }
-        self.queue.at(self.now + self.pace, Event::Load);
-    }
-
-    fn load(&mut self, index: usize) {
-        let now = self.local(index);
-        for server in 0..self.shape.upstreams as usize {
-            let dispatcher = &self.processes[index].dispatcher;
-            let assignment = dispatcher.assignment(now, Upstream(server as u32));
-            let mut shards = assignment.map(|own| own.shards.clone()).unwrap_or_default();
-            // Few slots must not serve the first shards only.
-            let start = self.queue.random.random_range(0..=shards.len());
-            shards.rotate_left(start);
-            for (shard, _) in shards {
-                self.request(index, server, shard);
-            }
-        }
-    }
-
-    fn request(&mut self, index: usize, server: usize, shard: Shard) {
-        let now = self.local(index);
-        let unchecked = self.shape.fencing == Fencing::Unchecked;
-        let process = &mut self.processes[index];
-        let open = *process.exchanges.get(&server).unwrap_or(&0);
-        let upstream = Upstream(server as u32);
-        let permit = process.dispatcher.may_send(now, upstream, Some(shard));
-        let full = open >= u32::from(process.dispatcher.allowance(now, upstream));
-        if let (Some(Permit::Shard(epoch)), false) = (permit, unchecked && full) {
-            process.exchanges.insert(server, open + 1);
-            let me = process.member.instance;
-            self.exchanges(index, server);
-            let delay = self.queue.random.random_range(100..1_000);
-            let run = Event::Run(server, me, shard.index, epoch);
-            self.queue.at(self.now + delay, run);
-        }
-    }
-
-    fn exchanges(&mut self, index: usize, server: usize) {
-        let now = self.local(index);
-        let process = &mut self.processes[index];
-        let open = process.exchanges[&server];
-        let upstream = Upstream(server as u32);
-        let messages = process.dispatcher.in_use(now, upstream, open, open);
-        for message in messages {
-            self.tell_holder(index, message);
-        }
-    }
-
-    fn done(&mut self, to: Instance, server: usize) {
-        let index = self.index(to);
-        if !self.is_up(index) {
-            if self.processes[index].alive {
-                let at = self.processes[index].paused_until;
-                self.queue.at(at, Event::Done(to, server));
-            }
-            return;
-        }
-        *self.processes[index].exchanges.get_mut(&server).unwrap() -= 1;
-        self.exchanges(index, server);
-    }
-
-    // Upstreams.
-
-    /// False if the upstream cannot act now; the event is kept while it is frozen.
-    fn is_awake(&mut self, server: usize, event: Event) -> bool {
-        let entry = &self.servers[server];
-        if entry.alive && self.now < entry.frozen_until {
-            self.queue.at(entry.frozen_until, event);
-            return false;
-        }
-        entry.alive
-    }
-
-    fn ask(&mut self, server: usize, from: Instance, asked: Time, request: Option<Request>) {
-        if !self.is_awake(server, Event::Ask(server, from, asked, request.clone())) {
-            return;
-        }
-        let entry = &mut self.servers[server];
-        let now = entry.clock.read(self.now);
-        let granted = request.map(|request| entry.register.grant(now, &request));
-        let accepted = granted.is_some_and(|outcome| outcome.is_ok());
-        let answer = Answer {
-            incarnation: entry.register.incarnation(),
-            clock: now,
-            accepted,
-            version: entry.register.version(),
-            shards: entry.register.held(now),
-            in_flight: 0,
-            slots: club::SLOTS,
-            draining: entry.draining,
-        };
-        let sender = &self.processes[self.index(from)];
-        if !self.is_cut(World::domain_of(sender), server % 3) {
-            self.queue
-                .send(self.now, Event::Answer(from, server, asked, answer));
-        }
-        if accepted {
-            self.check();
-        }
-    }
-
-    fn check(&mut self) {
-        let servers = self.servers.iter().enumerate();
-        let keyed = servers.clone().take(self.shape.upstreams as usize);
-        let held = keyed
-            .filter(|(_, entry)| entry.alive)
-            .map(|(index, entry)| {
-                let now = entry.clock.read(self.now);
-                (index, entry.register.held(now))
-            });
-        let held: Vec<_> = held.collect();
-        let allowances = servers.filter(|(_, entry)| entry.alive).map(|(_, entry)| {
-            let now = entry.clock.read(self.now);
-            u32::from(entry.register.allowance(now))
-        });
-        let sum = allowances.sum();
-        self.checker.held(self.now, &held);
-        let limit = self.truth.clubs()[0].reserved;
-        self.checker.allowances(self.now, sum, limit);
-    }
-
-    fn answer(&mut self, to: Instance, server: usize, asked: Time, answer: Answer) {
-        let index = self.index(to);
-        if !self.is_up(index) {
-            if self.processes[index].alive {
-                let at = self.processes[index].paused_until;
-                self.queue.at(at, Event::Answer(to, server, asked, answer));
-            }
-            return;
-        }
-        let now = self.local(index);
-        let upstream = Upstream(server as u32);
-        let process = &mut self.processes[index];
-        let news = process.dispatcher.answered(now, upstream, asked, answer);
-        if let Some(news) = news {
-            self.tell_holder(index, news);
-        }
-        self.tick_dispatcher(index);
-    }
-
-    fn run(&mut self, server: usize, from: Instance, shard: u16, epoch: Epoch) {
-        if !self.is_awake(server, Event::Run(server, from, shard, epoch)) {
-            return;
-        }
-        let entry = &self.servers[server];
-        let now = entry.clock.read(self.now);
-        let checked = self.shape.fencing == Fencing::Checked;
-        let runs = !checked || entry.register.admits(now, shard, epoch);
-        let length = self.queue.random.random_range(500..5_000);
-        let end = self.now + if runs && !checked { length } else { 0 };
-        if runs {
-            self.checker.ran(Run {
-                upstream: server,
-                shard,
-                epoch,
-                start: self.now,
-                end,
-            });
-        }
-        self.queue.at(end + 500, Event::Done(from, server));
-    }
-
-    /// Puts another budget in force, as an activation in the log would.
-    pub fn set_budget(&mut self, budget: u32) {
-        self.base = club::with_budget(&self.base, budget);
-        self.truth = club::with_budget(&self.truth, budget);
-        for process in &mut self.processes {
-            process.state = club::with_budget(&process.state, budget);
-        }
-    }
-
-    /// Replaces the upstream's process by a new one that holds nothing.
-    pub fn restart_server(&mut self, server: usize) {
-        let incarnation = self.queue.random.random_range(2..u64::MAX);
-        self.servers[server].register = Register::new(incarnation);
-        self.servers[server].alive = true;
-    }
 }
