--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -7,12 +7,13 @@
 
 usage() {
     cat <<'TEXT'
-Usage: scripts/run-local.sh [--keep] [--bin DIR]
+Usage: scripts/run-local.sh [--keep] [--bin DIR] [--work TIME]
        scripts/run-local.sh --stop DIR
 
   --keep      leave everything running; print addresses and commands to try
   --stop DIR  end a run that was kept, by the process ids in its directory
   --bin DIR   use the programs in DIR instead of building release ones
+  --work TIME time that an upstream takes for a request, default 2ms
 TEXT
 }
 
@@ -60,6 +61,7 @@
 
 keep=no
 bin=
+work=2ms
 while [ $# -gt 0 ]; do
     case $1 in
         --keep) keep=yes ;;
@@ -67,6 +69,10 @@
             bin=$(cd "${2:?--bin needs a directory}" && pwd)
             shift
             ;;
+        --work)
+            work=${2:?--work needs a time}
+            shift
+            ;;
         --stop)
             dir=${2:?--stop needs the directory of a run}
             [ -f "$dir/pids" ] || { echo "no running processes are listed in $dir" >&2; exit 1; }
@@ -181,7 +187,7 @@
                 name=$service-$domain-$number
                 launch "$name" standin-upstream --service "$service" --name "$name" \
                     --fencing "$fencing" --slots "$slots" --connections "$connections" \
-                    --work 2ms $keyed
+                    --work "$work" $keyed
                 upstreams+=("$name $service $domain $fencing")
             done
         done
