--- a/crates/core/src/control/extension.rs
+++ b/crates/core/src/control/extension.rs
@@ -115,6 +115,8 @@
     /// Takes over the admitted members of the instance's own failure domain.
     pub fn observe(&mut self, members: impl IntoIterator<Item = Instance>) {
         self.members = members.into_iter().collect();
+        self.support
+            .retain(|member, _| self.members.contains(member));
     }
 
     /// End of the dispatch lease, given the end of the lease from the holder.
@@ -149,7 +151,8 @@
 
     /// Counts the answer of a member; `lease` ends the lease from the holder.
     pub fn extended(&mut self, now: Time, lease: Time, from: Instance, nonce: u64, granted: bool) {
-        let Some(since) = self.questions.sent_at(nonce).filter(|_| granted) else {
+        let counts = granted && self.members.contains(&from);
+        let Some(since) = self.questions.sent_at(nonce).filter(|_| counts) else {
             return;
         };
         let entry = self.support.entry(from).or_insert(since);
@@ -182,12 +185,7 @@
         if self.until(lease) <= now {
             return;
         }
-        let mut since: Vec<Time> = self
-            .support
-            .iter()
-            .filter(|(member, _)| self.members.contains(member))
-            .map(|(_, &since)| since)
-            .collect();
+        let mut since: Vec<Time> = self.support.values().copied().collect();
         since.sort_unstable_by(|a, b| b.cmp(a));
         if let Some(&decisive) = since.get(self.members.len() / 2) {
             self.extended = self.extended.max(decisive + shortest(EXTENSION));
@@ -245,7 +243,8 @@
 
     /// Counts the promise of a member.
     pub fn withheld(&mut self, now: Time, from: Instance, nonce: u64) {
-        let Some(sent) = self.questions.sent_at(nonce) else {
+        let known = self.rosters.iter().any(|roster| roster.contains(&from));
+        let Some(sent) = self.questions.sent_at(nonce).filter(|_| known) else {
             return;
         };
         let until = sent + shortest(PROMISE);
