--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -319,16 +319,19 @@
     assert!(election.members_known(now));
 }
 
-/// Guards against a holder that keeps control of a term that was reset.
+/// Guards against a holder that keeps control of a term that was reset, even
+/// where it is the only voter of the new term.
 #[test]
 fn reset_ends_the_lease() {
-    let (mut election, mut now) = voter();
-    let ask = stand(&mut election, &mut now);
-    election.vote(now, B, support(ask, 3));
-    assert_eq!(election.holder(now), Some(A));
+    for voter_of_new_term in [A, C] {
+        let (mut election, mut now) = voter();
+        let ask = stand(&mut election, &mut now);
+        election.vote(now, B, support(ask, 3));
+        assert_eq!(election.holder(now), Some(A));
 
-    election.observe(now, &club(9, 4, &[C]));
+        election.observe(now, &club(9, 4, &[voter_of_new_term]));
 
-    assert_eq!(election.lease(now), None);
-    assert_eq!(election.holder(now), None);
+        assert_eq!(election.lease(now), None);
+        assert_eq!(election.holder(now), None);
+    }
 }
