--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -256,6 +256,7 @@
         self.remind(view);
         self.replan(view);
         self.write_yield(view);
+        self.forget_peers(view);
     }
 
     /// Answers reports with dispatch leases.
--- a/crates/core/src/holder/journal.rs
+++ b/crates/core/src/holder/journal.rs
@@ -121,7 +121,7 @@
 
     /// Whether the instance may still serve an upstream. While it is a member,
     /// a later holder takes this into account as well.
-    fn may_serve(&self, view: &View, instance: Instance) -> bool {
+    pub(super) fn may_serve(&self, view: &View, instance: Instance) -> bool {
         let mut upstreams = view.upstreams.iter();
         !self.surveyed
             || upstreams.any(|&upstream| {
--- a/crates/core/src/holder/ledger.rs
+++ b/crates/core/src/holder/ledger.rs
@@ -8,6 +8,7 @@
 use crate::fold::Place;
 use crate::ids::{Epoch, Service, Shard, Upstream, Version};
 use crate::record::Change;
+use crate::time::Time;
 
 /// Upstreams that can be given shards.
 type Usable = BTreeSet<Upstream>;
@@ -50,7 +51,7 @@
     pub(super) expected: u32,
     pub(super) changes: Vec<Change>,
     pub(super) cause: String,
-    pub(super) at: crate::time::Time,
+    pub(super) at: Time,
 }
 
 /// All shards of a keyed service.
@@ -61,7 +62,7 @@
     /// Smoothed load of each shard.
     pub(super) loads: Vec<u64>,
     /// When the plan was last looked at.
-    pub(super) planned: crate::time::Time,
+    pub(super) planned: Time,
 }
 
 impl Ledger {
@@ -74,7 +75,7 @@
             slots: vec![slot; shards],
             pending: None,
             loads: vec![0; shards],
-            planned: crate::time::Time(0),
+            planned: Time(0),
         }
     }
 
--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -5,7 +5,7 @@
 use super::ledger::shard;
 use super::target::{Order, Renewer};
 use super::{Action, Holder, View};
-use crate::ids::{Instance, Upstream, Version};
+use crate::ids::{Epoch, Instance, Upstream, Version};
 use crate::placement::dispatchers;
 use crate::time::Time;
 use crate::wire::{Assignment, Message};
@@ -79,8 +79,7 @@
         let primary = target.roles.map(|(primary, _)| primary);
         let mild = match &target.order {
             Some(order) => {
-                let kept =
-                    |entry: (&u16, &crate::ids::Epoch)| target.shards.get(entry.0) == Some(entry.1);
+                let kept = |entry: (&u16, &Epoch)| target.shards.get(entry.0) == Some(entry.1);
                 order.shards.iter().all(kept) && Some(order.primary) == primary
             }
             // The dispatchers of an earlier holder may be others.
--- a/crates/core/src/holder/peers.rs
+++ b/crates/core/src/holder/peers.rs
@@ -6,7 +6,7 @@
 use medlarreel_macros::data;
 
 use super::{Action, Holder, LEASE, View};
-use crate::ids::{Ballot, Upstream};
+use crate::ids::{Ballot, Instance, Offset, Upstream};
 use crate::preset::Isolation;
 use crate::record::Member;
 use crate::time::{Time, longest, shortest};
@@ -19,6 +19,9 @@
 const WITHHOLD: Duration = Duration::from_millis(5_000);
 const WITHHOLD_RENEWAL: Duration = Duration::from_millis(1_000);
 
+/// Time after which an instance that is gone for good is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+
 /// An instance that has reported to this holder.
 #[data(plain)]
 pub(super) struct Peer {
@@ -29,7 +32,7 @@
     pub(super) until: Option<Time>,
     heard: Time,
     pub(super) session: u32,
-    pub(super) next: crate::ids::Offset,
+    pub(super) next: Offset,
     leaving: bool,
     /// Whether everything it serves by older orders has been reported.
     pub(super) known: bool,
@@ -49,7 +52,7 @@
             until: None,
             heard: Time(0),
             session: 0,
-            next: crate::ids::Offset(0),
+            next: Offset(0),
             leaving: false,
             known: false,
             older: BTreeMap::new(),
@@ -151,6 +154,21 @@
         }
     }
 
+    /// Forgets former instances that can serve nothing any more.
+    pub(super) fn forget_peers(&mut self, view: &View) {
+        let members = &view.state.club(view.club).members;
+        let stale = self.peers.iter().filter(|(instance, peer)| {
+            let member = members.iter().any(|member| member.instance == **instance);
+            !member && !peer.is_leased(view.now) && view.now.since(peer.heard) >= FORGET
+        });
+        let stale: Vec<Instance> = stale.map(|(&instance, _)| instance).collect();
+        for instance in stale {
+            if !self.may_serve(view, instance) {
+                self.peers.remove(&instance);
+            }
+        }
+    }
+
     /// Whether a majority of the domain's members supports no extension.
     pub(super) fn is_withheld(&self, view: &View, domain: &str) -> bool {
         let members = view.state.club(view.club).members.iter();
