Let isolated failure domains keep their keys by votes of their members

Assignments say whether the dispatch lease may be extended. The holder collects promises with the same state machine that the members use, and changes the membership of a domain only while its majority knows the present one, so that an outdated majority cannot extend leases. A preset cannot take keep back from a service, since an isolated domain may not learn of it. The virtual-time world runs the extension now; before, it answered every promise at once.

--- a/crates/core/src/control/extension.rs
+++ b/crates/core/src/control/extension.rs
@@ -84,6 +84,8 @@
 pub struct Extension {
     me: Instance,
     members: BTreeSet<Instance>,
+    /// Membership version that `members` belongs to.
+    version: u32,
     /// End of the last support that this member gave.
     supported: Time,
     /// End of the last promise that this member gave.
@@ -104,6 +106,7 @@
         Extension {
             me,
             members: BTreeSet::new(),
+            version: 0,
             supported: now + longest(EXTENSION),
             promised: now + longest(PROMISE_MAX),
             questions: Questions::new(me),
@@ -113,7 +116,8 @@
     }
 
     /// Takes over the admitted members of the instance's own failure domain.
-    pub fn observe(&mut self, members: impl IntoIterator<Item = Instance>) {
+    pub fn observe(&mut self, version: u32, members: impl IntoIterator<Item = Instance>) {
+        self.version = version;
         self.members = members.into_iter().collect();
         self.support
             .retain(|member, _| self.members.contains(member));
@@ -139,13 +143,17 @@
         }
         let others = self.members.iter().filter(|&&member| member != self.me);
         others
-            .map(|&member| (member, Message::Extend(nonce)))
+            .map(|&member| (member, Message::Extend(nonce, self.version)))
             .collect()
     }
 
     /// Answers a dispatcher that asks for support.
-    pub fn extend(&mut self, now: Time, from: Instance, nonce: u64) -> Message {
-        let known = self.members.contains(&from);
+    ///
+    /// One that knows an older membership than this member gets none, so that
+    /// majorities of memberships that differ by more than one change are not
+    /// in use at the same time.
+    pub fn extend(&mut self, now: Time, from: Instance, nonce: u64, version: u32) -> Message {
+        let known = version >= self.version && self.members.contains(&from);
         Message::Extended(nonce, known && self.supports(now))
     }
 
--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -66,6 +66,8 @@
     pub members: Vec<Member>,
     /// Number of membership changes.
     pub version: u32,
+    /// Offset of the last membership change.
+    pub changed: Offset,
     /// Slots that the club may still be using.
     pub reserved: u32,
 }
@@ -110,6 +112,8 @@
     pub name: String,
     /// Shard plan; empty for services that are not keyed.
     pub plan: Plan,
+    /// Whether isolated failure domains have ever been allowed to keep its keys.
+    pub kept: bool,
 }
 
 /// What became of a proposal.
@@ -375,6 +379,7 @@
         club.highest = None;
         club.heard = offset;
         club.version += 1;
+        club.changed = offset;
         let after = voter.instance;
         club.members = vec![voter];
         self.audit
@@ -409,6 +414,7 @@
             return Err(Code::VersionConflict);
         }
         club.version += 1;
+        club.changed = offset;
         let after = format!("{} at {}", member.instance.0, member.peers);
         club.members.push(member);
         self.audit.note(
@@ -437,6 +443,7 @@
         let index = known.ok_or(Code::UnknownName)?;
         club.members.remove(index);
         club.version += 1;
+        club.changed = offset;
         self.audit.note(
             offset,
             format!("members of {}", author.club),
@@ -545,6 +552,7 @@
             heard: Offset(0),
             members: Vec::new(),
             version: 0,
+            changed: Offset(0),
             reserved: 0,
         });
         Club(self.clubs.len() as u16 - 1)
--- a/crates/core/src/fold/operator.rs
+++ b/crates/core/src/fold/operator.rs
@@ -4,8 +4,8 @@
 
 use super::{Active, Place, Plan, Published, Release, ServiceState, State};
 use crate::code::Code;
-use crate::ids::Offset;
-use crate::preset::{Preset, ServiceLimits};
+use crate::ids::{Offset, Service};
+use crate::preset::{Isolation, Preset, ServiceLimits};
 use crate::record::Released;
 
 /// Number of releases that are kept.
@@ -27,7 +27,7 @@
             return Err(Code::VersionConflict);
         }
         let preset = Preset::parse(&text).map_err(|_| Code::InvalidPreset)?;
-        if preset.name != name || !self.keeps_shards(&preset) {
+        if preset.name != name || !self.is_compatible(&preset) {
             return Err(Code::InvalidPreset);
         }
         let version = current + 1;
@@ -59,7 +59,7 @@
             return Err(Code::UnknownPreset);
         }
         let preset = Arc::clone(&published.preset);
-        if !self.keeps_shards(&preset) {
+        if !self.is_compatible(&preset) {
             return Err(Code::InvalidPreset);
         }
         self.intern_preset(&preset);
@@ -97,6 +97,10 @@
         Ok(())
     }
 
+    fn is_compatible(&self, preset: &Preset) -> bool {
+        self.keeps_shards(preset) && self.keeps_isolation(preset)
+    }
+
     /// Whether each known service keeps its number of shards.
     ///
     /// A different number would map keys to other shards while their old owners
@@ -109,20 +113,42 @@
         })
     }
 
+    /// Whether no service goes back from `keep` to `lapse`.
+    ///
+    /// An isolated failure domain may not know of the change and keep its keys
+    /// while others take them.
+    fn keeps_isolation(&self, preset: &Preset) -> bool {
+        preset.services.iter().all(|service| {
+            let known = self.service_named(&service.name);
+            let kept = known.is_some_and(|key| self.service(key).kept);
+            !kept || service.isolation == Isolation::Keep
+        })
+    }
+
     fn intern_preset(&mut self, preset: &Preset) {
         for club in &preset.clubs {
             self.intern_club(&club.name);
         }
         for service in &preset.services {
-            if self.service_named(&service.name).is_none() {
-                let places = vec![Place::default(); shard_count(service)];
-                let plan = Plan { version: 0, places };
-                self.services.push(ServiceState {
-                    name: service.name.clone(),
-                    plan,
-                });
-            }
+            let key = self.intern_service(service);
+            let state = &mut self.services[usize::from(key.0)];
+            state.kept |= service.isolation == Isolation::Keep;
+        }
+    }
+
+    fn intern_service(&mut self, service: &ServiceLimits) -> Service {
+        if let Some(key) = self.service_named(&service.name) {
+            return key;
         }
+        let places = vec![Place::default(); shard_count(service)];
+        let plan = Plan { version: 0, places };
+        let name = service.name.clone();
+        self.services.push(ServiceState {
+            name,
+            plan,
+            kept: false,
+        });
+        Service(self.services.len() as u16 - 1)
     }
 }
 
--- a/crates/core/src/grant/dispatcher.rs
+++ b/crates/core/src/grant/dispatcher.rs
@@ -58,6 +58,10 @@
     highest: Option<(Ballot, Time)>,
     /// End of the dispatch lease, while it has not been found lapsed.
     until: Option<Time>,
+    /// End of the last dispatch lease, also once it has lapsed.
+    last: Time,
+    /// End of the extension for upstreams whose isolation is `keep`.
+    extended: Option<Time>,
     session: u32,
     entries: BTreeMap<Upstream, Entry>,
 }
@@ -70,6 +74,8 @@
             me,
             highest: None,
             until: None,
+            last: Time(0),
+            extended: None,
             session: 0,
             entries: BTreeMap::new(),
         }
@@ -100,18 +106,30 @@
     /// Assignment that the instance follows for the upstream.
     pub fn assignment(&self, now: Time, upstream: Upstream) -> Option<&Assignment> {
         let entry = self.entries.get(&upstream)?;
-        entry.assignment.as_ref().filter(|_| self.is_leased(now))
+        let end = self.end(entry);
+        entry
+            .assignment
+            .as_ref()
+            .filter(|_| end.is_some_and(|end| now < end))
     }
 
-    /// End of the dispatch lease; `None` without one.
-    pub fn until(&self, now: Time) -> Option<Time> {
-        self.until.filter(|until| now < *until)
+    /// End of the holder's last dispatch lease, lapsed or not.
+    pub fn last_lease(&self) -> Time {
+        self.last
     }
 
-    /// Assignments of all upstreams that requests may be sent to now.
-    pub fn sendable_now(&self, now: Time) -> impl Iterator<Item = &Assignment> {
-        let upstreams = self.entries.keys();
-        upstreams.filter_map(move |upstream| self.sendable(now, *upstream))
+    /// Whether an upstream is served whose isolation is `keep`.
+    pub fn keeps_any(&self) -> bool {
+        self.entries.values().any(Entry::keeps)
+    }
+
+    /// Assignments of all upstreams that requests may be sent to now, and the
+    /// time until which they may.
+    pub fn sendable_now(&self, now: Time) -> impl Iterator<Item = (&Assignment, Time)> {
+        self.entries.iter().filter_map(move |(upstream, entry)| {
+            let assignment = self.sendable(now, *upstream)?;
+            Some((assignment, self.end(entry)?))
+        })
     }
 
     /// Requests that may be open at the upstream; 0 without a right to send.
@@ -161,6 +179,16 @@
         let until = asked + shortest(lease.length);
         if now < until {
             self.until = self.until.max(Some(until));
+            self.last = self.last.max(until);
+        }
+    }
+
+    /// Takes over the end of an extension that members of the failure domain
+    /// support.
+    pub fn extend(&mut self, now: Time, until: Time) {
+        self.lapse(now);
+        if now < until {
+            self.extended = self.extended.max(Some(until));
         }
     }
 
@@ -224,14 +252,13 @@
     /// Grants and queries that are due.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         self.lapse(now);
-        let Some(until) = self.until else {
-            return Vec::new();
-        };
-        let me = self.me;
+        let (me, until, extended) = (self.me, self.until, self.extended);
         let entries = self.entries.iter_mut();
-        entries
-            .filter_map(|(&upstream, entry)| entry.due(now, me, upstream, until))
-            .collect()
+        let due = entries.filter_map(|(&upstream, entry)| {
+            let until = entry.end(until, extended)?;
+            entry.due(now, me, upstream, until)
+        });
+        due.collect()
     }
 
     /// Takes in an upstream's answer to a grant or query sent at `asked`.
@@ -290,13 +317,21 @@
 
     /// Forgets everything that rested on a lease that has ended.
     fn lapse(&mut self, now: Time) {
-        if self.until.is_some_and(|until| now >= until) {
-            self.until = None;
-            self.session += 1;
-            for entry in self.entries.values_mut() {
-                entry.forget();
-            }
+        let lapsed = self.until.take_if(|until| now >= *until).is_some();
+        let ended = self.extended.take_if(|until| now >= *until).is_some();
+        self.session += u32::from(lapsed);
+        if !lapsed && !ended {
+            return;
         }
+        let (until, extended) = (self.until, self.extended);
+        let entries = self.entries.values_mut();
+        entries
+            .filter(|entry| entry.end(until, extended).is_none())
+            .for_each(Entry::forget);
+    }
+
+    fn end(&self, entry: &Entry) -> Option<Time> {
+        entry.end(self.until, self.extended)
     }
 }
 
--- a/crates/core/src/grant/dispatcher/entry.rs
+++ b/crates/core/src/grant/dispatcher/entry.rs
@@ -7,7 +7,7 @@
 use super::{Action, FRESH, GRANT, RENEWAL, remaining};
 use crate::grant::{Answer, Request};
 use crate::ids::{Ballot, Epoch, Instance, Shard, Upstream, Version};
-use crate::preset::Fencing;
+use crate::preset::{Fencing, Isolation};
 use crate::time::{Time, shortest};
 use crate::wire::{Assignment, Claim, Message, Observed};
 
@@ -60,6 +60,21 @@
         self.unchecked && (self.exchanges > 0 || self.connections > 0)
     }
 
+    /// Whether the assignment outlives the holder's lease in isolation.
+    pub(super) fn keeps(&self) -> bool {
+        let isolation = self.assignment.as_ref().map(|known| known.isolation);
+        isolation == Some(Isolation::Keep)
+    }
+
+    /// End of what the assignment may be followed until.
+    pub(super) fn end(&self, lease: Option<Time>, extended: Option<Time>) -> Option<Time> {
+        if self.keeps() {
+            lease.max(extended)
+        } else {
+            lease
+        }
+    }
+
     /// Whether the upstream is served by order of an earlier holder.
     pub(super) fn is_older(&self, highest: Option<Ballot>) -> bool {
         match &self.assignment {
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -11,6 +11,7 @@
 
 use medlarreel_macros::data;
 
+use crate::control::extension::Withholding;
 use crate::fold::State;
 use crate::ids::{Ballot, Club, Domain, Epoch, Instance, Service, Upstream, Version};
 use crate::preset::{Fencing, Isolation, ServiceLimits};
@@ -46,7 +47,7 @@
 }
 
 /// State of one control holder, from its election to its end.
-#[data(plain)]
+#[derive(Clone, Debug)]
 pub struct Holder {
     ballot: Ballot,
     club: String,
@@ -60,6 +61,8 @@
     peers: BTreeMap<Instance, Peer>,
     targets: BTreeMap<Upstream, Target>,
     ledgers: BTreeMap<Service, Ledger>,
+    /// Promises of failure domains with unreachable instances.
+    withholdings: BTreeMap<String, Withholding>,
     journal: Journal,
     /// Upstreams that the platform's list names as leaving.
     leaving: BTreeSet<Upstream>,
@@ -95,6 +98,21 @@
         view
     }
 
+    /// Whether a service lets isolated failure domains keep its keys.
+    fn keeps_any(&self) -> bool {
+        let services = self.state.active().map(|active| &active.preset.services);
+        let mut services = services.into_iter().flatten();
+        services.any(|service| service.isolation == Isolation::Keep)
+    }
+
+    /// Members of the club in a failure domain.
+    fn members_of(&self, domain: &str) -> impl Iterator<Item = Instance> {
+        let members = self.state.club(self.club).members.iter();
+        members
+            .filter(move |member| member.domain == domain)
+            .map(|member| member.instance)
+    }
+
     fn limits(&self, service: Service) -> Option<&ServiceLimits> {
         let active = self.state.active()?;
         active.preset.service(&self.state.service(service).name)
@@ -155,6 +173,7 @@
             peers: BTreeMap::new(),
             targets: BTreeMap::new(),
             ledgers: BTreeMap::new(),
+            withholdings: BTreeMap::new(),
             journal: Journal::default(),
             leaving: BTreeSet::new(),
             outbox: Vec::new(),
@@ -217,8 +236,11 @@
 
     /// A member supports no extension of dispatch leases.
     pub fn withheld(&mut self, now: Time, from: Instance, nonce: u64) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.withheld(now, nonce);
+        let Some(peer) = self.peers.get(&from) else {
+            return;
+        };
+        if let Some(withholding) = self.withholdings.get_mut(&peer.member.domain) {
+            withholding.withheld(now, from, nonce);
         }
     }
 
@@ -233,7 +255,7 @@
     }
 
     /// Everything that is to be done now.
-    pub fn tick(&mut self, now: Time, state: &State, random: u64) -> Vec<Action> {
+    pub fn tick(&mut self, now: Time, state: &State) -> Vec<Action> {
         let Some(club) = state.club_named(&self.club) else {
             return Vec::new();
         };
@@ -245,7 +267,7 @@
         let view = View::new(now, state, club, self.ballot);
         self.lease(now);
         self.write(&view);
-        self.withhold(&view, random);
+        self.withhold(&view);
         if self.survey(&view) {
             self.act(&view);
         }
--- a/crates/core/src/holder/journal.rs
+++ b/crates/core/src/holder/journal.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, Holder, View};
 use crate::ids::{Instance, Offset};
-use crate::record::Body;
+use crate::record::{Body, Released};
 use crate::time::Time;
 
 /// Interval of `Alive` records.
@@ -94,7 +94,8 @@
             let known = members
                 .iter()
                 .any(|known| known.instance == member.instance);
-            member.club == self.club && !known && peer.is_live(view.now)
+            let free = self.may_change(view, &member.domain);
+            member.club == self.club && !known && peer.is_live(view.now) && free
         })?;
         Some(Body::Admit(self.author(), newcomer.member.clone()))
     }
@@ -107,7 +108,8 @@
         };
         let member = members.iter().find(|member| {
             let instance = member.instance;
-            instance != self.ballot.instance && gone(instance) && !self.may_serve(view, instance)
+            let free = !self.may_serve(view, instance) && self.may_change(view, &member.domain);
+            instance != self.ballot.instance && gone(instance) && free
         })?;
         let leaving = self.peers.get(&member.instance);
         let left = leaving.is_some_and(|peer| peer.is_leaving());
@@ -119,6 +121,18 @@
         })
     }
 
+    /// Whether the membership of the failure domain may change: not while an
+    /// outdated majority of it could extend dispatch leases. An operator's
+    /// release of the domain vouches that there is none.
+    fn may_change(&self, view: &View, domain: &str) -> bool {
+        let changed = view.state.club(view.club).changed;
+        let mut releases = view.state.releases();
+        let released = releases.any(|release| {
+            release.offset > changed && release.released == Released::Domain(domain.to_owned())
+        });
+        !view.keeps_any() || released || self.is_roster_known(view, domain)
+    }
+
     /// Whether the instance may still serve an upstream. While it is a member,
     /// a later holder takes this into account as well.
     pub(super) fn may_serve(&self, view: &View, instance: Instance) -> bool {
--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -7,6 +7,7 @@
 use super::{Action, Holder, View};
 use crate::ids::{Epoch, Instance, Upstream, Version};
 use crate::placement::dispatchers;
+use crate::preset::Isolation;
 use crate::time::Time;
 use crate::wire::{Assignment, Message};
 
@@ -246,6 +247,11 @@
         incarnation: order.incarnation,
         session,
         fencing: entry.server.fencing,
+        isolation: if view.lapses(upstream) {
+            Isolation::Lapse
+        } else {
+            Isolation::Keep
+        },
         shards: shards
             .map(|(&index, &epoch)| (shard(entry.service, usize::from(index)), epoch))
             .collect(),
--- a/crates/core/src/holder/peers.rs
+++ b/crates/core/src/holder/peers.rs
@@ -1,24 +1,20 @@
 //! Instances as the holder knows them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use medlarreel_macros::data;
 
-use super::{Action, Holder, LEASE, View};
+use super::{Action, Holder, View};
+use crate::control::extension::Withholding;
 use crate::ids::{Ballot, Instance, Offset, Upstream};
-use crate::preset::Isolation;
 use crate::record::Member;
-use crate::time::{Time, longest, shortest};
-use crate::wire::{Message, Observed, Report};
+use crate::time::Time;
+use crate::wire::{Observed, Report};
 
 /// Time without a report after which an instance is given no new work.
 pub(super) const LIVE: Duration = Duration::from_millis(1_000);
 
-/// Length of a `Withhold`, and interval of its renewals.
-const WITHHOLD: Duration = Duration::from_millis(5_000);
-const WITHHOLD_RENEWAL: Duration = Duration::from_millis(1_000);
-
 /// Time after which an instance that is gone for good is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
 
@@ -38,10 +34,6 @@
     pub(super) known: bool,
     /// What it serves by order of earlier holders.
     pub(super) older: BTreeMap<Upstream, Observed>,
-    /// Newest `Withhold` sent: nonce and time.
-    asked: Option<(u64, Time)>,
-    /// Period for which it supports no extension.
-    withheld: Option<(Time, Time)>,
 }
 
 impl Peer {
@@ -56,8 +48,6 @@
             leaving: false,
             known: false,
             older: BTreeMap::new(),
-            asked: None,
-            withheld: None,
         }
     }
 
@@ -103,55 +93,36 @@
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving
     }
+}
 
-    pub(super) fn withheld(&mut self, now: Time, nonce: u64) {
-        let Some((_, sent)) = self.asked.filter(|(asked, _)| *asked == nonce) else {
-            return;
-        };
-        let until = sent + shortest(WITHHOLD);
-        let from = match self.withheld {
-            Some((from, before)) if now < before => from,
-            _ => now,
+impl Holder {
+    /// Asks the members of failure domains with unreachable instances not to
+    /// support extensions.
+    pub(super) fn withhold(&mut self, view: &View) {
+        let cut = if view.keeps_any() {
+            self.cut_domains(view)
+        } else {
+            BTreeSet::new()
         };
-        self.withheld = Some((from, until));
-    }
-
-    /// Whether no extension that it supported earlier can be in force.
-    fn supports_nothing(&self, now: Time) -> bool {
-        self.withheld
-            .is_some_and(|(from, until)| from + longest(LEASE) <= now && now < until)
+        self.withholdings.retain(|domain, _| cut.contains(domain));
+        for domain in cut {
+            let members: Vec<Instance> = view.members_of(&domain).collect();
+            let fresh = || Withholding::new(self.ballot.instance, members.iter().copied());
+            let withholding = self.withholdings.entry(domain).or_insert_with(fresh);
+            withholding.observe(members.iter().copied());
+            let questions = withholding.tick(view.now).into_iter();
+            self.outbox
+                .extend(questions.map(|(to, message)| Action::Send(to, message)));
+        }
     }
-}
 
-impl Holder {
-    /// Asks the members of domains with unreachable instances not to extend leases.
-    pub(super) fn withhold(&mut self, view: &View, random: u64) {
-        let keeps = view.state.active().is_some_and(|active| {
-            let mut services = active.preset.services.iter();
-            services.any(|service| service.isolation == Isolation::Keep)
+    fn cut_domains(&self, view: &View) -> BTreeSet<String> {
+        let members = view.state.club(view.club).members.iter();
+        let silent = members.filter(|member| {
+            let peer = self.peers.get(&member.instance);
+            !peer.is_some_and(|peer| peer.is_live(view.now))
         });
-        if !keeps {
-            return;
-        }
-        let members = &view.state.club(view.club).members;
-        for member in members {
-            let cut = members.iter().any(|other| {
-                let peer = self.peers.get(&other.instance);
-                other.domain == member.domain && !peer.is_some_and(|peer| peer.is_live(view.now))
-            });
-            let Some(peer) = self.peers.get_mut(&member.instance).filter(|_| cut) else {
-                continue;
-            };
-            let due = peer
-                .asked
-                .is_none_or(|(_, sent)| view.now >= sent + WITHHOLD_RENEWAL);
-            if due {
-                let nonce = random ^ member.instance.0;
-                peer.asked = Some((nonce, view.now));
-                let message = Message::Withhold(nonce, WITHHOLD);
-                self.outbox.push(Action::Send(member.instance, message));
-            }
-        }
+        silent.map(|member| member.domain.clone()).collect()
     }
 
     /// Forgets former instances that can serve nothing any more.
@@ -171,12 +142,20 @@
 
     /// Whether a majority of the domain's members supports no extension.
     pub(super) fn is_withheld(&self, view: &View, domain: &str) -> bool {
-        let members = view.state.club(view.club).members.iter();
-        let members: Vec<_> = members.filter(|member| member.domain == domain).collect();
-        let withheld = members.iter().filter(|member| {
-            let peer = self.peers.get(&member.instance);
-            peer.is_some_and(|peer| peer.supports_nothing(view.now))
-        });
-        view.led && withheld.count() * 2 > members.len()
+        let withholding = self.withholdings.get(domain);
+        view.led && withholding.is_some_and(|withholding| withholding.is_free(view.now))
+    }
+
+    /// Whether a majority of the domain's members knows its present membership,
+    /// so that outdated majorities cannot extend leases after another change.
+    pub(super) fn is_roster_known(&self, view: &View, domain: &str) -> bool {
+        let changed = view.state.club(view.club).changed;
+        let knows = |instance: &Instance| {
+            let peer = self.peers.get(instance);
+            peer.is_some_and(|peer| peer.is_live(view.now) && peer.next > changed)
+        };
+        let members = view.members_of(domain).count();
+        let known = view.members_of(domain).filter(knows).count();
+        members == 0 || known * 2 > members
     }
 }
--- a/crates/core/src/holder/proof.rs
+++ b/crates/core/src/holder/proof.rs
@@ -54,8 +54,10 @@
         if let Some(peer) = peer {
             let cleared = renewer.presumed && peer.known && !peer.older.contains_key(&upstream);
             // A new session begins after the end of the lease and of its grants,
-            // but exchanges with an unchecked upstream may still be open.
-            if cleared || (checked && peer.session > renewer.session) {
+            // but exchanges with an unchecked upstream may still be open, and an
+            // extension may outlive the lease.
+            let ended = checked && view.lapses(upstream) && peer.session > renewer.session;
+            if cleared || ended {
                 return true;
             }
         }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -14,6 +14,7 @@
 use medlarreel_macros::data;
 
 use crate::control::Election;
+use crate::control::extension::Extension;
 use crate::fold::State;
 use crate::grant::dispatcher::{self, Dispatcher};
 use crate::grant::{Answer, Request};
@@ -117,6 +118,7 @@
     replay: replay::Replay,
     recovery: recovery::Recovery,
     election: Election,
+    extension: Extension,
     dispatcher: Dispatcher,
     holder: Option<Holder>,
     report: Option<Pending>,
@@ -198,6 +200,7 @@
             replay: replay::Replay::default(),
             recovery: recovery::Recovery::new(now),
             election: Election::new(me.instance, now),
+            extension: Extension::new(me.instance, now),
             dispatcher: Dispatcher::new(me.instance),
             holder: None,
             report: None,
@@ -263,7 +266,8 @@
         }
         queue.send_all(self.election.tick(now, random));
         self.take_or_leave_control(now);
-        self.run_duties(now, random, queue);
+        self.run_duties(now, queue);
+        self.extend_leases(now, queue);
         for action in self.dispatcher.tick(now) {
             queue.act(match action {
                 dispatcher::Action::Query(upstream) => Action::Query(upstream),
@@ -276,6 +280,16 @@
         self.reset_due(now, queue);
     }
 
+    /// Extends dispatch leases by votes where isolation is `keep`.
+    fn extend_leases(&mut self, now: Time, queue: &mut Queue) {
+        if !self.dispatcher.keeps_any() {
+            return;
+        }
+        let lease = self.dispatcher.last_lease();
+        queue.send_all(self.extension.tick(now, lease));
+        self.dispatcher.extend(now, self.extension.until(lease));
+    }
+
     fn take_or_leave_control(&mut self, now: Time) {
         let ballot = self.election.lease(now);
         let current = self.holder.as_ref().map(Holder::ballot);
@@ -286,13 +300,13 @@
         }
     }
 
-    fn run_duties(&mut self, now: Time, random: u64, queue: &mut Queue) {
+    fn run_duties(&mut self, now: Time, queue: &mut Queue) {
         let settled = self.election.members_known(now);
         let Some(duties) = &mut self.holder else {
             return;
         };
         duties.settle(settled);
-        queue.perform(duties.tick(now, &self.state, random));
+        queue.perform(duties.tick(now, &self.state));
         let deposed = duties.is_deposed();
         self.enrol(now, queue);
         if deposed {
@@ -319,6 +333,18 @@
                 let answer = self.dispatcher.stop(now, upstream, version);
                 queue.send_some(from, answer);
             }
+            Message::Extend(nonce, version) => {
+                let answer = self.extension.extend(now, from, nonce, version);
+                queue.send(from, answer);
+            }
+            Message::Extended(nonce, granted) => {
+                let lease = self.dispatcher.last_lease();
+                self.extension.extended(now, lease, from, nonce, granted);
+            }
+            Message::Withhold(nonce, length) => {
+                let answer = self.extension.withhold(now, nonce, length);
+                queue.send_some(from, answer);
+            }
             Message::Progress(next) => self.lagging(from, next, queue),
             other => self.receive_duty(now, from, other),
         }
--- a/crates/core/src/machine/replay.rs
+++ b/crates/core/src/machine/replay.rs
@@ -165,6 +165,12 @@
         let Some(club) = self.club() else { return };
         let club = self.state.club(club);
         self.election.observe(now, club);
+        let near = club
+            .members
+            .iter()
+            .filter(|member| member.domain == self.me.domain);
+        self.extension
+            .observe(club.version, near.map(|member| member.instance));
         self.recovery.holder_recorded(now, club.heard);
     }
 }
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -9,7 +9,7 @@
 use medlarreel_macros::data;
 
 use crate::ids::{Ballot, Epoch, Instance, Offset, Shard, Upstream, Version};
-use crate::preset::Fencing;
+use crate::preset::{Fencing, Isolation};
 use crate::record::Member;
 
 pub mod frame;
@@ -135,6 +135,8 @@
     pub session: u32,
     /// Whether the upstream checks grants.
     pub fencing: Fencing,
+    /// Whether the dispatch lease may be extended for this upstream's sake.
+    pub isolation: Isolation,
     /// Shards and their fencing epochs.
     pub shards: Vec<(Shard, Epoch)>,
     /// Slots that may be in use.
@@ -167,8 +169,9 @@
     /// Nothing older is renewed; the last grant ends after the given time.
     Stopped(Upstream, Version, Duration),
     /// Request to support the extension of a dispatch lease in an isolated
-    /// failure domain; the nonce dates the answer.
-    Extend(u64),
+    /// failure domain. The nonce dates the answer; the membership version shows
+    /// whether the sender counts its majority among outdated members.
+    Extend(u64, u32),
     /// Support for an extension, or its refusal.
     Extended(u64, bool),
     /// The holder asks a member not to support extensions before the time is over.
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -74,6 +74,7 @@
         heard: Offset(0),
         members: members.iter().copied().map(member).collect(),
         version,
+        changed: Offset(0),
         reserved: 0,
     }
 }
--- a/crates/core/tests/extension.rs
+++ b/crates/core/tests/extension.rs
@@ -59,7 +59,7 @@
         let clocks: BTreeMap<_, _> = nodes.map(|id| (*id, clock(id))).collect();
         let start = |&id: &Instance| {
             let mut member = Extension::new(id, clocks[&id].at(0));
-            member.observe(ids.clone());
+            member.observe(1, ids.clone());
             (id, member)
         };
         let length = shortest(EXTENSION);
@@ -144,7 +144,7 @@
             return;
         };
         let answer = match message {
-            Message::Extend(nonce) => Some(member.extend(now, from, nonce)),
+            Message::Extend(nonce, version) => Some(member.extend(now, from, nonce, version)),
             Message::Withhold(nonce, length) => member.withhold(now, nonce, length),
             Message::Extended(nonce, granted) => {
                 member.extended(now, lease, from, nonce, granted);
@@ -244,7 +244,7 @@
 /// Member of {1, 2} that has run long enough to vote.
 fn member() -> (Extension, Time) {
     let mut member = Extension::new(Instance(1), Time(0));
-    member.observe([1, 2].map(Instance));
+    member.observe(1, [1, 2].map(Instance));
     (member, Time(6 * SECOND))
 }
 
@@ -254,8 +254,8 @@
     let (mut member, now) = member();
 
     let promise = member.withhold(now, 1, PROMISE);
-    let during = member.extend(now + PROMISE, Instance(2), 2);
-    let after = member.extend(now + longest(PROMISE), Instance(2), 3);
+    let during = member.extend(now + PROMISE, Instance(2), 2, 1);
+    let after = member.extend(now + longest(PROMISE), Instance(2), 3, 1);
 
     assert_eq!(promise, Some(Message::Withheld(1)));
     assert_eq!(during, Message::Extended(2, false));
@@ -266,7 +266,7 @@
 #[test]
 fn promise_covers_earlier_support() {
     let (mut member, now) = member();
-    member.extend(now, Instance(2), 1);
+    member.extend(now, Instance(2), 1, 1);
 
     let short = member.withhold(now, 2, Duration::from_millis(2_400));
     let long = member.withhold(now, 3, PROMISE);
--- a/crates/core/tests/frame.rs
+++ b/crates/core/tests/frame.rs
@@ -5,7 +5,7 @@
 use hmac::{Hmac, Mac};
 use medlarreel_core::code::Code;
 use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Service, Shard, Upstream, Version};
-use medlarreel_core::preset::Fencing;
+use medlarreel_core::preset::{Fencing, Isolation};
 use medlarreel_core::record::Member;
 use medlarreel_core::wire::frame::{Key, MAX_FRAME, Replay, SENDERS, VERSION, WINDOW};
 use medlarreel_core::wire::{Ask, Assignment, Frame, Message, Report};
@@ -43,6 +43,7 @@
         incarnation: 5,
         session: 6,
         fencing: Fencing::Checked,
+        isolation: Isolation::Lapse,
         shards: (0..shards).map(shard).collect(),
         allowance: 6,
         primary: Instance(7),
--- a/crates/core/tests/ownership/club.rs
+++ b/crates/core/tests/ownership/club.rs
@@ -135,6 +135,7 @@
         heard: Offset(0),
         members: members.collect(),
         version: 1,
+        changed: Offset(0),
         reserved: shape.budget,
     };
     let active = Active {
@@ -148,6 +149,7 @@
     let services = services.map(|(name, places)| ServiceState {
         name: name.into(),
         plan: Plan { version: 0, places },
+        kept: shape.isolation == Isolation::Keep,
     });
     let parts: Parts = (
         Offset(10),
--- a/crates/core/tests/ownership/dispatcher.rs
+++ b/crates/core/tests/ownership/dispatcher.rs
@@ -5,7 +5,7 @@
 use medlarreel_core::grant::dispatcher::{Action, Dispatcher};
 use medlarreel_core::grant::{Answer, Register};
 use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Service, Shard, Upstream, Version};
-use medlarreel_core::preset::Fencing;
+use medlarreel_core::preset::{Fencing, Isolation};
 use medlarreel_core::time::Time;
 use medlarreel_core::wire::{Assignment, Lease, Message};
 
@@ -56,6 +56,7 @@
         incarnation: 5,
         session,
         fencing,
+        isolation: Isolation::Lapse,
         shards: vec![(SHARD, epoch(1))],
         allowance: 6,
         primary: ME,
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use medlarreel_core::control::extension::Extension;
 use medlarreel_core::fold::State;
 use medlarreel_core::grant::dispatcher::{self, Dispatcher};
 use medlarreel_core::grant::{Answer, Register, Request};
@@ -40,6 +41,7 @@
     pub member: Member,
     pub clock: Clock,
     pub dispatcher: Dispatcher,
+    pub extension: Extension,
     pub holder: Option<Holder>,
     /// True end of the control lease.
     pub holds_until: u64,
@@ -115,8 +117,11 @@
     }
 
     pub fn start(&mut self, member: Member, group: u8) {
+        let clock = Clock::random(&mut self.queue.random);
+        let extension = Extension::new(member.instance, clock.read(self.now));
         self.processes.push(Process {
-            clock: Clock::random(&mut self.queue.random),
+            clock,
+            extension,
             dispatcher: Dispatcher::new(member.instance),
             member,
             holder: None,
@@ -297,7 +302,6 @@
     /// Actions of the holder; a holder that finds its lease ended is dropped.
     fn holder_actions(&mut self, index: usize) -> Vec<holder::Action> {
         let now = self.local(index);
-        let random = self.queue.random.random();
         let process = &mut self.processes[index];
         if self.now >= process.holds_until {
             process.holder = None;
@@ -305,7 +309,7 @@
         let Some(holder) = &mut process.holder else {
             return Vec::new();
         };
-        holder.tick(now, &process.state, random)
+        holder.tick(now, &process.state)
     }
 
     fn tick_holder(&mut self, index: usize) {
@@ -405,7 +409,16 @@
             }
             Message::Assign(assignment) => process.dispatcher.assign(now, assignment),
             Message::Stop(upstream, version) => process.dispatcher.stop(now, upstream, version),
-            Message::Withhold(nonce, _) => Some(Message::Withheld(nonce)),
+            Message::Withhold(nonce, length) => process.extension.withhold(now, nonce, length),
+            Message::Extend(nonce, version) => {
+                Some(process.extension.extend(now, from, nonce, version))
+            }
+            Message::Extended(nonce, granted) => {
+                let lease = process.dispatcher.last_lease();
+                let extension = &mut process.extension;
+                extension.extended(now, lease, from, nonce, granted);
+                None
+            }
             other => {
                 self.inform(index, now, from, other);
                 None
@@ -434,8 +447,33 @@
         self.tick_holder(index);
     }
 
+    /// Extends the dispatch lease by votes, as an instance does on its ticks.
+    fn extend_lease(&mut self, index: usize, now: Time) {
+        let process = &mut self.processes[index];
+        let club = &process.state.clubs()[0];
+        let near = club
+            .members
+            .iter()
+            .filter(|other| other.domain == process.member.domain);
+        process
+            .extension
+            .observe(club.version, near.map(|other| other.instance));
+        if !process.dispatcher.keeps_any() {
+            return;
+        }
+        let lease = process.dispatcher.last_lease();
+        let questions = process.extension.tick(now, lease);
+        process
+            .dispatcher
+            .extend(now, process.extension.until(lease));
+        for (to, message) in questions {
+            self.send(index, to, message);
+        }
+    }
+
     pub fn tick_dispatcher(&mut self, index: usize) {
         let now = self.local(index);
+        self.extend_lease(index, now);
         let me = self.processes[index].member.instance;
         for action in self.processes[index].dispatcher.tick(now) {
             let (upstream, request) = match action {
--- a/crates/load/src/slopes/sizes.rs
+++ b/crates/load/src/slopes/sizes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarreel_core::ids::{Epoch, Instance, Offset, Proposal, Service, Shard, Upstream, Version};
-use medlarreel_core::preset::Fencing;
+use medlarreel_core::preset::{Fencing, Isolation};
 use medlarreel_core::record::{Author, Body, Chunk, Record, Released};
 use medlarreel_core::wire::{Ask, Assignment, Frame, Lease, Message, Observed, Report, Vote};
 
@@ -196,7 +196,7 @@
         ("Assigned", Message::Assigned(upstream, version())),
         ("Stop", Message::Stop(upstream, version())),
         ("Stopped", Message::Stopped(upstream, version(), length)),
-        ("Extend", Message::Extend(nonce)),
+        ("Extend", Message::Extend(nonce, 12)),
         ("Extended", Message::Extended(nonce, true)),
         ("Withhold", Message::Withhold(nonce, length)),
         ("Withheld", Message::Withheld(nonce)),
@@ -218,6 +218,7 @@
         incarnation: BIG,
         session: 0,
         fencing: Fencing::Checked,
+        isolation: Isolation::Lapse,
         shards: (0..shards).map(shard).collect(),
         allowance: 6,
         primary: Instance(BIG),
--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -123,10 +123,7 @@
         let now = self.now();
         let mut changed = false;
         let mut kept = HashMap::new();
-        let Some(until) = self.machine.dispatcher().until(now) else {
-            return !std::mem::take(&mut self.published.lanes).is_empty();
-        };
-        for assignment in self.machine.dispatcher().sendable_now(now) {
+        for (assignment, until) in self.machine.dispatcher().sendable_now(now) {
             let entry = state.upstream(assignment.upstream);
             let Some(service) = preset.service(&entry.server.service) else {
                 continue;
