Measure routing, placement, election, leases and checkpoints by size

The capacity page needs the cost of each role at sizes that cannot be run, so the slope benchmark now drives the control state machines in virtual time and sizes their messages with the real codec.

--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -8,10 +8,19 @@
 use crate::Error;
 
 pub mod admission;
+mod cell;
+pub mod checkpoint;
 pub mod dedup;
+pub mod dispatcher;
+pub mod election;
+mod fleet;
 pub mod fold;
+pub mod frame;
 pub mod health;
+pub mod holder;
+pub mod placement;
 pub mod retry;
+pub mod route;
 pub mod sharing;
 pub mod sizes;
 pub mod table;
@@ -23,7 +32,7 @@
 
 type Command = (&'static str, &'static str, fn() -> Vec<Table>);
 
-const COMMANDS: [Command; 8] = [
+const COMMANDS: [Command; 15] = [
     (
         "sharing",
         "ways to share an upstream's slots, in virtual time",
@@ -42,6 +51,37 @@
         "apply by shards and members, and memory",
         fold::tables,
     ),
+    (
+        "route",
+        "table by shards and upstreams, and lookup of a key",
+        route::tables,
+    ),
+    (
+        "placement",
+        "plan by upstreams and shards",
+        placement::tables,
+    ),
+    (
+        "election",
+        "renewal of control by members",
+        election::tables,
+    ),
+    (
+        "dispatcher",
+        "renewal of grants by upstreams, and reports",
+        dispatcher::tables,
+    ),
+    (
+        "holder",
+        "reports and ticks by members and upstreams",
+        holder::tables,
+    ),
+    (
+        "checkpoint",
+        "split and assemble by state size",
+        checkpoint::tables,
+    ),
+    ("frame", "encode and decode of datagrams", frame::tables),
     ("wire", "encoded message sizes", sizes::messages),
     ("record", "encoded record sizes", sizes::records),
 ];
--- /dev/null
+++ b/crates/load/src/slopes/cell.rs
@@ -0,0 +1,229 @@
+//! One control holder with the dispatchers of its members, without faults.
+//!
+//! The real state machines of the holder, the dispatchers and the upstreams'
+//! registers exchange their messages at once, in steps of the report interval.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use medlarreel_core::fold::State;
+use medlarreel_core::grant::dispatcher::{self, Dispatcher};
+use medlarreel_core::grant::{Answer, Register};
+use medlarreel_core::holder::{Action, Holder};
+use medlarreel_core::ids::{Ballot, Instance, Upstream};
+use medlarreel_core::machine::REPORT_EVERY;
+use medlarreel_core::time::Time;
+use medlarreel_core::wire::{Message, Report};
+
+use super::fleet::Fleet;
+use super::fold::{CLUB, apply, author};
+use super::sizes::frame_size;
+
+/// Requests that each shard has run between two reports.
+const REQUESTS: u32 = 60;
+
+/// Messages by direction, as seen from the holder.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Traffic {
+    pub(super) messages: usize,
+    pub(super) received: usize,
+    pub(super) sent: usize,
+    pub(super) assignments: usize,
+    pub(super) appends: usize,
+    /// Bytes of the largest frame.
+    pub(super) largest: usize,
+    /// Time within `Holder::report`, and within `Holder::tick`.
+    pub(super) reporting: Duration,
+    pub(super) ticking: Duration,
+}
+
+impl Traffic {
+    fn receive(&mut self, message: &Message) {
+        let size = frame_size(message.clone());
+        self.messages += 1;
+        self.received += size;
+        self.largest = self.largest.max(size);
+    }
+
+    fn send(&mut self, message: &Message) {
+        let size = frame_size(message.clone());
+        self.messages += 1;
+        self.sent += size;
+        self.largest = self.largest.max(size);
+        self.assignments += usize::from(matches!(message, Message::Assign(_)));
+    }
+}
+
+pub(super) struct Cell {
+    pub(super) now: Time,
+    pub(super) state: State,
+    pub(super) holder: Holder,
+    ballot: Ballot,
+    fleet: Fleet,
+    dispatchers: BTreeMap<Instance, Dispatcher>,
+    registers: Vec<Register>,
+    nonce: u64,
+    /// Upstream that answers nothing.
+    pub(super) lost: Option<Upstream>,
+}
+
+impl Cell {
+    pub(super) fn new(fleet: Fleet) -> Cell {
+        let now = Time(10_000_000);
+        let ballot = author().ballot;
+        let members = (1..=fleet.members).map(Instance);
+        let registers = (0..u64::from(fleet.upstreams)).map(|key| Register::new(key + 1));
+        Cell {
+            now,
+            state: fleet.state(),
+            holder: Holder::new(now, ballot, CLUB.to_owned()),
+            ballot,
+            fleet,
+            dispatchers: members.map(|key| (key, Dispatcher::new(key))).collect(),
+            registers: registers.collect(),
+            nonce: 0,
+            lost: None,
+        }
+    }
+
+    /// Shards that the upstreams hold now.
+    pub(super) fn held(&self) -> usize {
+        let registers = self.registers.iter();
+        registers
+            .map(|register| register.held(self.now).len())
+            .sum()
+    }
+
+    /// One report interval with one tick of the holder.
+    pub(super) fn step(&mut self) -> Traffic {
+        let mut traffic = Traffic::default();
+        self.now = self.now + REPORT_EVERY;
+        self.renew(&mut traffic);
+        self.load();
+        self.report(&mut traffic);
+        self.tick(&mut traffic);
+        traffic
+    }
+
+    /// One tick of the holder and what follows from it.
+    pub(super) fn tick(&mut self, traffic: &mut Traffic) {
+        let begin = Instant::now();
+        let actions = self.holder.tick(self.now, &self.state, 7);
+        traffic.ticking += begin.elapsed();
+        for action in actions {
+            match action {
+                Action::Append(body) => {
+                    traffic.appends += 1;
+                    apply(&mut self.state, body);
+                }
+                Action::Send(to, message) => {
+                    traffic.send(&message);
+                    self.deliver(to, message, traffic);
+                }
+            }
+        }
+        self.renew(traffic);
+    }
+
+    fn deliver(&mut self, to: Instance, message: Message, traffic: &mut Traffic) {
+        let now = self.now;
+        let Some(dispatcher) = self.dispatchers.get_mut(&to) else {
+            return;
+        };
+        let answer = match message {
+            Message::Lease(lease) => {
+                dispatcher.leased(now, now, lease);
+                None
+            }
+            Message::Assign(assignment) => dispatcher.assign(now, assignment),
+            Message::Stop(upstream, version) => dispatcher.stop(now, upstream, version),
+            _ => None,
+        };
+        let Some(answer) = answer else {
+            return;
+        };
+        traffic.receive(&answer);
+        match answer {
+            Message::Assigned(upstream, version) => self.holder.assigned(to, upstream, version),
+            Message::Stopped(upstream, version, left) => {
+                self.holder.stopped(now, to, upstream, version, left);
+            }
+            _ => {}
+        }
+    }
+
+    fn load(&mut self) {
+        let now = self.now;
+        for dispatcher in self.dispatchers.values_mut() {
+            let assigned = dispatcher.sendable_now(now);
+            let shards = assigned.flat_map(|known| {
+                let shards = known.shards.iter();
+                shards.map(|&(shard, _)| (known.upstream, shard))
+            });
+            let shards: Vec<_> = shards.collect();
+            // Half at the dispatcher and half at its backup keeps the sum.
+            for (upstream, shard) in shards {
+                dispatcher.served(upstream, Some(shard), REQUESTS / 2);
+            }
+        }
+    }
+
+    fn report(&mut self, traffic: &mut Traffic) {
+        for (&key, dispatcher) in &mut self.dispatchers {
+            self.nonce += 1;
+            let report = Report {
+                member: self.fleet.member(key.0),
+                nonce: self.nonce,
+                highest: self.ballot,
+                next: self.state.next(),
+                leaving: false,
+                session: dispatcher.session(),
+                older: dispatcher.older(),
+                upstreams: dispatcher.observed(self.now),
+            };
+            traffic.receive(&Message::Report(report.clone()));
+            let begin = Instant::now();
+            self.holder.report(self.now, report);
+            traffic.reporting += begin.elapsed();
+        }
+    }
+
+    /// Grants and queries of all dispatchers.
+    fn renew(&mut self, traffic: &mut Traffic) {
+        let now = self.now;
+        for dispatcher in self.dispatchers.values_mut() {
+            for action in dispatcher.tick(now) {
+                let (upstream, request) = match action {
+                    dispatcher::Action::Query(upstream) => (upstream, None),
+                    dispatcher::Action::Grant(upstream, request) => (upstream, Some(request)),
+                };
+                if self.lost == Some(upstream) {
+                    dispatcher.failed(now, upstream);
+                    continue;
+                }
+                let register = &mut self.registers[upstream.0 as usize];
+                let accepted = request.is_some_and(|request| register.grant(now, &request).is_ok());
+                let answer = answer(now, register, accepted);
+                if let Some(news) = dispatcher.answered(now, upstream, now, answer) {
+                    traffic.receive(&news);
+                    if let Message::Granted(upstream, incarnation, version) = news {
+                        self.holder.granted(now, upstream, incarnation, version);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn answer(now: Time, register: &Register, accepted: bool) -> Answer {
+    Answer {
+        incarnation: register.incarnation(),
+        clock: now,
+        accepted,
+        version: register.version(),
+        shards: register.held(now),
+        in_flight: 4,
+        slots: 6,
+        draining: false,
+    }
+}
--- a/crates/load/src/slopes/fold.rs
+++ b/crates/load/src/slopes/fold.rs
@@ -11,8 +11,8 @@
 use super::{heap_bytes, measure};
 
 /// Most shards of one service; larger fleets have more services.
-const SHARDS: usize = 50_000;
-const CLUB: &str = "kashmir";
+pub(super) const SHARDS: usize = 50_000;
+pub(super) const CLUB: &str = "kashmir";
 const APPLIES: usize = 200;
 
 /// Tables by shards and by members.
@@ -112,7 +112,7 @@
 }
 
 /// Applies a record that must be accepted.
-fn apply(state: &mut State, body: Body) {
+pub(super) fn apply(state: &mut State, body: Body) {
     let offset = state.next();
     let proposal = Proposal(offset.0);
     let outcome = state.apply(offset, Record { proposal, body });
@@ -177,7 +177,7 @@
 ///
 /// The services are written into the serialized form, because the fold creates
 /// them only from presets, whose format is not this benchmark's subject.
-fn with_shards(shards: usize) -> State {
+pub(super) fn with_shards(shards: usize) -> State {
     let place = r#"{"owner":null,"standby":null}"#;
     let service = |index: usize| {
         let count = SHARDS.min(shards - index * SHARDS);
--- a/crates/load/src/slopes/sizes.rs
+++ b/crates/load/src/slopes/sizes.rs
@@ -14,7 +14,7 @@
 const FRAME_EXTRA: usize = 1 + 32;
 
 /// Large values, because small integers encode shorter than real ones.
-const BIG: u64 = 0x0FED_CBA9_8765_4321;
+pub(super) const BIG: u64 = 0x0FED_CBA9_8765_4321;
 
 /// Sizes of all messages; those with lists at several lengths.
 pub fn messages() -> Vec<Table> {
@@ -128,7 +128,7 @@
     vec![table]
 }
 
-fn frame_size(message: Message) -> usize {
+pub(super) fn frame_size(message: Message) -> usize {
     let frame = Frame {
         sender: Instance(BIG),
         counter: 1_000_000,
@@ -138,7 +138,7 @@
     encoded.len() + FRAME_EXTRA
 }
 
-fn ballot() -> medlarreel_core::ids::Ballot {
+pub(super) fn ballot() -> medlarreel_core::ids::Ballot {
     let mut ballot = author().ballot;
     ballot.term = Offset(1_000_000);
     ballot.instance = Instance(BIG);
@@ -159,7 +159,7 @@
     body
 }
 
-fn version() -> Version {
+pub(super) fn version() -> Version {
     Version {
         ballot: ballot(),
         count: 100_000,
@@ -204,7 +204,7 @@
     ]
 }
 
-fn assignment(shards: u16) -> Assignment {
+pub(super) fn assignment(shards: u16) -> Assignment {
     let epoch = Epoch {
         term: Offset(1_000_000),
         round: 20,
@@ -225,7 +225,7 @@
     }
 }
 
-fn report(upstreams: u32) -> Report {
+pub(super) fn report(upstreams: u32) -> Report {
     let observed = |key| Observed {
         upstream: Upstream(14_000 + key),
         silence: Some(Duration::from_millis(12)),
