Derive the cost of each role at the expected size

The benchmark gets the sizes of a small cell and grants without shards, and placement gets a table by shards of its own, because one slope column over both sizes had no meaning.

--- a/crates/load/src/slopes/checkpoint.rs
+++ b/crates/load/src/slopes/checkpoint.rs
@@ -41,6 +41,7 @@
     let mut last = (None, None);
     for (members, upstreams, shards) in [
         (12, 25, 1_024),
+        (16, 16, 640),
         (100, 100, 4_000),
         (1_000, 1_000, 40_000),
         (14_000, 14_000, 560_000),
--- a/crates/load/src/slopes/dispatcher.rs
+++ b/crates/load/src/slopes/dispatcher.rs
@@ -15,12 +15,15 @@
 
 const START: Time = Time(1_000_000);
 
-const SIZES: [(u32, u16); 8] = [
+const SIZES: [(u32, u16); 11] = [
     (1, 40),
+    (2, 40),
     (4, 40),
     (16, 40),
     (64, 40),
     (256, 40),
+    (2, 0),
+    (2, 69),
     (4, 69),
     (4, 250),
     (4, 1_000),
@@ -59,7 +62,7 @@
             }
         }) / 1e3;
         let service = Service(3);
-        let sends = usize::from(shards);
+        let sends = usize::from(shards.max(1));
         let may_send = measure(&dispatcher, sends, |dispatcher| {
             let shards = (0..shards).map(|index| Some(Shard { service, index }));
             let permits = shards.filter_map(|shard| dispatcher.may_send(due, Upstream(0), shard));
--- a/crates/load/src/slopes/election.rs
+++ b/crates/load/src/slopes/election.rs
@@ -37,7 +37,7 @@
     let title = "control::Election with a renewal every 250 ms, by voters";
     let mut table = Table::new(title, &columns);
     let (mut ticks, mut votes) = (None, None);
-    for members in [10, 12, 31, 100, 1_000, 14_000] {
+    for members in [5, 10, 12, 31, 100, 1_000, 14_000] {
         let cost = cost(members);
         let rate = 1.0 / RENEWAL.as_secs_f64();
         let others = members as f64 - 1.0;
--- a/crates/load/src/slopes/holder.rs
+++ b/crates/load/src/slopes/holder.rs
@@ -55,6 +55,7 @@
     for (members, upstreams, each) in [
         (10, 15, 69),
         (12, 25, 41),
+        (16, 16, 40),
         (30, 30, 40),
         (100, 100, 40),
         (30, 30, 200),
--- a/crates/load/src/slopes/placement.rs
+++ b/crates/load/src/slopes/placement.rs
@@ -6,17 +6,20 @@
 
 use super::table::{Table, slope};
 
-const SIZES: [(u32, usize); 6] = [
-    (15, 1_024),
-    (25, 1_024),
-    (100, 4_000),
-    (200, 8_000),
-    (100, 10_000),
-    (100, 400),
-];
+/// Sizes with about 40 shards for each upstream.
+const FLEETS: [(u32, usize); 4] = [(15, 1_024), (25, 1_024), (100, 4_000), (200, 8_000)];
 
-/// Table of the first plan, an unchanged one, and a join or loss.
+/// Shards of 100 upstreams.
+const SHARDS: [(u32, usize); 3] = [(100, 400), (100, 4_000), (100, 10_000)];
+
+/// Tables of the first plan, an unchanged one, and a join or loss.
 pub fn tables() -> Vec<Table> {
+    let fleets = by_size("placement::plan, by upstreams and shards", &FLEETS);
+    let shards = by_size("placement::plan, by shards of 100 upstreams", &SHARDS);
+    vec![fleets, shards]
+}
+
+fn by_size(title: &str, sizes: &[(u32, usize)]) -> Table {
     let columns = [
         "upstreams",
         "shards",
@@ -29,10 +32,9 @@
         "join us",
         "moved",
     ];
-    let title = "placement::plan, by upstreams and shards; slope by shards";
     let mut table = Table::new(title, &columns);
     let (mut firsts, mut sames) = (None, None);
-    for (upstreams, shards) in SIZES {
+    for &(upstreams, shards) in sizes {
         let empty = vec![Place::default(); shards];
         let all = candidates(upstreams);
         let (first, changes) = timed(&empty, &all);
@@ -64,7 +66,7 @@
         ]);
         (firsts, sames) = (Some((size, first)), Some((size, same)));
     }
-    vec![table]
+    table
 }
 
 fn candidates(count: u32) -> Vec<Candidate> {
