Test a whole club under losses, pauses, log outages and replacement

Real medlarreeld processes against in-process stand-ins. A checker compares the callers' answers with the upstreams' run records: epochs of a shard never go back, no idempotency key runs twice, answers belong to their requests, and nothing reported as not run has run. Also covers operators who race.

--- /dev/null
+++ b/crates/medlarreel/tests/system.rs
@@ -0,0 +1,294 @@
+//! Faults of a whole club: real `medlarreeld` processes against stand-ins.
+//!
+//! What happened is read from the upstreams' own run records. Waits have
+//! generous bounds and no duration is asserted.
+
+#[path = "system/checker.rs"]
+mod checker;
+#[path = "system/cluster.rs"]
+mod cluster;
+#[path = "system/load.rs"]
+mod load;
+
+use std::net::SocketAddr;
+
+use medlarreel_standin::log;
+use medlarreel_standin::upstream::Change;
+use serde_json::{Value, json};
+
+use checker::check;
+use cluster::{Cluster, DOMAINS, Instance, eventually, preset};
+use load::Calls;
+
+/// Callers' addresses of all instances.
+fn entries(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster
+        .instances
+        .iter()
+        .map(|instance| instance.callers)
+        .collect()
+}
+
+/// Guards against keys that stay unserved after the loss of an instance, of the
+/// control holder too, and against a second owner or run on the way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_instances_leave_every_key_served() {
+    let mut cluster = Cluster::start("killed-instances", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let load = calls.load();
+
+    let other = (cluster.holder().await + 1) % cluster.instances.len();
+    let domain = cluster.instances.remove(other).domain;
+    calls.serve_all(entries(&cluster)).await;
+    let replacement = cluster.spawn(domain).await;
+    cluster.instances.push(replacement);
+    cluster.settled().await;
+    calls.enter(&cluster);
+    calls.serve_all(entries(&cluster)).await;
+    let holder = cluster.holder().await;
+    drop(cluster.instances.remove(holder));
+    calls.serve_all(entries(&cluster)).await;
+
+    load.end().await;
+    check(&cluster, &calls);
+}
+
+/// Guards against keys that stay with a frozen or killed upstream, and against
+/// a second owner while it is away and after its return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_upstreams_are_replaced_and_may_return() {
+    let mut cluster = Cluster::start("lost-upstreams", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let owners = calls.serve_all(entries(&cluster)).await;
+    let load = calls.load();
+
+    let frozen = cluster.upstream(&owners[0]);
+    cluster.fault(frozen, freeze(true));
+    let after = calls.serve_all(entries(&cluster)).await;
+    assert!(
+        !after.contains(&owners[0]),
+        "a frozen upstream answers nothing"
+    );
+    cluster.fault(frozen, freeze(false));
+    let owners = calls.serve_all(entries(&cluster)).await;
+
+    let killed = cluster.upstream(&owners[1]);
+    let address = cluster.kill_upstream(killed).await;
+    let after = calls.serve_all(entries(&cluster)).await;
+    assert!(
+        !after.contains(&owners[1]),
+        "a killed upstream answers nothing"
+    );
+    cluster.revive_upstream(killed, address).await;
+    calls.serve_all(entries(&cluster)).await;
+    // Shards are placed on it again, so that the checker sees it own some.
+    eventually("runs at the returned upstream", async || {
+        calls.serve_all(entries(&cluster)).await;
+        (cluster.upstreams[killed].service().summary().runs > 0).then_some(())
+    })
+    .await;
+
+    load.end().await;
+    check(&cluster, &calls);
+}
+
+fn freeze(on: bool) -> Change {
+    Change {
+        freeze: Some(on),
+        ..Change::default()
+    }
+}
+
+/// Guards against serving that depends on the log: after the start it may stay
+/// away while an upstream and the control holder are lost. Presets must not
+/// change meanwhile, and what was unknown must settle the same way everywhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_served_without_the_log() {
+    let mut cluster = Cluster::start("no-log", 2).await;
+    let calls = Calls::new(&cluster).await;
+    let owners = calls.serve_all(entries(&cluster)).await;
+
+    cluster.log_down(true);
+    let body =
+        json!({"name": "ordinary", "expected": 1, "text": preset("ordinary", 50), "proposal": 77});
+    let refused = cluster.instances[0].act("publish", &body).await;
+    assert_eq!(
+        (&refused["outcome"], &refused["code"]),
+        (&json!("unknown"), &json!(504))
+    );
+    calls.serve_all(entries(&cluster)).await;
+    let lost = cluster.upstream(&owners[0]);
+    cluster.kill_upstream(lost).await;
+    let after = calls.serve_all(entries(&cluster)).await;
+    assert!(
+        !after.contains(&owners[0]),
+        "a killed upstream answers nothing"
+    );
+    let holder = cluster.holder().await;
+    drop(cluster.instances.remove(holder));
+    calls.serve_all(entries(&cluster)).await;
+    for instance in &cluster.instances {
+        let ordinary = published(instance, "ordinary").await;
+        assert_eq!(ordinary["version"], 1, "no change without the log");
+    }
+
+    cluster.log_down(false);
+    // The append may have had no effect; the same proposal must count once.
+    for _ in 0..2 {
+        let settled = eventually("outcome after the log's return", async || {
+            let outcome = cluster.instances[0].act("publish", &body).await;
+            (outcome["outcome"] != "unknown").then_some(outcome)
+        })
+        .await;
+        assert_eq!(settled["outcome"], "accepted", "{settled}");
+    }
+    for instance in &cluster.instances {
+        eventually("agreement on the outcome", async || {
+            let outcome = instance.proposal(&json!(77)).await;
+            (outcome["outcome"] == "accepted").then_some(())
+        })
+        .await;
+        let ordinary = published(instance, "ordinary").await;
+        assert_eq!(ordinary["version"], 2, "published once");
+    }
+    calls.serve_all(entries(&cluster)).await;
+    check(&cluster, &calls);
+}
+
+/// Guards against a paused instance that acts on leases which ended meanwhile,
+/// both as control holder and as a mere dispatcher.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_instances_do_no_harm_when_they_continue() {
+    let cluster = Cluster::start("paused-instances", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let load = calls.load();
+
+    let holder = cluster.holder().await;
+    for step in 0..2 {
+        let paused = (holder + step) % cluster.instances.len();
+        let others = (0..cluster.instances.len()).filter(|index| *index != paused);
+        let others = others.map(|index| cluster.instances[index].callers);
+        cluster.instances[paused].signal("STOP");
+        calls.serve_all(others.collect()).await;
+        cluster.instances[paused].signal("CONT");
+        calls.serve_all(entries(&cluster)).await;
+    }
+
+    load.end().await;
+    check(&cluster, &calls);
+}
+
+/// A preset as an instance knows it.
+async fn published(instance: &Instance, name: &str) -> Value {
+    let presets = instance.query("/control/presets").await;
+    let presets = presets["presets"].as_array().cloned().unwrap_or_default();
+    let preset = presets.into_iter().find(|preset| preset["name"] == name);
+    preset.unwrap_or(Value::Null)
+}
+
+/// Guards against lost requests and members in a rollout, and against a club
+/// that stays without a holder, or a shard with two owners, after all instances
+/// were lost at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_instances_are_replaced_one_by_one_and_at_once() {
+    let mut cluster = Cluster::start("replaced-instances", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let load = calls.load();
+
+    for domain in DOMAINS {
+        let replacement = cluster.spawn(domain).await;
+        cluster.instances.push(replacement);
+        cluster.settled().await;
+        let mut old = cluster.instances.remove(0);
+        assert_eq!(old.domain, domain);
+        calls.enter(&cluster);
+        old.signal("TERM");
+        assert_eq!(old.exit_code().await, Some(0), "no request is cut off");
+        cluster.settled().await;
+        calls.serve_all(entries(&cluster)).await;
+    }
+    load.end().await;
+    cluster.instances.clear();
+    for domain in DOMAINS {
+        let instance = cluster.spawn(domain).await;
+        cluster.instances.push(instance);
+    }
+    cluster.settled().await;
+    calls.serve_all(entries(&cluster)).await;
+
+    check(&cluster, &calls);
+}
+
+/// Guards against two operators who both believe that their version won, and
+/// against instances that disagree about it; also when the log's answer to the
+/// append is lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_racing_operators_wins() {
+    const NAMES: [&str; 3] = ["calm", "peaks", "repairs"];
+    let cluster = Cluster::start("racing-operators", 1).await;
+    for name in NAMES {
+        let body = json!({"name": name, "expected": 0, "text": preset(name, 100)});
+        let outcome = cluster.instances[0].act("publish", &body).await;
+        assert_eq!(outcome["outcome"], "accepted", "{outcome}");
+    }
+
+    for round in 1..=4 {
+        let bodies = (0..3).map(|operator| {
+            let text = preset("ordinary", 100 + round * 10 + operator);
+            json!({"name": "ordinary", "expected": round, "text": text})
+        });
+        let winner = one_winner(&cluster, "publish", bodies.collect()).await;
+        for instance in &cluster.instances {
+            let ordinary = eventually("the new version everywhere", async || {
+                let ordinary = published(instance, "ordinary").await;
+                (ordinary["version"] == round + 1).then_some(ordinary)
+            });
+            assert_eq!(ordinary.await["text"], winner["text"]);
+        }
+        let bodies = NAMES.map(|name| json!({"name": name, "version": 1, "expected": round}));
+        let winner = one_winner(&cluster, "activate", bodies.to_vec()).await;
+        for instance in &cluster.instances {
+            let status = eventually("the activation everywhere", async || {
+                let status = instance.status().await;
+                (status["activations"] == round + 1).then_some(status)
+            });
+            assert_eq!(status.await["preset"]["name"], winner["name"]);
+        }
+    }
+
+    for (id, expected, outcome) in [(501, 5, "accepted"), (502, 5, "rejected")] {
+        cluster.log.service().change(log::Change {
+            lose_answers: Some(1),
+            ..log::Change::default()
+        });
+        let text = preset("ordinary", 300);
+        let body = json!({"name": "ordinary", "expected": expected, "text": text, "proposal": id});
+        cluster.instances[0].act("publish", &body).await;
+        for instance in &cluster.instances {
+            let settled = eventually("a settled outcome", async || {
+                let settled = instance.proposal(&json!(id)).await;
+                (settled["outcome"] != "unknown").then_some(settled)
+            });
+            assert_eq!(settled.await["outcome"], outcome);
+        }
+    }
+}
+
+/// Sends one body through each instance at once; exactly one must be accepted.
+async fn one_winner(cluster: &Cluster, command: &str, bodies: Vec<Value>) -> Value {
+    let [one, two, three] = &cluster.instances[..] else {
+        panic!("one instance in each domain");
+    };
+    let outcomes = tokio::join!(
+        one.act(command, &bodies[0]),
+        two.act(command, &bodies[1]),
+        three.act(command, &bodies[2]),
+    );
+    let outcomes = [outcomes.0, outcomes.1, outcomes.2];
+    let accepted = |index: &usize| outcomes[*index]["outcome"] == "accepted";
+    let winners: Vec<usize> = (0..3).filter(accepted).collect();
+    assert_eq!(winners.len(), 1, "one winner: {outcomes:?}");
+    let refused = outcomes.iter().filter(|outcome| outcome["code"] == 500);
+    assert_eq!(refused.count(), 2, "the others learn why: {outcomes:?}");
+    bodies[winners[0]].clone()
+}
