--- a/crates/medlarreel/tests/system.rs
+++ b/crates/medlarreel/tests/system.rs
@@ -12,13 +12,17 @@
 
 use std::net::SocketAddr;
 
-use medlarreel_standin::log;
-use medlarreel_standin::upstream::Change;
+use base64::prelude::*;
+use medlarreel_core::record::{Body, Record};
+use medlarreel_standin::client::Ask;
+use medlarreel_standin::upstream::{Change, Drain};
+use medlarreel_standin::{list, log};
 use serde_json::{Value, json};
+use tokio::task::JoinSet;
 
 use checker::check;
 use cluster::{Cluster, DOMAINS, Instance, eventually, preset};
-use load::Calls;
+use load::{Calls, Outcome, Sent};
 
 /// Callers' addresses of all instances.
 fn entries(cluster: &Cluster) -> Vec<SocketAddr> {
@@ -292,3 +296,259 @@
     assert_eq!(refused.count(), 2, "the others learn why: {outcomes:?}");
     bodies[winners[0]].clone()
 }
+
+/// Guards against an instance that cannot start once the log has dropped the
+/// oldest records, or that starts from a checkpoint with another state.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn newcomers_start_from_a_checkpoint_when_the_log_is_trimmed() {
+    let mut cluster = Cluster::start("trimmed-log", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let peaks = json!({"name": "peaks", "expected": 0, "text": preset("peaks", 70)});
+    let outcome = cluster.instances[0].act("publish", &peaks).await;
+    assert_eq!(outcome["outcome"], "accepted");
+
+    let upto = eventually("a checkpoint that contains the preset", async || {
+        for instance in &cluster.instances {
+            // Stale proposals fill the log without changing anything.
+            let stale = json!({"name": "peaks", "expected": 9, "text": ""});
+            for _ in 0..32 {
+                instance.act("publish", &stale).await;
+            }
+        }
+        let offset = outcome["offset"]
+            .as_u64()
+            .expect("accepted outcomes have one");
+        newest_checkpoint(&cluster)
+            .await
+            .filter(|upto| *upto > offset)
+    })
+    .await;
+    cluster.log.service().change(log::Change {
+        trim: [("control".to_owned(), upto)].into(),
+        ..log::Change::default()
+    });
+    // No peer is left that could pass the state on.
+    cluster.instances.clear();
+    for domain in DOMAINS {
+        let newcomer = cluster.spawn(domain).await;
+        cluster.instances.push(newcomer);
+    }
+    cluster.settled().await;
+
+    for newcomer in &cluster.instances {
+        assert_eq!(published(newcomer, "peaks").await["text"], peaks["text"]);
+        assert_eq!(newcomer.status().await["activations"], 1);
+    }
+    calls.serve_all(entries(&cluster)).await;
+    check(&cluster, &calls);
+}
+
+/// First offset after the newest complete checkpoint in the log, if any.
+async fn newest_checkpoint(cluster: &Cluster) -> Option<u64> {
+    let mut from = 0;
+    let mut newest = None;
+    loop {
+        let ask = Ask::get(&format!("/streams/control?from={from}&max=1000"));
+        let page: log::Page = cluster::send(ask, cluster.log.address())
+            .await?
+            .json()
+            .ok()?;
+        for record in &page.records {
+            let data = BASE64_STANDARD.decode(&record.data).ok()?;
+            let record = Record::decode(&data).ok()?;
+            if let Body::Checkpoint(chunk) = record.body
+                && chunk.index + 1 == chunk.count
+            {
+                newest = Some(chunk.upto.0);
+            }
+        }
+        from += page.records.len() as u64;
+        if page.records.is_empty() {
+            return newest;
+        }
+    }
+}
+
+/// Guards against new work at an upstream that leaves, whether it says so
+/// itself or only a lagging list does, and against requests cut off by that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_upstreams_end_their_work_and_get_no_more() {
+    let cluster = Cluster::start("draining-upstreams", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let load = calls.load();
+    for by_list in [false, true] {
+        let owners = calls.serve_all(entries(&cluster)).await;
+        let keys = calls.keys();
+        let leaving = owners[0].clone();
+        let index = cluster.upstream(&leaving);
+        let upstream = cluster.upstreams[index].service();
+
+        let slow = |ms| Change {
+            work_ms: Some(ms),
+            ..Change::default()
+        };
+        upstream.change(slow(1_500));
+        let in_flight = tokio::spawn({
+            let (calls, to) = (calls.clone(), cluster.instances[0].callers);
+            let key = keys[0].clone();
+            async move { calls.read(&key, to).await }
+        });
+        eventually("a request in flight", async || {
+            (upstream.summary().in_flight > 0).then_some(())
+        })
+        .await;
+        if by_list {
+            let lag_ms = Some(1_000);
+            cluster.list.service().change(&list::Change {
+                lag_ms,
+                ..list::Change::default()
+            });
+            let (name, state) = (leaving.clone(), list::State::Leaving);
+            cluster
+                .list
+                .service()
+                .turn(&list::Turn { name, state })
+                .expect("it is listed");
+        } else {
+            let drain = Some(Drain::Announce);
+            upstream.change(Change {
+                drain,
+                ..Change::default()
+            });
+        }
+        let outcome = in_flight.await.expect("the caller does not panic");
+        assert!(matches!(outcome, Outcome::Served(_)), "{outcome:?}");
+        upstream.change(slow(2));
+        eventually("no new runs at the leaving upstream", async || {
+            let before = upstream.summary().runs;
+            let owners = calls.serve_all(entries(&cluster)).await;
+            let idle = upstream.summary().runs == before && upstream.summary().in_flight == 0;
+            (idle && !owners.contains(&leaving)).then_some(())
+        })
+        .await;
+        let before = upstream.summary().runs;
+        for _ in 0..3 {
+            calls.serve_all(entries(&cluster)).await;
+        }
+        assert_eq!(upstream.summary().runs, before, "nothing new ever after");
+    }
+    load.end().await;
+    nothing_cut_off(&calls);
+    check(&cluster, &calls);
+}
+
+/// Guards against requests that are lost when an instance is told to end, be it
+/// their entry or their dispatcher.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_graceful_shutdown_loses_no_request() {
+    // Few enough that the upstreams' slots take all of them at once.
+    const IN_FLIGHT: usize = 16;
+    let mut cluster = Cluster::start("graceful-shutdown", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let holder = cluster.holder().await;
+    let mut ending = cluster.instances.remove(holder);
+    // A balancer stops sending new requests to it first.
+    calls.enter(&cluster);
+    for server in &cluster.upstreams {
+        server.service().change(Change {
+            work_ms: Some(1_500),
+            ..Change::default()
+        });
+    }
+    let runs = || {
+        let runs = cluster
+            .upstreams
+            .iter()
+            .map(|server| server.service().summary().runs);
+        runs.sum::<u64>()
+    };
+    let before = runs();
+    let mut in_flight = JoinSet::new();
+    for key in calls.keys().into_iter().take(IN_FLIGHT) {
+        let (calls, to) = (calls.clone(), ending.callers);
+        in_flight.spawn(async move { calls.read(&key, to).await });
+    }
+    eventually("requests in flight", async || {
+        (runs() >= before + IN_FLIGHT as u64).then_some(())
+    })
+    .await;
+    let load = calls.load();
+    ending.signal("TERM");
+    assert_eq!(ending.exit_code().await, Some(0), "no request is cut off");
+    for outcome in in_flight.join_all().await {
+        assert!(matches!(outcome, Outcome::Served(_)), "{outcome:?}");
+    }
+    for server in &cluster.upstreams {
+        server.service().change(Change {
+            work_ms: Some(2),
+            ..Change::default()
+        });
+    }
+    calls.serve_all(entries(&cluster)).await;
+
+    load.end().await;
+    nothing_cut_off(&calls);
+    check(&cluster, &calls);
+}
+
+/// No caller was left without an answer or with an unknown outcome.
+fn nothing_cut_off(calls: &Calls) {
+    let sent = calls.sent();
+    let cut = |sent: &&Sent| matches!(sent.outcome, Outcome::Lost | Outcome::Unknown(_));
+    let cut: Vec<&Sent> = sent.iter().filter(cut).collect();
+    assert!(
+        cut.is_empty(),
+        "{} of {} cut off: {cut:?}",
+        cut.len(),
+        sent.len()
+    );
+}
+
+/// Guards against instances that stay with, or return to, a former preset.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_preset_switch_reaches_all_and_survives_restarts() {
+    let mut cluster = Cluster::start("preset-switch", 1).await;
+    let calls = Calls::new(&cluster).await;
+    let peaks = json!({"name": "peaks", "expected": 0, "text": preset("peaks", 70)});
+    let switch = json!({"name": "peaks", "version": 1, "expected": 1});
+    assert_eq!(
+        cluster.instances[0].act("publish", &peaks).await["outcome"],
+        "accepted"
+    );
+    assert_eq!(
+        cluster.instances[1].act("activate", &switch).await["outcome"],
+        "accepted"
+    );
+    for instance in &cluster.instances {
+        eventually("the preset everywhere", async || {
+            (instance.status().await["preset"]["name"] == "peaks").then_some(())
+        })
+        .await;
+    }
+
+    for domain in DOMAINS {
+        drop(cluster.instances.remove(0));
+        let restarted = cluster.spawn(domain).await;
+        cluster.instances.push(restarted);
+        let restarted = cluster.instances.last().expect("it was just added");
+        eventually("readiness after the restart", async || {
+            for instance in &cluster.instances {
+                let status = instance.status().await;
+                let reverted = status["ready"] == true && status["preset"]["name"] != "peaks";
+                assert!(!reverted, "reverted: {status}");
+            }
+            restarted.ready().await.then_some(())
+        })
+        .await;
+        cluster.settled().await;
+    }
+    for instance in &cluster.instances {
+        let status = instance.status().await;
+        assert_eq!(
+            (&status["preset"]["name"], &status["activations"]),
+            (&json!("peaks"), &json!(2))
+        );
+    }
+    calls.serve_all(entries(&cluster)).await;
+    check(&cluster, &calls);
+}
