--- a/crates/medlarreel/tests/system.rs
+++ b/crates/medlarreel/tests/system.rs
@@ -433,7 +433,7 @@
         assert_eq!(upstream.summary().runs, before, "nothing new ever after");
     }
     load.end().await;
-    nothing_cut_off(&calls);
+    nothing_cut_off(&cluster, &calls);
     check(&cluster, &calls);
 }
 
@@ -487,15 +487,19 @@
     calls.serve_all(entries(&cluster)).await;
 
     load.end().await;
-    nothing_cut_off(&calls);
+    nothing_cut_off(&cluster, &calls);
     check(&cluster, &calls);
 }
 
 /// No caller was left without an answer or with an unknown outcome.
-fn nothing_cut_off(calls: &Calls) {
+fn nothing_cut_off(cluster: &Cluster, calls: &Calls) {
     let sent = calls.sent();
-    let cut = |sent: &&Sent| matches!(sent.outcome, Outcome::Lost | Outcome::Unknown(_));
-    let cut: Vec<&Sent> = sent.iter().filter(cut).collect();
+    let runs = checker::runs(cluster);
+    let cut = sent
+        .iter()
+        .filter(|sent| matches!(sent.outcome, Outcome::Lost | Outcome::Unknown(_)))
+        .map(|sent| (sent, runs.iter().find(|(_, _, run)| run.path == sent.path)));
+    let cut: Vec<_> = cut.collect();
     assert!(
         cut.is_empty(),
         "{} of {} cut off: {cut:?}",
