Correct outcomes, connection limits and repeats on the request path; find silent connections

Outcomes: a refusal after an attempt that may have run no longer makes the request not-run; a refusal or answer of the peer hop counts only if it names the request; an upstream's refusal must name the request if it names any, and headers of a refusal on a successful answer are ignored.

Pool: a place was given back before its connection was closed, so the limit was exceeded and an unchecked upstream's stop could be acknowledged early. The connection's task owns the place now. The permit and the epoch are checked on the open connection, since connecting takes up to 500 ms. A stated length beyond the limit ends the exchange at once.

Lanes: a lane without a permit stays until its exchanges and connections have ended and is reported until then; it closes its idle connections and refuses waiting requests at once. Forwarded requests count as open at a shutdown.

Repeats: coverage counts per shard and starts again with a new epoch, after a gap in the lease, and never while a backup may send; a key whose caller left no longer counts as running for good; a repeat without a key is unknown.

--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -133,6 +133,13 @@
         (before < self.max_requests).then_some(open)
     }
 
+    /// Counts a forwarded request as open, without a limit: the pools of the
+    /// other instances limit them, and a flood of callers must not displace them.
+    pub fn open_forwarded(&self) -> Open<'_> {
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        Open(self)
+    }
+
     /// Number of open requests.
     pub fn requests(&self) -> u32 {
         self.requests.load(Ordering::Acquire)
--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -7,7 +7,7 @@
 use medlarreel_core::fold::State;
 use medlarreel_core::ids::{Instance, Offset, Upstream};
 use medlarreel_core::machine::Traffic;
-use medlarreel_core::preset::{Preset, ServiceLimits};
+use medlarreel_core::preset::{Fencing, Preset, ServiceLimits};
 use medlarreel_core::route::Table;
 
 use super::Worker;
@@ -25,16 +25,40 @@
     established: bool,
     log_reachable: bool,
     lanes: HashMap<Upstream, Arc<Lane>>,
+    /// Lanes without a permit that still have exchanges or connections.
+    retired: HashMap<Upstream, Arc<Lane>>,
     peers: HashMap<Instance, Arc<Pool>>,
 }
 
 impl Published {
     /// What the traffic threads did since the last call.
     pub(super) fn traffic(&mut self) -> Vec<(Upstream, Traffic)> {
-        let lanes = self.lanes.iter();
-        lanes
+        let lanes = self.lanes.iter().chain(&self.retired);
+        let traffic: Vec<_> = lanes
             .map(|(upstream, lane)| (*upstream, lane.traffic()))
-            .collect()
+            .collect();
+        // Each is reported once more after it has closed: a stop of an unchecked
+        // upstream is acknowledged only once nothing is open.
+        let closed = traffic
+            .iter()
+            .filter(|(_, traffic)| traffic.exchanges == 0 && traffic.connections == 0);
+        for (upstream, _) in closed {
+            self.retired.remove(upstream);
+        }
+        traffic
+    }
+
+    /// Replaces the lanes; those that are left out are retired.
+    fn set_lanes(&mut self, lanes: HashMap<Upstream, Arc<Lane>>) {
+        let old = std::mem::replace(&mut self.lanes, lanes);
+        for (upstream, lane) in old {
+            if !self.lanes.contains_key(&upstream) {
+                self.retired.insert(upstream, lane);
+            }
+        }
+        for lane in self.retired.values() {
+            lane.retire();
+        }
     }
 }
 
@@ -124,7 +148,9 @@
         let mut changed = false;
         let mut kept = HashMap::new();
         let Some(until) = self.machine.dispatcher().until(now) else {
-            return !std::mem::take(&mut self.published.lanes).is_empty();
+            changed = !self.published.lanes.is_empty();
+            self.published.set_lanes(HashMap::new());
+            return changed;
         };
         for assignment in self.machine.dispatcher().sendable_now(now) {
             let entry = state.upstream(assignment.upstream);
@@ -133,11 +159,16 @@
             };
             let limits = queue_limits(state, &preset, service, assignment.allowance);
             let known = self.published.lanes.get(&assignment.upstream).cloned();
+            // Exchanges that are still open use slots and connections.
+            let known = known.or_else(|| {
+                changed = true;
+                self.published.retired.remove(&assignment.upstream)
+            });
             let known = known.filter(|lane| lane.pool().address() == entry.server.address);
             let lane = known.unwrap_or_else(|| {
                 changed = true;
                 let pool = Pool::new(entry.server.address, usize::from(service.connections));
-                Arc::new(Lane::new(now, pool, limits.clone()))
+                Arc::new(Lane::new(pool, limits.clone()))
             });
             let shards = assignment
                 .shards
@@ -147,14 +178,14 @@
                 until,
                 shards: shards.collect(),
                 slots: assignment.allowance,
+                // The backup may send to an upstream that checks grants.
+                sole: assignment.fencing == Fencing::Unchecked || assignment.backup.is_none(),
             };
             lane.renew(now, permit, limits);
             kept.insert(assignment.upstream, lane);
         }
         changed |= kept.len() != self.published.lanes.len();
-        // A lane that is no longer permitted refuses new requests by itself;
-        // requests that have been sent keep it alive until they end.
-        self.published.lanes = kept;
+        self.published.set_lanes(kept);
         changed
     }
 }
--- a/crates/medlarreel/src/dispatch.rs
+++ b/crates/medlarreel/src/dispatch.rs
@@ -8,6 +8,7 @@
 pub mod lane;
 pub mod pool;
 pub mod repeats;
+pub mod silence;
 
 pub use lane::{Lane, Permit};
 pub use pool::{Answer, Failure, Pool};
--- a/crates/medlarreel/src/dispatch/lane.rs
+++ b/crates/medlarreel/src/dispatch/lane.rs
@@ -3,10 +3,12 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use medlarreel_core::admission::{self, Event, Queue, Ticket};
 use medlarreel_core::code::Code;
 use medlarreel_core::ids::{Club, Epoch, Shard};
@@ -15,8 +17,9 @@
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
 
-use super::pool::Pool;
+use super::pool::{Answer, Failure, Pool};
 use super::repeats::Repeats;
+use super::silence::Silence;
 use crate::clock::Clock;
 
 /// Permission to send requests to an upstream, derived from the dispatch lease.
@@ -28,6 +31,18 @@
     pub shards: HashMap<u16, Epoch>,
     /// Slots that may be in use.
     pub slots: u16,
+    /// Whether no other instance may send to the upstream meanwhile.
+    pub sole: bool,
+}
+
+/// Permit in force, and since when this lane has seen every request of a shard.
+#[derive(Debug, Default)]
+struct Held {
+    permit: Permit,
+    /// Since when the lane has been permitted without a gap.
+    since: Time,
+    /// Since when each shard has been permitted under the same epoch.
+    shards: HashMap<u16, Time>,
 }
 
 /// Figures of a lane for operators.
@@ -48,11 +63,11 @@
 /// Work at one upstream.
 #[derive(Debug)]
 pub struct Lane {
-    permit: ArcSwap<Permit>,
+    held: ArcSwap<Held>,
     pool: Pool,
     state: Mutex<State>,
     repeats: Repeats,
-    open: AtomicU32,
+    silence: Silence,
 }
 
 #[derive(Debug)]
@@ -60,6 +75,8 @@
     queue: Queue,
     waiting: HashMap<u64, oneshot::Sender<Result<(), Code>>>,
     next: u64,
+    /// Whether no request is started, though slots are free.
+    paused: bool,
     /// Requests answered since the last report.
     served: HashMap<Option<Shard>, u32>,
 }
@@ -78,33 +95,24 @@
     }
 }
 
-/// Open exchange with the upstream.
-#[derive(Debug)]
-pub struct Exchange<'a>(&'a Lane);
-
-impl Drop for Exchange<'_> {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl Lane {
     /// Lane without a permit.
-    pub fn new(now: Time, pool: Pool, limits: admission::Limits) -> Lane {
+    pub fn new(pool: Pool, limits: admission::Limits) -> Lane {
         let queue = Queue::new(limits);
         let (waiting, served) = (HashMap::new(), HashMap::new());
         let state = State {
             queue,
             waiting,
             next: 0,
+            paused: false,
             served,
         };
         Lane {
-            permit: ArcSwap::default(),
+            held: ArcSwap::default(),
             pool,
             state: Mutex::new(state),
-            repeats: Repeats::new(now),
-            open: AtomicU32::new(0),
+            repeats: Repeats::new(),
+            silence: Silence::default(),
         }
     }
 
@@ -125,7 +133,8 @@
     /// `Code::NotDispatcher` without a live permit, `Code::NotOwner` if the
     /// upstream does not own the shard.
     pub fn permit(&self, now: Time, shard: Option<Shard>) -> Result<Option<Epoch>, Code> {
-        let permit = self.permit.load();
+        let held = self.held.load();
+        let permit = &held.permit;
         if now >= permit.until {
             return Err(Code::NotDispatcher);
         }
@@ -142,8 +151,9 @@
 
     /// Replaces the permit and the queue's limits.
     pub fn renew(&self, now: Time, permit: Permit, limits: admission::Limits) {
-        if **self.permit.load() != permit {
-            self.permit.store(permit.into());
+        let held = self.held.load();
+        if held.permit != permit {
+            self.held.store(held.renewed(now, permit).into());
         }
         let mut state = self.lock();
         if *state.queue.limits() != limits {
@@ -153,11 +163,40 @@
         state.start(now);
     }
 
+    /// Ends the permit: waiting requests are refused and idle connections closed.
+    /// Exchanges that have begun go on.
+    pub fn retire(&self) {
+        if self.held.load().permit.until > Time(0) {
+            self.held.store(Held::default().into());
+        }
+        let mut state = self.lock();
+        for (_, turn) in state.waiting.drain() {
+            // The caller may have left; then nobody waits for the answer.
+            turn.send(Err(Code::NotDispatcher)).ok();
+        }
+        drop(state);
+        self.pool.close_idle();
+    }
+
+    /// Since when every request for the shard has passed through this lane;
+    /// `None` if another instance may send requests for it as well.
+    pub fn covered(&self, shard: Option<Shard>) -> Option<Time> {
+        let held = self.held.load();
+        if !held.permit.sole {
+            return None;
+        }
+        match shard {
+            None => Some(held.since),
+            Some(shard) => held.shards.get(&shard.index).copied(),
+        }
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
     ///
-    /// `Code::QueueFull` or `Code::Expired`; the request was not run.
+    /// `Code::QueueFull`, `Code::Expired` or `Code::NotDispatcher`; the request
+    /// was not run.
     pub async fn slot(
         &self,
         clock: Clock,
@@ -190,9 +229,9 @@
 
     /// Use of the upstream; answered requests are those since the last call.
     pub fn traffic(&self) -> Traffic {
-        let permit = self.permit.load();
+        let held = self.held.load();
         let mut state = self.lock();
-        let busy = state.queue.busy() * 1_000 / usize::from(permit.slots).max(1);
+        let busy = state.queue.busy() * 1_000 / usize::from(held.permit.slots).max(1);
         Traffic {
             exchanges: self.open(),
             connections: self.pool.open() as u32,
@@ -201,20 +240,46 @@
         }
     }
 
-    /// Counts an exchange as open until the result is dropped.
-    pub fn exchange(&self) -> Exchange<'_> {
-        self.open.fetch_add(1, Ordering::AcqRel);
-        Exchange(self)
+    /// Sends a request under the epoch that `permit` has given, and reads the
+    /// whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As `Pool::exchange_if`; `Failure::Revoked` if the permit has ended or the
+    /// epoch has changed by the time of the send.
+    pub async fn exchange(
+        &self,
+        clock: Clock,
+        shard: Option<Shard>,
+        epoch: Option<Epoch>,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        max_body: usize,
+    ) -> Result<Answer, Failure> {
+        let permitted = || self.permit(clock.now(), shard) == Ok(epoch);
+        let pause = |paused| self.pause(clock.now(), paused);
+        let exchange = self
+            .silence
+            .exchange(&self.pool, request, time, max_body, &permitted, &pause);
+        exchange.await
+    }
+
+    /// Pauses or resumes the start of waiting requests.
+    fn pause(&self, now: Time, paused: bool) {
+        let mut state = self.lock();
+        state.paused = paused;
+        state.start(now);
     }
 
     /// Exchanges without an answer yet.
     pub fn open(&self) -> u32 {
-        self.open.load(Ordering::Acquire)
+        self.silence.open() as u32
     }
 
     /// Summary for operators.
     pub fn overview(&self, now: Time) -> Overview {
-        let permit = self.permit.load();
+        let held = self.held.load();
+        let permit = &held.permit;
         let state = self.lock();
         Overview {
             slots: u32::from(permit.slots),
@@ -227,7 +292,7 @@
 
     /// Time until which the permit is valid.
     pub fn permitted_until(&self) -> Time {
-        self.permit.load().until
+        self.held.load().permit.until
     }
 
     fn enqueue(
@@ -272,10 +337,34 @@
     }
 }
 
+impl Held {
+    /// Successor under a new permit. After a gap, or under a new epoch, requests
+    /// may have passed elsewhere.
+    fn renewed(&self, now: Time, permit: Permit) -> Held {
+        let gap = now >= self.permit.until || permit.sole != self.permit.sole;
+        let kept = |index: &u16, epoch: &Epoch| {
+            let same = self.permit.shards.get(index) == Some(epoch);
+            let since = self.shards.get(index).copied();
+            since.filter(|_| same && !gap).unwrap_or(now)
+        };
+        let shards = permit.shards.iter();
+        let shards = shards
+            .map(|(index, epoch)| (*index, kept(index, epoch)))
+            .collect();
+        Held {
+            since: if gap { now } else { self.since },
+            shards,
+            permit,
+        }
+    }
+}
+
 impl State {
     /// Starts requests while slots are free.
     fn start(&mut self, now: Time) {
-        while let Some(id) = self.queue.next(now) {
+        while !self.paused
+            && let Some(id) = self.queue.next(now)
+        {
             let taken = self
                 .waiting
                 .remove(&id)
--- a/crates/medlarreel/src/dispatch/pool.rs
+++ b/crates/medlarreel/src/dispatch/pool.rs
@@ -6,17 +6,19 @@
 //! between the two ends may have lost track of them.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
 
 /// A connection that was idle for this long is not used again.
 const MAX_IDLE: Duration = Duration::from_secs(5);
@@ -33,6 +35,9 @@
 /// A connection attempt ends after this time.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Longest wait for the end of a connection that is being closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(100);
+
 /// Whole answer to a request.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -49,8 +54,12 @@
 pub enum Failure {
     /// No byte of the request was sent.
     NotSent,
-    /// All connections are in use.
+    /// All connections are in use; no byte of the request was sent.
     Full,
+    /// The right to send ended first; no byte of the request was sent.
+    Revoked,
+    /// The connection has gone silent; see `silence`.
+    Silent,
     /// The connection ended before the whole answer arrived.
     Lost,
     /// The time was over before the whole answer arrived.
@@ -64,38 +73,54 @@
 pub struct Pool {
     address: SocketAddr,
     limit: usize,
+    places: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     idle: Vec<Link>,
-    open: usize,
     failed: Option<Instant>,
 }
 
+/// An open connection. Its task owns the place among the pool's connections,
+/// which is given back only once the connection has been closed.
 #[derive(Debug)]
 struct Link {
     sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
     opened: Instant,
     used: Instant,
 }
 
-/// Place among the pool's open connections; given back when dropped.
-struct Place<'a>(&'a Pool);
-
-impl Drop for Place<'_> {
+impl Drop for Link {
     fn drop(&mut self) {
-        self.0.lock().open -= 1;
+        // A connection with unsent data would otherwise outlive its exchange.
+        self.task.abort();
     }
 }
 
+/// Check made right before a request is sent.
+pub type Check<'a> = &'a (dyn Fn() -> bool + Sync);
+
+/// Conditions of one exchange.
+struct Terms<'a> {
+    end: tokio::time::Instant,
+    max_body: usize,
+    check: Check<'a>,
+}
+
+/// Failed exchange; the request comes back if no byte of it was sent.
+struct Rejected(Option<Request<Full<Bytes>>>, Failure);
+
 impl Pool {
     /// Pool of at most `limit` connections.
     pub fn new(address: SocketAddr, limit: usize) -> Pool {
+        let limit = limit.min(Semaphore::MAX_PERMITS);
         Pool {
             address,
             limit,
+            places: Arc::new(Semaphore::new(limit)),
             state: Mutex::default(),
         }
     }
@@ -107,7 +132,7 @@
 
     /// Number of open connections.
     pub fn open(&self) -> usize {
-        self.lock().open
+        self.limit - self.places.available_permits()
     }
 
     /// Whether a connection attempt has failed recently.
@@ -117,6 +142,12 @@
             .is_some_and(|failed| failed.elapsed() < SUSPECT_TIME)
     }
 
+    /// Closes the connections that carry no exchange.
+    pub fn close_idle(&self) {
+        let idle = std::mem::take(&mut self.lock().idle);
+        drop(idle);
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -129,63 +160,127 @@
         time: Duration,
         max_body: usize,
     ) -> Result<Answer, Failure> {
-        let (place, link) = self.checkout()?;
-        let started = Instant::now();
-        let fresh = link.is_none();
-        let link = match link {
-            Some(link) => link,
-            None => self.connect(time).await?,
+        self.exchange_if(request, time, max_body, &|| true).await
+    }
+
+    /// Sends a request if `check` still holds right before the send, that is
+    /// after the connection has been opened.
+    ///
+    /// # Errors
+    ///
+    /// As `exchange`, and `Failure::Revoked` where `check` did not hold; no byte
+    /// of the request was sent then.
+    pub async fn exchange_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        max_body: usize,
+        check: Check<'_>,
+    ) -> Result<Answer, Failure> {
+        let end = tokio::time::Instant::now() + time;
+        let terms = Terms {
+            end,
+            max_body,
+            check,
         };
-        let (request, failure) = match self.send(link, request, time, max_body).await {
-            Ok((answer, link)) => {
-                self.give_back(place, link);
-                return Ok(answer);
-            }
-            Err(rejected) => rejected,
+        let (request, mut closing) = match self.checkout() {
+            (Some(link), _) => match self.send(link, request, &terms).await {
+                Ok(answer) => return Ok(answer),
+                // The other end may close an idle connection at any moment. The
+                // request comes back unsent then, and goes on a new connection.
+                Err(Rejected(Some(request), Failure::NotSent)) => (request, true),
+                Err(Rejected(_, failure)) => return Err(failure),
+            },
+            (None, closed) => (request, closed),
         };
-        // The other end may close an idle connection at any moment. The request
-        // comes back unsent then, and a new connection is tried once.
-        let left = time.saturating_sub(started.elapsed());
-        let Some(request) = request else {
-            return Err(failure);
+        // Idle connections that another request has returned since are not
+        // taken, so the limit can be reached with all of them idle.
+        closing |= self.evict();
+        let place = self.place(closing, end).await?;
+        let link = self.connect(place, end).await?;
+        let sent = self.send(link, request, &terms).await;
+        sent.map_err(|Rejected(_, failure)| failure)
+    }
+
+    /// Sends a request on a connection of its own, which is closed afterwards.
+    ///
+    /// # Errors
+    ///
+    /// As `exchange`.
+    pub async fn exchange_once(
+        &self,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        max_body: usize,
+    ) -> Result<Answer, Failure> {
+        let end = tokio::time::Instant::now() + time;
+        let terms = Terms {
+            end,
+            max_body,
+            check: &|| true,
         };
-        if fresh || left.is_zero() {
-            return Err(failure);
-        }
-        let link = self.connect(left).await?;
-        let sent = self.send(link, request, left, max_body).await;
-        let (answer, link) = sent.map_err(|(_, failure)| failure)?;
-        self.give_back(place, link);
-        Ok(answer)
+        let evicted = self.evict();
+        let place = self.place(evicted, end).await?;
+        let mut link = self.connect(place, end).await?;
+        let sent = run(&mut link, request, &terms).await;
+        sent.map_err(|Rejected(_, failure)| failure)
     }
 
-    fn checkout(&self) -> Result<(Place<'_>, Option<Link>), Failure> {
+    /// Takes an idle connection; also tells whether unusable ones were closed.
+    fn checkout(&self) -> (Option<Link>, bool) {
         let mut state = self.lock();
         let now = Instant::now();
+        let mut closed = false;
         while let Some(link) = state.idle.pop() {
             if link.usable(now) {
-                return Ok((Place(self), Some(link)));
+                return (Some(link), closed);
             }
-            state.open -= 1;
+            closed = true;
+        }
+        (None, closed)
+    }
+
+    /// Closes an idle connection if the limit is reached.
+    fn evict(&self) -> bool {
+        if self.places.available_permits() > 0 {
+            return false;
+        }
+        self.lock().idle.pop().is_some()
+    }
+
+    /// Place for a new connection; waits for one only if a connection is being
+    /// closed.
+    async fn place(
+        &self,
+        closing: bool,
+        end: tokio::time::Instant,
+    ) -> Result<OwnedSemaphorePermit, Failure> {
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            return Ok(place);
         }
-        if state.open >= self.limit {
+        if !closing {
             return Err(Failure::Full);
         }
-        state.open += 1;
-        Ok((Place(self), None))
+        let end = end.min(tokio::time::Instant::now() + CLOSE_LIMIT);
+        let place = Arc::clone(&self.places).acquire_owned();
+        match tokio::time::timeout_at(end, place).await {
+            Ok(Ok(place)) => Ok(place),
+            _ => Err(Failure::Full),
+        }
     }
 
-    fn give_back(&self, place: Place<'_>, mut link: Link) {
+    fn give_back(&self, mut link: Link) {
         link.used = Instant::now();
-        if link.sender.is_closed() {
-            return;
+        if !link.sender.is_closed() {
+            self.lock().idle.push(link);
         }
-        // The connection stays open, so its place must not be released.
-        std::mem::forget(place);
-        self.lock().idle.push(link);
     }
 
-    async fn connect(&self, time: Duration) -> Result<Link, Failure> {
+    async fn connect(
+        &self,
+        place: OwnedSemaphorePermit,
+        end: tokio::time::Instant,
+    ) -> Result<Link, Failure> {
         let attempt = async {
             let stream = TcpStream::connect(self.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
@@ -193,46 +288,36 @@
                 .set_tcp_user_timeout(Some(USER_TIMEOUT))
                 .ok()?;
             let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
-            tokio::spawn(connection);
+            let task = tokio::spawn(async move {
+                // Its end shows at the sender.
+                connection.await.ok();
+                drop(place);
+            });
             let now = Instant::now();
             Some(Link {
                 sender,
+                task: task.abort_handle(),
                 opened: now,
                 used: now,
             })
         };
-        let outcome = tokio::time::timeout(time.min(CONNECT_LIMIT), attempt).await;
+        let limit = tokio::time::Instant::now() + CONNECT_LIMIT;
+        let outcome = tokio::time::timeout_at(end.min(limit), attempt).await;
         let link = outcome.ok().flatten();
         self.lock().failed = link.is_none().then(Instant::now);
         link.ok_or(Failure::NotSent)
     }
 
-    /// Sends on one connection. Dropping the link on failure closes it.
+    /// Sends on one connection, which is kept only after a whole answer.
     async fn send(
         &self,
         mut link: Link,
         request: Request<Full<Bytes>>,
-        time: Duration,
-        max_body: usize,
-    ) -> Result<(Answer, Link), (Option<Request<Full<Bytes>>>, Failure)> {
-        let exchange = async {
-            if link.sender.ready().await.is_err() {
-                return Err((Some(request), Failure::NotSent));
-            }
-            let sent = link.sender.try_send_request(request).await;
-            let answer = sent.map_err(|mut error| match error.take_message() {
-                Some(request) => (Some(request), Failure::NotSent),
-                None => (None, Failure::Lost),
-            })?;
-            read_answer(answer, max_body)
-                .await
-                .map_err(|failure| (None, failure))
-        };
-        match tokio::time::timeout(time, exchange).await {
-            Ok(Ok(answer)) => Ok((answer, link)),
-            Ok(Err(failure)) => Err(failure),
-            Err(_) => Err((None, Failure::Late)),
-        }
+        terms: &Terms<'_>,
+    ) -> Result<Answer, Rejected> {
+        let answer = run(&mut link, request, terms).await?;
+        self.give_back(link);
+        Ok(answer)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -250,8 +335,36 @@
     }
 }
 
+async fn run(
+    link: &mut Link,
+    request: Request<Full<Bytes>>,
+    terms: &Terms<'_>,
+) -> Result<Answer, Rejected> {
+    let exchange = async {
+        if link.sender.ready().await.is_err() {
+            return Err(Rejected(Some(request), Failure::NotSent));
+        }
+        if !(terms.check)() {
+            return Err(Rejected(Some(request), Failure::Revoked));
+        }
+        let sent = link.sender.try_send_request(request).await;
+        let answer = sent.map_err(|mut error| match error.take_message() {
+            Some(request) => Rejected(Some(request), Failure::NotSent),
+            None => Rejected(None, Failure::Lost),
+        })?;
+        let answer = read_answer(answer, terms.max_body).await;
+        answer.map_err(|failure| Rejected(None, failure))
+    };
+    let outcome = tokio::time::timeout_at(terms.end, exchange).await;
+    outcome.unwrap_or(Err(Rejected(None, Failure::Late)))
+}
+
 async fn read_answer(answer: http::Response<Incoming>, max_body: usize) -> Result<Answer, Failure> {
     let (parts, body) = answer.into_parts();
+    // A stated length beyond the limit is not waited for.
+    if body.size_hint().lower() > max_body as u64 {
+        return Err(Failure::TooLarge);
+    }
     let body = Limited::new(body, max_body)
         .collect()
         .await
--- a/crates/medlarreel/src/dispatch/repeats.rs
+++ b/crates/medlarreel/src/dispatch/repeats.rs
@@ -4,10 +4,11 @@
 use std::sync::Mutex;
 
 use medlarreel_core::code::{Code, Outcome};
-use medlarreel_core::dedup::{Ending, Key, Table, Verdict};
+use medlarreel_core::dedup::{Ending, KEY_AGE, Key, Table, Verdict};
 use medlarreel_core::time::Time;
 
 use super::pool::Answer;
+use crate::clock::Clock;
 use crate::proxy::Refusal;
 
 /// Keys remembered per upstream.
@@ -31,17 +32,53 @@
 
 /// What is known about a key before its request is sent.
 #[derive(Debug)]
-pub enum Known {
+pub enum Known<'a> {
     /// The request runs for the first time.
-    First,
+    First(First<'a>),
     /// The request has run with this answer.
     Answered(Answer),
 }
 
+/// First run of a key. Its outcome is unknown if it is dropped unfinished, as
+/// when the caller leaves; the key would count as running for good otherwise.
+#[derive(Debug)]
+pub struct First<'a> {
+    repeats: &'a Repeats,
+    key: Key,
+    clock: Clock,
+    ended: bool,
+}
+
+impl First<'_> {
+    /// Records how the run ended.
+    pub fn finish(mut self, outcome: &Result<Answer, Refusal>) {
+        self.ended = true;
+        self.repeats.finish(self.clock.now(), self.key, outcome);
+    }
+}
+
+impl Drop for First<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let mut state = self.repeats.lock();
+            let now = self.clock.now();
+            state.table.finish(now, self.key, Ending::Unknown);
+        }
+    }
+}
+
+impl Default for Repeats {
+    fn default() -> Self {
+        Repeats::new()
+    }
+}
+
 impl Repeats {
-    /// No keys; whatever was sent before `now` is not known here.
-    pub fn new(now: Time) -> Repeats {
-        let table = Table::new(MAX_KEYS, Some(now));
+    /// No keys.
+    pub fn new() -> Repeats {
+        // The time is known per shard only; a table that begins in the far
+        // future leaves the decision to `begin`.
+        let table = Table::new(MAX_KEYS, Some(Time(u64::MAX)));
         Repeats(Mutex::new(State {
             table,
             answers: HashMap::new(),
@@ -52,14 +89,31 @@
 
     /// Records a key before its request is sent.
     ///
+    /// `covered` is since when every request that could have used the key has
+    /// passed through here; `None` if some pass elsewhere.
+    ///
     /// # Errors
     ///
     /// The code under which a repeat is refused.
-    pub fn begin(&self, now: Time, key: Key, attempt: u32) -> Result<Known, Code> {
+    pub fn begin(
+        &self,
+        clock: Clock,
+        key: Key,
+        attempt: u32,
+        covered: Option<Time>,
+    ) -> Result<Known<'_>, Code> {
+        let now = clock.now();
         let mut state = self.lock();
         state.drop_old(now);
+        let vouches = covered.is_some_and(|since| now.since(since) >= KEY_AGE);
+        let attempt = if vouches { 1 } else { attempt };
         match state.table.begin(now, key, attempt) {
-            Verdict::First => Ok(Known::First),
+            Verdict::First => Ok(Known::First(First {
+                repeats: self,
+                key,
+                clock,
+                ended: false,
+            })),
             Verdict::Finished(id) => state
                 .answers
                 .get(&id)
@@ -72,8 +126,7 @@
         }
     }
 
-    /// Records how the request of a key ended.
-    pub fn finish(&self, now: Time, key: Key, outcome: &Result<Answer, Refusal>) {
+    fn finish(&self, now: Time, key: Key, outcome: &Result<Answer, Refusal>) {
         let mut state = self.lock();
         let ending = match outcome {
             Ok(answer) => state.store(answer),
--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -65,12 +65,18 @@
 
 /// Serves a request that another instance forwarded.
 pub async fn serve_forwarded(app: &Arc<App>, head: Head<'_>, body: Bytes) -> Answer {
+    // A shutdown waits for these as well; the forwarding instance limits them.
+    let _open = app.open_forwarded();
     let snapshot = app.snapshot();
     let outcome = match read_forwarded(app, &snapshot, &head, body) {
         Ok((call, upstream)) => dispatch(app, &snapshot, &call, upstream).await,
         Err(code) => Err(Refusal::from(code)),
     };
-    outcome.unwrap_or_else(|refusal| refusal.answer())
+    let mut answer = outcome.unwrap_or_else(|refusal| refusal.answer());
+    if let Some(id) = head.headers.get(&call::REQUEST_ID) {
+        answer.headers.insert(call::REQUEST_ID, id.clone());
+    }
+    answer
 }
 
 fn read(app: &App, snapshot: &Snapshot, head: &Head<'_>, body: Bytes) -> Result<Call, Code> {
@@ -115,10 +121,11 @@
             Err(refusal) => refusal,
         };
         let now = app.clock.now();
-        let moving = matches!(
-            refusal.code,
-            Code::NoOwner | Code::NotOwner | Code::NotDispatcher
-        );
+        let moving = refusal.outcome == Outcome::NotRun
+            && matches!(
+                refusal.code,
+                Code::NoOwner | Code::NotOwner | Code::NotDispatcher
+            );
         if !moving || now >= hold_until.min(call.deadline) {
             return Err(refusal);
         }
@@ -133,6 +140,8 @@
         .route(&call.service)
         .ok_or(Code::UnknownService)?;
     let mut last = Refusal::from(Code::NoOwner);
+    // Once an attempt may have run, no later refusal makes the request not run.
+    let mut unknown = None;
     let mut tried = Vec::new();
     for upstream in candidates(route, call) {
         let mut instances = dispatchers(app, snapshot, upstream);
@@ -141,17 +150,20 @@
                 continue;
             }
             if !tried.is_empty() && !may_retry(app, call, last) {
-                return Err(last);
+                return Err(unknown.unwrap_or(last));
             }
             tried.push((upstream, instance));
             match attempt(app, snapshot, call, upstream, instance).await {
                 Ok(answer) => return Ok(answer),
                 Err(refusal) => last = refusal,
             }
+            if last.outcome != Outcome::NotRun {
+                unknown.get_or_insert(last);
+            }
             instances.extend(last.next);
         }
     }
-    Err(last)
+    Err(unknown.unwrap_or(last))
 }
 
 /// Whether the request may be sent again after the refusal.
@@ -217,14 +229,21 @@
         return Err(Code::Expired.into());
     }
     let host = pool.address().to_string();
-    let request = call.forward(&host, &app.peer_token, upstream, left)?;
+    let mut request = call.forward(&host, &app.peer_token, upstream, left)?;
+    let id = app.request_id();
+    let headers = request.headers_mut();
+    headers.insert(call::REQUEST_ID, HeaderValue::from(id));
     let sent = pool
         .exchange(request, left + FORWARD_SLACK, call.max_body)
         .await;
     let answer = sent.map_err(|failure| Refusal::from(failed(failure)))?;
+    // Refusals of the peer's HTTP server or token check carry no identity.
+    if !echoes(&answer, id).unwrap_or(false) {
+        return Err(Code::AnswerMismatched.into());
+    }
     match Refusal::parse(&answer.headers) {
         Some(refusal) => Err(refusal),
-        None => Ok(answer),
+        None => Ok(end_to_end(answer)),
     }
 }
 
@@ -242,19 +261,31 @@
         .state
         .club_named(&call.club)
         .ok_or(Code::BadRequest)?;
-    lane.permit(app.clock.now(), call.shard)?;
-    let Some(key) = call.dedup.filter(|_| !call.idempotent) else {
+    match lane.permit(app.clock.now(), call.shard) {
+        Ok(_) => {}
+        Err(Code::NotDispatcher) => return Err(not_dispatcher(snapshot, app.me, upstream)),
+        Err(code) => return Err(code.into()),
+    }
+    if call.idempotent {
+        return send(app, lane, call, club).await;
+    }
+    let Some(key) = call.dedup else {
+        // Nothing tells whether the attempts before this one have run.
+        if call.attempt > 1 {
+            return Err(Code::KeyUnknown.into());
+        }
         return send(app, lane, call, club).await;
     };
     // Upstreams that recognise repeats are asked again; others are not.
     let deduplicates = snapshot.table.route(&call.service);
     let deduplicates = deduplicates.is_some_and(|route| route.limits.deduplicates);
     let attempt = if deduplicates { 1 } else { call.attempt };
-    match lane.repeats().begin(app.clock.now(), key, attempt)? {
+    let covered = lane.covered(call.shard);
+    match lane.repeats().begin(app.clock, key, attempt, covered)? {
         Known::Answered(answer) => Ok(answer),
-        Known::First => {
+        Known::First(first) => {
             let outcome = send(app, lane, call, club).await;
-            lane.repeats().finish(app.clock.now(), key, &outcome);
+            first.finish(&outcome);
             outcome
         }
     }
@@ -268,8 +299,29 @@
     club: Club,
 ) -> Result<Answer, Refusal> {
     let slot = lane.slot(app.clock, call.rank, club, call.deadline).await?;
-    // The wait may have been long, or the process paused: the lease, the epoch
-    // and the deadline are checked again right before the send.
+    let mut outcome = send_once(app, lane, call).await;
+    // The connection was at fault, so an idempotent request is sent again on a
+    // fresh one; a key has no other upstream to go to.
+    if matches!(&outcome, Err(refusal) if refusal.code == Code::AnswerLost)
+        && let Err(refusal) = &outcome
+        && call.idempotent
+        && may_retry(app, call, *refusal)
+    {
+        let first = *refusal;
+        outcome = send_once(app, lane, call).await;
+        if matches!(&outcome, Err(again) if again.outcome == Outcome::NotRun) {
+            outcome = Err(first);
+        }
+    }
+    drop(slot);
+    outcome
+}
+
+/// Sends the request under a slot that is held.
+async fn send_once(app: &App, lane: &Lane, call: &Call) -> Result<Answer, Refusal> {
+    // The wait for the slot may have been long, or the process paused: the
+    // lease, the epoch and the deadline are checked again, and the lease and
+    // the epoch once more when the connection is open.
     let now = app.clock.now();
     let epoch = lane.permit(now, call.shard)?;
     let left = call.left(now);
@@ -278,10 +330,9 @@
     }
     let id = app.request_id();
     let request = upstream_request(lane, call, epoch, id, left.as_millis() as u64)?;
-    let exchange = lane.exchange();
-    let sent = lane.pool().exchange(request, left, call.max_body).await;
-    drop(exchange);
-    drop(slot);
+    let sent = lane
+        .exchange(app.clock, call.shard, epoch, request, left, call.max_body)
+        .await;
     if sent.is_ok() {
         lane.count(call.shard);
     }
@@ -308,22 +359,30 @@
 }
 
 /// Separates refusals of the upstream from its answers.
-fn check_answer(mut answer: Answer, id: u64) -> Result<Answer, Refusal> {
-    if let Some(refusal) = Refusal::parse(&answer.headers) {
-        return Err(Refusal {
+fn check_answer(answer: Answer, id: u64) -> Result<Answer, Refusal> {
+    // Checked first: a refusal of another request says nothing about this one.
+    if !echoes(&answer, id).unwrap_or(true) {
+        return Err(Code::AnswerMismatched.into());
+    }
+    let refused = answer.status.is_client_error() || answer.status.is_server_error();
+    match Refusal::parse(&answer.headers).filter(|_| refused) {
+        Some(refusal) => Err(Refusal {
             next: None,
             ..refusal
-        });
-    }
-    let echoed = answer
-        .headers
-        .get(&call::REQUEST_ID)
-        .map(HeaderValue::as_bytes);
-    if echoed.is_some_and(|echoed| echoed != id.to_string().as_bytes()) {
-        return Err(Code::AnswerMismatched.into());
+        }),
+        None => Ok(end_to_end(answer)),
     }
+}
+
+/// Whether the answer names this request; `None` if it names none.
+fn echoes(answer: &Answer, id: u64) -> Option<bool> {
+    let echoed = answer.headers.get(&call::REQUEST_ID)?;
+    Some(echoed.as_bytes() == id.to_string().as_bytes())
+}
+
+fn end_to_end(mut answer: Answer) -> Answer {
     answer.headers = call::end_to_end(&answer.headers);
-    Ok(answer)
+    answer
 }
 
 fn not_dispatcher(snapshot: &Snapshot, me: Instance, upstream: Upstream) -> Refusal {
@@ -340,7 +399,8 @@
     match failure {
         Failure::NotSent => Code::Unreachable,
         Failure::Full => Code::Shed,
-        Failure::Lost => Code::AnswerLost,
+        Failure::Revoked => Code::NotDispatcher,
+        Failure::Lost | Failure::Silent => Code::AnswerLost,
         Failure::Late => Code::AnswerLate,
         Failure::TooLarge => Code::AnswerTooLarge,
     }
--- a/crates/medlarreel/src/proxy/call.rs
+++ b/crates/medlarreel/src/proxy/call.rs
@@ -136,7 +136,7 @@
 }
 
 impl Call {
-    /// Reads a request; `body` has been read within the route's limit.
+    /// Reads a request whose body has been read whole.
     ///
     /// # Errors
     ///
@@ -151,6 +151,9 @@
         let preset = table.preset.as_ref().ok_or(Code::NoPreset)?;
         let service = head.service().to_owned();
         let route = table.route(&service).ok_or(Code::UnknownService)?;
+        if body.len() > route.limits.max_body as usize {
+            return Err(Code::BodyTooLarge);
+        }
         let rank = optional(head.headers, &RANK, Rank::parse)?.unwrap_or(Rank::Archive);
         let club = text(head.headers, &CLUB)?.unwrap_or(home).to_owned();
         if !preset.clubs.iter().any(|entry| entry.name == club) {
--- /dev/null
+++ b/crates/medlarreel/tests/traffic/fixture.rs
@@ -0,0 +1,285 @@
+//! One instance's traffic state, without a control thread.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use medlarreel::app::{App, Snapshot};
+use medlarreel::clock::Clock;
+use medlarreel::dispatch::{Answer, Lane, Permit, Pool};
+use medlarreel::proxy::{self, Head};
+use medlarreel_core::admission::Limits;
+use medlarreel_core::fold::State;
+use medlarreel_core::ids::{Ballot, Epoch, Instance, Offset, Proposal, Upstream};
+use medlarreel_core::preset::Fencing;
+use medlarreel_core::record::{Author, Body, Change, Member, Record, Server};
+use medlarreel_core::route::Table;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for what must happen; ample for a busy machine.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// The instance under test.
+pub const ME: Instance = Instance(1);
+
+/// Another instance of the club, in another failure domain.
+pub const OTHER: Instance = Instance(2);
+
+const PRESET: &str = include_str!("../../../../scripts/local-preset.ini");
+const CLUB: &str = "kashmir";
+const SHARDS: u16 = 64;
+
+/// An upstream of the fixture.
+pub struct Place {
+    /// Service that it runs.
+    pub service: &'static str,
+    /// Address of its listener.
+    pub address: SocketAddr,
+    /// Dispatching instance.
+    pub dispatcher: Instance,
+}
+
+/// Upstream of `service` that the instance under test dispatches for.
+pub fn place(service: &'static str, address: SocketAddr) -> Place {
+    Place {
+        service,
+        address,
+        dispatcher: ME,
+    }
+}
+
+fn domain(instance: Instance) -> String {
+    format!("domain-{}", instance.0)
+}
+
+/// State of the log with these upstreams; the first one owns all keys.
+fn state(places: &[Place], peers: SocketAddr) -> State {
+    let mut state = State::default();
+    let ballot = Ballot {
+        term: Offset(0),
+        round: 1,
+        instance: ME,
+    };
+    let author = Author {
+        club: CLUB.to_owned(),
+        ballot,
+    };
+    let member = |instance| Member {
+        instance,
+        club: CLUB.to_owned(),
+        domain: domain(instance),
+        peers,
+    };
+    let servers = places.iter().enumerate().map(|(index, place)| Server {
+        name: format!("upstream-{index}"),
+        service: place.service.to_owned(),
+        domain: domain(place.dispatcher),
+        address: place.address,
+        fencing: Fencing::Checked,
+        weight: 6,
+    });
+    let reset = Body::Reset {
+        club: CLUB.to_owned(),
+        expected: Offset(0),
+        voter: member(ME),
+    };
+    let publish = Body::Publish {
+        name: "local".to_owned(),
+        expected: 0,
+        text: PRESET.to_owned(),
+    };
+    let activate = Body::Activate {
+        name: "local".to_owned(),
+        version: 1,
+        expected: 0,
+    };
+    apply(&mut state, publish);
+    apply(&mut state, activate);
+    apply(&mut state, reset);
+    let term = state.next();
+    let author = Author {
+        ballot: Ballot {
+            term,
+            ..author.ballot
+        },
+        ..author
+    };
+    apply(&mut state, Body::Lead(author.clone()));
+    apply(&mut state, Body::Admit(author.clone(), member(OTHER)));
+    apply(&mut state, Body::Enroll(author.clone(), servers.collect()));
+    if places[0].service == "intake" {
+        let service = state.service_named("intake").expect("is in the preset");
+        let changes = (0..SHARDS).map(|index| Change {
+            index,
+            owner: Upstream(0),
+            standby: None,
+        });
+        let plan = Body::Plan {
+            author,
+            service,
+            expected: 0,
+            changes: changes.collect(),
+            cause: "test".to_owned(),
+        };
+        apply(&mut state, plan);
+    }
+    state
+}
+
+fn apply(state: &mut State, body: Body) {
+    let offset = state.next();
+    let proposal = Proposal(offset.0 + 1);
+    let outcome = state.apply(offset, Record { proposal, body });
+    assert_eq!(outcome, Ok(()), "the fixture's records are valid");
+}
+
+/// Epoch that differs in its counter.
+pub fn epoch(count: u64) -> Epoch {
+    Epoch {
+        term: Offset(1),
+        round: 1,
+        count,
+    }
+}
+
+/// Permit for all shards under one epoch.
+pub fn permit(clock: Clock, count: u64) -> Permit {
+    let shards = (0..SHARDS).map(|index| (index, epoch(count)));
+    Permit {
+        until: clock.now() + Duration::from_secs(600),
+        shards: shards.collect(),
+        slots: 6,
+        sole: true,
+    }
+}
+
+/// Limits of a queue.
+pub fn limits(slots: u16) -> Limits {
+    Limits {
+        entries: 100,
+        slots,
+        floors: [0; 3],
+        weights: Vec::new(),
+    }
+}
+
+/// Lane to an upstream, with a permit.
+pub fn lane(clock: Clock, address: SocketAddr) -> Arc<Lane> {
+    let lane = Lane::new(Pool::new(address, 10), limits(6));
+    lane.renew(clock.now(), permit(clock, 1), limits(6));
+    Arc::new(lane)
+}
+
+/// Instance that dispatches for its upstreams and knows one peer.
+pub fn instance(places: &[Place], peer: SocketAddr) -> Arc<App> {
+    let clock = Clock::start();
+    let token = HeaderValue::from_static("token");
+    let app = App::new(ME, CLUB.into(), domain(ME), clock, token, 100);
+    let state = Arc::new(state(places, peer));
+    let own = places.iter().enumerate();
+    let own = own.filter(|(_, place)| place.dispatcher == ME);
+    let lanes = own.map(|(index, place)| (Upstream(index as u32), lane(clock, place.address)));
+    app.publish(Snapshot {
+        established: true,
+        log_reachable: true,
+        holder: Some(ME),
+        table: Table::new(&state),
+        lanes: lanes.collect(),
+        peers: HashMap::from([(OTHER, Arc::new(Pool::new(peer, 10)))]),
+        state,
+    });
+    Arc::new(app)
+}
+
+/// Sends a caller's request through the instance.
+pub async fn call(
+    app: &Arc<App>,
+    method: Method,
+    path: &str,
+    headers: &[(&'static str, &str)],
+) -> Answer {
+    call_with(app, method, path, headers, Bytes::new()).await
+}
+
+/// As `call`, with a body.
+pub async fn call_with(
+    app: &Arc<App>,
+    method: Method,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: Bytes,
+) -> Answer {
+    let fields = headers.iter().map(|(name, value)| {
+        let value = HeaderValue::from_str(value).expect("is a valid value");
+        (HeaderName::from_static(name), value)
+    });
+    let headers: HeaderMap = fields.collect();
+    let head = Head {
+        method: &method,
+        path,
+        headers: &headers,
+    };
+    proxy::serve(app, head, body).await
+}
+
+/// Code and outcome of a refusal.
+pub fn verdict(answer: &Answer) -> (&str, &str) {
+    let text = |name| {
+        let value = answer.headers.get(name);
+        value.map_or("", |value: &HeaderValue| value.to_str().expect("is text"))
+    };
+    (text("medlar-code"), text("medlar-outcome"))
+}
+
+/// Listener that gives the texts in turn, one per request, the last one to all
+/// further requests. It closes the connection after each; an empty text is a
+/// lost answer.
+pub async fn speaker(texts: &'static [&'static str]) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counter = counter.clone();
+            tokio::spawn(async move {
+                if read_head(&mut stream).await.is_some() {
+                    let index = counter.fetch_add(1, Ordering::SeqCst);
+                    let text = texts[index.min(texts.len() - 1)];
+                    stream.write_all(text.as_bytes()).await.ok();
+                }
+            });
+        }
+    });
+    (address, requests)
+}
+
+/// Reads a request's head; `None` at the end of the stream.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte).await {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(mut holds: impl FnMut() -> bool) {
+    let poll = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, poll)
+        .await
+        .expect("the condition holds in time");
+}
--- /dev/null
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -0,0 +1,6 @@
+//! The request path against upstreams and peers with faults.
+
+mod fixture;
+mod proxy;
+mod repeats;
+mod silence;
