Choose among unkeyed upstreams by health and own open requests

The plain random choice kept sending to upstreams that cannot be connected to. Each instance now judges them from its own attempts, compares two at random by open requests and weight, and skips ejected ones within the cap of a third.

--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -23,6 +23,7 @@
 use crate::dispatch::{Lane, Pool};
 use crate::metrics::Metrics;
 use crate::proxy::call;
+use crate::proxy::choice::Choices;
 use crate::proxy::retries::Retries;
 
 /// Share of requests that may be retried before a preset is in force, in percent.
@@ -69,6 +70,8 @@
     pub metrics: Metrics,
     /// Budget for retries.
     pub retries: Retries,
+    /// Upstreams of the services that are not keyed.
+    pub choices: Choices,
     snapshot: ArcSwap<Snapshot>,
     requests: AtomicU32,
     withdrawn: AtomicBool,
@@ -106,6 +109,7 @@
             max_requests,
             metrics: Metrics::new(),
             retries: Retries::new(clock.now(), DEFAULT_RETRY_PERCENT),
+            choices: Choices::default(),
             snapshot: ArcSwap::default(),
             requests: AtomicU32::new(0),
             withdrawn: AtomicBool::new(false),
@@ -123,6 +127,7 @@
 
     /// Publishes a new snapshot to the traffic threads.
     pub fn publish(&self, snapshot: Snapshot) {
+        self.choices.renew(self.clock.now(), &snapshot);
         self.snapshot.store(Arc::new(snapshot));
     }
 
@@ -227,13 +232,6 @@
     }
 }
 
-/// Up to `count` upstreams in random order.
-pub fn choose(upstreams: &[Upstream], count: usize) -> Vec<Upstream> {
-    let amount = count.min(upstreams.len());
-    let picked = rand::seq::index::sample(&mut rand::rng(), upstreams.len(), amount);
-    picked.into_iter().map(|index| upstreams[index]).collect()
-}
-
 /// Compares secrets in a time that does not depend on where they differ.
 pub fn same(left: &[u8], right: &[u8]) -> bool {
     let difference = left.iter().zip(right).fold(0, |sum, (a, b)| sum | (a ^ b));
--- a/crates/medlarreel/src/operators/overview.rs
+++ b/crates/medlarreel/src/operators/overview.rs
@@ -86,8 +86,21 @@
     let now = app.clock.now();
     let keys = (0..).map(Upstream).zip(snapshot.state.upstreams());
     let own = keys.filter(|(_, entry)| runs(app, snapshot, &entry.server.service));
-    own.map(|(key, entry)| upstream(snapshot, now, key, &entry.server))
-        .collect()
+    own.map(|(key, entry)| {
+        let mut upstream = upstream(snapshot, now, key, &entry.server);
+        if ejected(app, snapshot, key) {
+            upstream.health = Health::Ejected;
+        }
+        upstream
+    })
+    .collect()
+}
+
+/// Whether this instance sends the upstream no work, by its own observations.
+fn ejected(app: &App, snapshot: &Snapshot, key: Upstream) -> bool {
+    let target = snapshot.table.target(key);
+    let members = target.and_then(|target| app.choices.members(target.service));
+    members.is_some_and(|members| members.ejected(key))
 }
 
 fn runs(app: &App, snapshot: &Snapshot, service: &str) -> bool {
--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -14,11 +14,12 @@
 use medlarreel_core::retry::Attempt;
 use medlarreel_core::route::Route;
 
-use crate::app::{App, Snapshot, choose};
+use crate::app::{App, Snapshot};
 use crate::dispatch::repeats::Known;
 use crate::dispatch::{Answer, Failure, Lane};
 
 pub mod call;
+pub mod choice;
 pub mod refusal;
 pub mod retries;
 
@@ -143,7 +144,7 @@
     // Once an attempt may have run, no later refusal makes the request not run.
     let mut unknown = None;
     let mut tried = Vec::new();
-    for upstream in candidates(route, call) {
+    for upstream in candidates(app, route, call) {
         let mut instances = dispatchers(app, snapshot, upstream);
         while let Some(instance) = instances.pop() {
             if tried.contains(&(upstream, instance)) {
@@ -153,7 +154,13 @@
                 return Err(unknown.unwrap_or(last));
             }
             tried.push((upstream, instance));
-            match attempt(app, snapshot, call, upstream, instance).await {
+            let members = app.choices.members(route.service);
+            let trial = members.map(|members| members.begin(app.clock, upstream));
+            let outcome = attempt(app, snapshot, call, upstream, instance).await;
+            if let Some(trial) = trial {
+                trial.end(&outcome);
+            }
+            match outcome {
                 Ok(answer) => return Ok(answer),
                 Err(refusal) => last = refusal,
             }
@@ -189,13 +196,16 @@
     }
 }
 
-fn candidates(route: &Route, call: &Call) -> Vec<Upstream> {
+fn candidates(app: &App, route: &Route, call: &Call) -> Vec<Upstream> {
     match call.shard {
         Some(shard) => {
             let place = route.place(shard);
             place.owner.into_iter().chain(place.standby).collect()
         }
-        None => choose(&route.upstreams, CHOICES),
+        None => match app.choices.members(route.service) {
+            Some(members) => members.choose(app.clock.now(), &route.upstreams, CHOICES),
+            None => Vec::new(),
+        },
     }
 }
 
--- a/crates/medlarreel/tests/traffic/main.rs
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -1,5 +1,6 @@
 //! The request path against upstreams and peers with faults.
 
+mod choice;
 mod fixture;
 mod proxy;
 mod repeats;
