Bound what callers can make an instance hold, and finish answers at a shutdown

Bodies were read before the request counted as open, so their memory was not bounded; all bodies together are limited now. head_size of the settings was not used. A content-length with a sign was accepted, which other HTTP implementations may read differently; framing is checked before the body. A forwarded head may exceed a caller's by what instances add to it.

Connections run on the threads of the listener that opened them, so ending the callers' threads first could cut off forwarded requests; listeners now end after the last request, and the process waits for their last answers.

--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -32,6 +32,10 @@
 /// Number of records kept for peers that cannot reach the log.
 const KEPT_RECORDS: usize = 4_096;
 
+/// Bytes of request bodies that an instance holds at a time; entry instances
+/// are small, and bodies of one MiB in 256 requests reach it.
+pub const MAX_BODIES: usize = 256 * 1024 * 1024;
+
 /// State of the system as the traffic threads see it.
 #[derive(Debug, Default)]
 pub struct Snapshot {
@@ -74,6 +78,7 @@
     pub choices: Choices,
     snapshot: ArcSwap<Snapshot>,
     requests: AtomicU32,
+    bodies: AtomicUsize,
     withdrawn: AtomicBool,
     stopping: AtomicBool,
     next_request: AtomicU64,
@@ -90,6 +95,28 @@
     }
 }
 
+/// Memory of one request's body, counted until dropped.
+#[derive(Debug)]
+pub struct Memory<'a> {
+    app: &'a App,
+    bytes: usize,
+}
+
+impl Memory<'_> {
+    /// Counts further bytes; false if all requests together hold too many.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let before = self.app.bodies.fetch_add(bytes, Ordering::AcqRel);
+        before + bytes <= MAX_BODIES
+    }
+}
+
+impl Drop for Memory<'_> {
+    fn drop(&mut self) {
+        self.app.bodies.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 impl App {
     /// Shared state of an instance that has not established its state yet.
     pub fn new(
@@ -112,6 +139,7 @@
             choices: Choices::default(),
             snapshot: ArcSwap::default(),
             requests: AtomicU32::new(0),
+            bodies: AtomicUsize::new(0),
             withdrawn: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             // Identities travel as JSON numbers, which are exact only below 2^53.
@@ -138,6 +166,12 @@
         (before < self.max_requests).then_some(open)
     }
 
+    /// Count of a request body's memory, empty at first.
+    pub fn memory(&self) -> Memory<'_> {
+        let bytes = 0;
+        Memory { app: self, bytes }
+    }
+
     /// Counts a forwarded request as open, without a limit: the pools of the
     /// other instances limit them, and a flood of callers must not displace them.
     pub fn open_forwarded(&self) -> Open<'_> {
--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use eyre::{Context, Result};
 use http::HeaderValue;
-use medlarreel_core::code::Code;
 use medlarreel_core::ids::Instance;
 use medlarreel_core::record::Member;
 
@@ -15,13 +14,15 @@
 use crate::clock::Clock;
 use crate::control::{self, Handle, Setup};
 use crate::dispatch::Answer;
-use crate::listen::{self, Incoming, Limits, Server};
+use crate::listen::{
+    self, HEADER_LIMIT, Incoming, Limits, PEER_HEAD_ALLOWANCE, PEER_HEADER_LIMIT, Server,
+};
 use crate::operators::Operators;
 use crate::peers;
 use crate::platform::list::HttpList;
 use crate::platform::log::HttpLog;
 use crate::platform::server::HttpServer;
-use crate::proxy::{self, Head, Refusal};
+use crate::proxy::{self, Head};
 use crate::settings::Settings;
 
 /// Threads that serve peers, beside those that serve callers.
@@ -34,6 +35,9 @@
 /// Largest body on the operators' listener, in bytes.
 const MAX_OPERATOR_BODY: usize = 256 * 1024;
 
+/// Largest head on the operators' listener, in bytes.
+const OPERATOR_HEAD: usize = 16 * 1024;
+
 /// Time in which a body must arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -47,6 +51,9 @@
 /// balancer notices.
 const READINESS_LEAD: Duration = Duration::from_millis(500);
 
+/// Time in which the last answers are written once their requests have ended.
+const WRITE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Exit code after a drain that cut off requests.
 pub const EXIT_CUT_OFF: i32 = 3;
 
@@ -129,11 +136,20 @@
         let drained = async {
             tokio::time::sleep(READINESS_LEAD).await;
             self.app.stop();
-            self.callers.stop(true);
             self.control.stop().await;
             while self.app.requests() > 0 {
                 tokio::time::sleep(DRAIN_STEP).await;
             }
+            // Connections to upstreams run on the threads of the listener that
+            // opened them, and forwarded requests may use those as well.
+            self.callers.stop(true);
+            self.peers.stop(true);
+            let ended = async {
+                self.callers.ended().await;
+                self.peers.ended().await;
+            };
+            // Idle connections may keep the threads; their answers are written.
+            tokio::time::timeout(WRITE_LIMIT, ended).await.ok();
         };
         let finished = tokio::select! {
             outcome = tokio::time::timeout(self.drain, drained) => outcome.is_ok(),
@@ -175,16 +191,15 @@
         body_time: BODY_TIME,
         idle_time: CALLER_IDLE,
         max_body: MAX_BODY,
+        head_size: settings.limits.head_size as usize,
+        headers: HEADER_LIMIT,
+        count_open: true,
     };
     let socket = bind_tcp(settings.listen.callers)?;
     Ok(listen::start(Arc::clone(app), socket, limits, caller)?)
 }
 
 async fn caller(app: Arc<App>, incoming: Incoming) -> Answer {
-    let Some(_open) = app.open() else {
-        app.metrics.refused(Code::TooManyRequests);
-        return Refusal::from(Code::TooManyRequests).answer();
-    };
     let head = Head {
         method: &incoming.method,
         path: &incoming.path,
@@ -200,6 +215,9 @@
         body_time: BODY_TIME,
         idle_time: CALLER_IDLE,
         max_body: MAX_BODY,
+        head_size: settings.limits.head_size as usize + PEER_HEAD_ALLOWANCE,
+        headers: PEER_HEADER_LIMIT,
+        count_open: false,
     };
     let socket = bind_tcp(settings.listen.peers)?;
     Ok(listen::start(
@@ -217,6 +235,9 @@
         body_time: BODY_TIME,
         idle_time: CALLER_IDLE,
         max_body: MAX_OPERATOR_BODY,
+        head_size: OPERATOR_HEAD,
+        headers: HEADER_LIMIT,
+        count_open: false,
     };
     let token = settings.security.operator_token.expose().into();
     let operators = Operators { control, token };
--- a/crates/medlarreel/src/listen.rs
+++ b/crates/medlarreel/src/listen.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,19 +18,32 @@
 use xitca_web::http::{Request, RequestExt, Response};
 use xitca_web::service::fn_service;
 
-use crate::app::App;
+use crate::app::{App, Memory};
 use crate::dispatch::Answer;
-use crate::proxy::Refusal;
+use crate::proxy::{Head, Refusal};
 
-/// Largest request head, in bytes.
-pub const HEAD_LIMIT: usize = 16 * 1024;
+/// Sizes of the HTTP library's read buffer, in bytes. A head that does not fit
+/// is refused before it has arrived whole.
+const SMALL_BUFFER: usize = 16 * 1024;
+const MEDIUM_BUFFER: usize = 64 * 1024;
+const LARGE_BUFFER: usize = 260 * 1024;
 
-/// Most header fields of a request.
+/// Most header fields of a caller's request.
 pub const HEADER_LIMIT: usize = 64;
 
+/// Most header fields of a request between instances, which carries its own.
+pub const PEER_HEADER_LIMIT: usize = HEADER_LIMIT + 16;
+
+/// Bytes that the headers of instances add to a caller's head at most: the
+/// peer token, the names of service and club, and numbers.
+pub const PEER_HEAD_ALLOWANCE: usize = 4 * 1024;
+
 /// Pending bytes of a connection's answers before writes are forced.
 const WRITE_LIMIT: usize = 256 * 1024;
 
+/// Time between looks at whether a listener's threads have ended.
+const END_STEP: Duration = Duration::from_millis(5);
+
 /// A request read whole.
 #[derive(Debug)]
 pub struct Incoming {
@@ -56,11 +70,18 @@
     pub idle_time: Duration,
     /// Largest request body, in bytes.
     pub max_body: usize,
+    /// Largest request head, in bytes.
+    pub head_size: usize,
+    /// Most header fields.
+    pub headers: usize,
+    /// Whether the limit of open requests applies, from the end of the head on.
+    pub count_open: bool,
 }
 
 /// A running listener.
 pub struct Server {
     stop: Box<dyn Fn(bool) + Send + Sync>,
+    thread: JoinHandle<()>,
 }
 
 impl Server {
@@ -68,6 +89,13 @@
     pub fn stop(&self, graceful: bool) {
         (self.stop)(graceful);
     }
+
+    /// Waits until all answers of a stopped listener have been written.
+    pub async fn ended(&self) {
+        while !self.thread.is_finished() {
+            tokio::time::sleep(END_STEP).await;
+        }
+    }
 }
 
 /// Starts a listener in threads of its own.
@@ -81,6 +109,25 @@
     limits: Limits,
     handler: H,
 ) -> std::io::Result<Server>
+where
+    H: Fn(Arc<App>, Incoming) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer>,
+{
+    if limits.head_size <= SMALL_BUFFER {
+        run::<SMALL_BUFFER, _, _>(app, socket, limits, handler)
+    } else if limits.head_size <= MEDIUM_BUFFER {
+        run::<MEDIUM_BUFFER, _, _>(app, socket, limits, handler)
+    } else {
+        run::<LARGE_BUFFER, _, _>(app, socket, limits, handler)
+    }
+}
+
+fn run<const BUFFER: usize, H, F>(
+    app: Arc<App>,
+    socket: TcpListener,
+    limits: Limits,
+    handler: H,
+) -> std::io::Result<Server>
 where
     H: Fn(Arc<App>, Incoming) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer>,
@@ -88,10 +135,7 @@
     let service = fn_service(move |request: Request<RequestExt<RequestBody>>| {
         let (app, handler) = (Arc::clone(&app), handler.clone());
         async move {
-            let answer = match read(request, limits).await {
-                Ok(incoming) => handler(app, incoming).await,
-                Err(code) => refuse(&app, code),
-            };
+            let answer = serve(&app, request, limits, handler).await;
             Ok::<_, Infallible>(respond(answer))
         }
     });
@@ -100,18 +144,45 @@
         .disable_signal()
         .request_head_timeout(limits.head_time)
         .keep_alive_timeout(limits.idle_time)
-        .max_read_buf_size::<HEAD_LIMIT>()
+        .max_read_buf_size::<BUFFER>()
         .max_write_buf_size::<WRITE_LIMIT>()
-        .max_request_headers::<HEADER_LIMIT>()
+        .max_request_headers::<PEER_HEADER_LIMIT>()
         .listen(socket)?;
     let mut running = server.run();
     let handle = running.handle()?;
-    std::thread::spawn(move || running.wait());
+    let thread = std::thread::spawn(move || {
+        // The workers report their own errors; the threads have ended then.
+        running.wait().ok();
+    });
     Ok(Server {
         stop: Box::new(move |graceful| handle.stop(graceful)),
+        thread,
     })
 }
 
+/// Checks the head, reads the body within the limits and passes both on.
+async fn serve<H, F>(
+    app: &Arc<App>,
+    request: Request<RequestExt<RequestBody>>,
+    limits: Limits,
+    handler: H,
+) -> Answer
+where
+    H: Fn(Arc<App>, Incoming) -> F,
+    F: Future<Output = Answer>,
+{
+    // Counted before the body is read, since bodies take memory.
+    let open = limits.count_open.then(|| app.open());
+    if matches!(open, Some(None)) {
+        return refuse(app, Code::TooManyRequests);
+    }
+    let mut memory = app.memory();
+    match read(request, limits, &mut memory).await {
+        Ok(incoming) => handler(Arc::clone(app), incoming).await,
+        Err(code) => refuse(app, code),
+    }
+}
+
 fn refuse(app: &App, code: Code) -> Answer {
     app.metrics.refused(code);
     let mut answer = Refusal::from(code).answer();
@@ -123,14 +194,28 @@
     answer
 }
 
-async fn read(request: Request<RequestExt<RequestBody>>, limits: Limits) -> Result<Incoming, Code> {
+async fn read(
+    request: Request<RequestExt<RequestBody>>,
+    limits: Limits,
+    memory: &mut Memory<'_>,
+) -> Result<Incoming, Code> {
     let (parts, body) = request.into_parts();
     let path = parts
         .uri
         .path_and_query()
         .map_or("/", |path| path.as_str())
         .to_owned();
-    let reading = read_body(body, limits.max_body);
+    let head = Head {
+        method: &parts.method,
+        path: &path,
+        headers: &parts.headers,
+    };
+    // The head decides where the body ends, so it is checked first.
+    head.check_framing()?;
+    if head.size() > limits.head_size || parts.headers.len() > limits.headers {
+        return Err(Code::HeadTooLarge);
+    }
+    let reading = read_body(body, limits.max_body, memory);
     let body = tokio::time::timeout(limits.body_time, reading).await;
     let body = body.map_err(|_| Code::SlowRequest)??;
     Ok(Incoming {
@@ -141,7 +226,11 @@
     })
 }
 
-async fn read_body(body: RequestExt<RequestBody>, limit: usize) -> Result<Bytes, Code> {
+async fn read_body(
+    body: RequestExt<RequestBody>,
+    limit: usize,
+    memory: &mut Memory<'_>,
+) -> Result<Bytes, Code> {
     let (_, body) = body.replace_body(());
     let mut body = std::pin::pin!(body);
     let mut whole = BytesMut::new();
@@ -150,6 +239,9 @@
         if whole.len() + part.len() > limit {
             return Err(Code::BodyTooLarge);
         }
+        if !memory.grow(part.len()) {
+            return Err(Code::TooManyRequests);
+        }
         whole.extend_from_slice(&part);
     }
     Ok(whole.freeze())
--- a/crates/medlarreel/src/proxy/call.rs
+++ b/crates/medlarreel/src/proxy/call.rs
@@ -114,6 +114,15 @@
         path.split(['/', '?']).next().unwrap_or("")
     }
 
+    /// Size as sent, in bytes, without optional blanks.
+    pub fn size(&self) -> usize {
+        // Each field adds a colon, a blank and a line end.
+        let fields = self.headers.iter();
+        let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + 4);
+        // So do the two blanks, the version and the line ends of the first line.
+        self.method.as_str().len() + self.path.len() + 14 + fields.sum::<usize>()
+    }
+
     /// Checks the forms of framing that differ between HTTP implementations.
     ///
     /// # Errors
@@ -125,7 +134,11 @@
         let chunked = codings.next();
         let plain = chunked.is_none_or(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
         let both = chunked.is_some() && lengths > 0;
-        if lengths > 1 || both || !plain || codings.next().is_some() {
+        // The HTTP library also accepts a sign in front of the digits.
+        let length = self.headers.get(CONTENT_LENGTH);
+        let digits = |value: &HeaderValue| value.as_bytes().iter().all(u8::is_ascii_digit);
+        let signed = !length.is_none_or(digits);
+        if lengths > 1 || both || signed || !plain || codings.next().is_some() {
             return Err(Code::BadRequest);
         }
         match *self.method {
--- /dev/null
+++ b/crates/medlarreel/tests/traffic/hostile.rs
@@ -0,0 +1,287 @@
+//! Hostile input on the callers' listener.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarreel::app::{App, MAX_BODIES};
+use medlarreel::listen::{self, HEADER_LIMIT, Limits};
+use medlarreel::proxy::{self, Head};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fixture::*;
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+const PLAIN: &str = "GET /workshop/x HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n";
+
+const HEAD_SIZE: usize = 16 * 1024;
+
+/// Longest time for heads and bodies; other limits than these are never met.
+const BRIEF: Duration = Duration::from_millis(300);
+
+fn limits(time: Duration) -> Limits {
+    Limits {
+        workers: 2,
+        head_time: time,
+        body_time: time,
+        idle_time: LONG,
+        max_body: 1024 * 1024,
+        head_size: HEAD_SIZE,
+        headers: HEADER_LIMIT,
+        count_open: true,
+    }
+}
+
+/// Callers' listener of an instance in front of an upstream.
+fn listener(app: &Arc<App>, time: Duration) -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = socket.local_addr().expect("has an address");
+    socket.set_nonblocking(true).expect("is a socket");
+    let handler = |app: Arc<App>, incoming: listen::Incoming| async move {
+        let head = Head {
+            method: &incoming.method,
+            path: &incoming.path,
+            headers: &incoming.headers,
+        };
+        proxy::serve(&app, head, incoming.body).await
+    };
+    listen::start(app.clone(), socket, limits(time), handler).expect("starts");
+    address
+}
+
+async fn served(time: Duration) -> (Arc<App>, SocketAddr) {
+    let (upstream, _) = speaker(&[OK]).await;
+    let app = instance(&[place("workshop", upstream)], upstream);
+    let address = listener(&app, time);
+    (app, address)
+}
+
+/// Sends bytes and reads until the connection ends or an answer's head is whole.
+async fn send(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("listens");
+    // The listener may close the connection before everything was sent.
+    stream.write_all(bytes).await.ok();
+    let mut answer = Vec::new();
+    let reading = async {
+        let mut buffer = [0; 4_096];
+        while let Ok(count) = stream.read(&mut buffer).await
+            && count > 0
+        {
+            answer.extend_from_slice(&buffer[..count]);
+            if answer.windows(4).any(|end| end == b"\r\n\r\n") {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(LONG, reading)
+        .await
+        .expect("the connection is answered or closed");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("")
+}
+
+async fn expect_served(to: SocketAddr) {
+    let answer = send(to, PLAIN.as_bytes()).await;
+    assert_eq!(status(&answer), "200", "others are served: {answer}");
+}
+
+/// Guards against two HTTP implementations seeing different requests.
+#[tokio::test]
+async fn ambiguous_framing_is_refused() {
+    let (_, address) = served(LONG).await;
+    let cases = [
+        (
+            "both",
+            "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        ),
+        (
+            "both, swapped",
+            "transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n",
+        ),
+        (
+            "two lengths",
+            "content-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+        ),
+        (
+            "equal lengths",
+            "content-length: 3\r\ncontent-length: 3\r\n\r\nabc",
+        ),
+        ("length list", "content-length: 3, 3\r\n\r\nabc"),
+        ("signed length", "content-length: +3\r\n\r\nabc"),
+        (
+            "other coding",
+            "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        ),
+        ("bad coding", "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n"),
+        (
+            "two codings",
+            "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        ),
+        (
+            "bad chunk size",
+            "transfer-encoding: chunked\r\n\r\nxyz\r\nabc\r\n0\r\n\r\n",
+        ),
+        (
+            "huge chunk size",
+            "transfer-encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n",
+        ),
+        (
+            "negative chunk size",
+            "transfer-encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n",
+        ),
+        ("line folding", "x-a: one\r\n two\r\n\r\n"),
+        ("blank before colon", "content-length : 3\r\n\r\nabc"),
+    ];
+
+    for (name, rest) in cases {
+        let request = format!("POST /workshop/x HTTP/1.1\r\nhost: s\r\n{rest}");
+        let answer = send(address, request.as_bytes()).await;
+
+        assert!(
+            matches!(status(&answer), "" | "400"),
+            "{name}: answered {answer}"
+        );
+    }
+    expect_served(address).await;
+}
+
+/// Guards against use as a tunnel.
+#[tokio::test]
+async fn connect_is_refused() {
+    let (_, address) = served(LONG).await;
+
+    let answer = send(address, b"CONNECT s:80 HTTP/1.1\r\nhost: s:80\r\n\r\n").await;
+
+    assert_eq!(status(&answer), "400", "{answer}");
+    expect_served(address).await;
+}
+
+/// Guards against heads that fill the memory.
+#[tokio::test]
+async fn large_heads_are_refused() {
+    let (_, address) = served(LONG).await;
+    let large = format!("x-a: {}\r\n", "a".repeat(HEAD_SIZE));
+    let endless = "x-a: ".to_owned() + &"a".repeat(4 * HEAD_SIZE);
+    let many = "x-a: b\r\n".repeat(HEADER_LIMIT);
+    let excessive = "x-a: b\r\n".repeat(1_000);
+
+    for fields in [large, endless, many, excessive] {
+        let request = format!("GET /workshop/x HTTP/1.1\r\nhost: s\r\n{fields}\r\n");
+        let answer = send(address, request.as_bytes()).await;
+
+        assert!(matches!(status(&answer), "" | "431"), "answered {answer}");
+    }
+    expect_served(address).await;
+}
+
+/// Guards against callers that hold connections by sending slowly.
+#[tokio::test]
+async fn slow_heads_and_bodies_are_given_up() {
+    let (app, address) = served(BRIEF).await;
+
+    let head = send(address, b"GET /workshop/x HTTP/1.1\r\nhost: s\r\n").await;
+    let body = "POST /workshop/x HTTP/1.1\r\nhost: s\r\ncontent-length: 9\r\n\r\nab";
+    let body = send(address, body.as_bytes()).await;
+
+    assert!(matches!(status(&head), "" | "408"), "{head}");
+    assert_eq!(status(&body), "408", "{body}");
+    eventually(|| app.requests() == 0).await;
+    expect_served(address).await;
+}
+
+/// Guards against bodies of more requests than the limit being read, and
+/// against places that are lost when those callers leave.
+#[tokio::test]
+async fn requests_beyond_the_limit_are_refused() {
+    let (app, address) = served(LONG).await;
+    let body = "POST /workshop/x HTTP/1.1\r\nhost: s\r\ncontent-length: 9\r\n\r\nab";
+    let mut open = Vec::new();
+    for _ in 0..app.max_requests {
+        let mut stream = TcpStream::connect(address).await.expect("listens");
+        stream.write_all(body.as_bytes()).await.expect("is sent");
+        open.push(stream);
+    }
+    eventually(|| app.requests() == app.max_requests).await;
+
+    let answer = send(address, PLAIN.as_bytes()).await;
+
+    assert_eq!(status(&answer), "503", "{answer}");
+    assert!(answer.contains("medlar-code: 114"), "{answer}");
+    drop(open);
+    eventually(|| app.requests() == 0).await;
+    expect_served(address).await;
+}
+
+/// Guards against bodies that together fill the memory.
+#[tokio::test]
+async fn the_memory_of_all_bodies_is_bounded() {
+    let (app, address) = served(LONG).await;
+    let mut memory = app.memory();
+    assert!(memory.grow(MAX_BODIES));
+    let body = "POST /workshop/x HTTP/1.1\r\nhost: s\r\ncontent-length: 2\r\n\r\nab";
+
+    let refused = send(address, body.as_bytes()).await;
+    drop(memory);
+    let served = send(address, body.as_bytes()).await;
+
+    assert!(refused.contains("medlar-code: 114"), "{refused}");
+    assert_eq!(status(&served), "200", "{served}");
+}
+
+/// Guards against callers reaching what only peers may.
+#[tokio::test]
+async fn internal_paths_are_not_served_to_callers() {
+    let (_, address) = served(LONG).await;
+    let paths = [
+        "/forward/workshop/x",
+        "/records?from=0",
+        "/state",
+        "//records?from=0",
+        "/./records?from=0",
+        "/%72ecords?from=0",
+        "/../records?from=0",
+    ];
+
+    for path in paths {
+        let request = format!("GET {path} HTTP/1.1\r\nhost: s\r\nmedlar-peer: token\r\n\r\n");
+        let answer = send(address, request.as_bytes()).await;
+
+        assert_eq!(status(&answer), "404", "{path}: {answer}");
+    }
+}
+
+/// Guards against forged internal headers reaching an upstream.
+#[tokio::test]
+async fn forged_internal_headers_are_removed() {
+    let upstream = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = upstream.local_addr().expect("has an address");
+    let app = instance(&[place("workshop", address)], address);
+    let callers = listener(&app, LONG);
+    let seen = tokio::spawn(async move {
+        let (mut stream, _) = upstream.accept().await.expect("is connected to");
+        let head = read_head(&mut stream).await.expect("is a request");
+        stream.write_all(OK.as_bytes()).await.expect("is sent");
+        head
+    });
+    let request = "GET /workshop/x HTTP/1.1\r\nhost: s\r\nmedlar-epoch: 9.9.9\r\n\
+        medlar-shard: 9\r\nmedlar-peer: forged\r\nmedlar-upstream: 9\r\n\
+        medlar-request-id: forged\r\nconnection: x-hop\r\nx-hop: 1\r\nx-kept: 1\r\n\r\n";
+
+    let answer = send(callers, request.as_bytes()).await;
+
+    assert_eq!(status(&answer), "200", "{answer}");
+    let head = seen.await.expect("is answered").to_ascii_lowercase();
+    for name in ["epoch", "shard", "peer", "upstream"] {
+        assert!(!head.contains(&format!("medlar-{name}")), "{head}");
+    }
+    assert!(
+        !head.contains("forged") && !head.contains("x-hop"),
+        "{head}"
+    );
+    assert!(head.contains("x-kept: 1"), "{head}");
+}
--- a/crates/medlarreel/tests/traffic/main.rs
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod fixture;
+mod hostile;
 mod proxy;
 mod repeats;
 mod silence;
