Show imbalance, churn, unavailable shards, queues, slots and leases as metrics

Gauges are computed when they are read. Requests are counted through cached handles, since looking a metric up by its labels needs owned texts of service and club for each request.

--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -156,6 +156,7 @@
     /// Publishes a new snapshot to the traffic threads.
     pub fn publish(&self, snapshot: Snapshot) {
         self.choices.renew(self.clock.now(), &snapshot);
+        self.metrics.published(&self.snapshot.load(), &snapshot);
         self.snapshot.store(Arc::new(snapshot));
     }
 
--- a/crates/medlarreel/src/metrics.rs
+++ b/crates/medlarreel/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, in OpenMetrics form on the operators' address.
 
+use std::collections::HashMap;
+use std::sync::RwLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -12,10 +14,15 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::app::{App, Snapshot};
 use crate::dispatch::Answer;
 use crate::operators::status::Served;
 use crate::proxy::{Call, Refusal};
 
+pub mod fleet;
+
+use fleet::Fleet;
+
 /// Smallest latency bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.000_25;
 /// Ratio of neighbouring latency buckets.
@@ -60,9 +67,19 @@
     unknown: AtomicU64,
 }
 
+/// Metrics of one service that have been used, found without a new text.
+#[derive(Debug, Default)]
+struct Handles {
+    latency: HashMap<Rank, Histogram>,
+    /// Counters by club, then by rank and code.
+    requests: HashMap<String, HashMap<(Rank, u16), Counter>>,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub struct Metrics {
+    handles: RwLock<HashMap<String, Handles>>,
+    fleet: Fleet,
     ranks: [Counts; RANKS],
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
@@ -100,7 +117,10 @@
         registry.register("events", "Control events", events.clone());
         registry.register("state", "Control state", gauges.clone());
         let ranks = Default::default();
+        let fleet = Fleet::new(&mut registry);
         Metrics {
+            handles: RwLock::default(),
+            fleet,
             ranks,
             registry,
             requests,
@@ -129,20 +149,53 @@
             .as_ref()
             .err()
             .map_or(0, |refusal| refusal.code.number());
+        if !self.count(call, code, taken) {
+            self.prepare(call, code);
+            self.count(call, code, taken);
+        }
+    }
+
+    /// Counts with existing handles; false if there are none yet.
+    fn count(&self, call: &Call, code: u16, taken: Duration) -> bool {
+        let handles = self.handles.read();
+        let handles = handles.unwrap_or_else(|poisoned| poisoned.into_inner());
+        let found = handles.get(&call.service).and_then(|service| {
+            let counter = service.requests.get(&call.club)?.get(&(call.rank, code))?;
+            Some((counter, service.latency.get(&call.rank)?))
+        });
+        let Some((counter, latency)) = found else {
+            return false;
+        };
+        counter.inc();
+        latency.observe(taken.as_secs_f64());
+        true
+    }
+
+    fn prepare(&self, call: &Call, code: u16) {
+        let (service, club, rank) = (call.service.clone(), call.club.clone(), call.rank);
         let labels = RequestLabels {
-            service: call.service.clone(),
-            rank: call.rank.text(),
-            club: call.club.clone(),
+            service: service.clone(),
+            rank: rank.text(),
+            club: club.clone(),
             code: u32::from(code),
         };
-        self.requests.get_or_create(&labels).inc();
+        let counter = self.requests.get_or_create(&labels).clone();
         let labels = RankLabels {
-            service: call.service.clone(),
-            rank: call.rank.text(),
+            service: service.clone(),
+            rank: rank.text(),
         };
-        self.latency
-            .get_or_create(&labels)
-            .observe(taken.as_secs_f64());
+        let latency = self.latency.get_or_create(&labels).clone();
+        let handles = self.handles.write();
+        let mut handles = handles.unwrap_or_else(|poisoned| poisoned.into_inner());
+        let service = handles.entry(service).or_default();
+        service.latency.insert(rank, latency);
+        let club = service.requests.entry(club).or_default();
+        club.insert((rank, code), counter);
+    }
+
+    /// Counts what differs between the snapshot in force and its successor.
+    pub fn published(&self, before: &Snapshot, after: &Snapshot) {
+        self.fleet.count_changes(before, after);
     }
 
     fn counter(&self, rank: Rank, outcome: &Result<Answer, Refusal>) -> &AtomicU64 {
@@ -178,8 +231,9 @@
             .set(value);
     }
 
-    /// OpenMetrics text.
-    pub fn encode(&self) -> String {
+    /// OpenMetrics text, with gauges as of now.
+    pub fn encode(&self, app: &App, snapshot: &Snapshot) -> String {
+        self.fleet.update(app, snapshot);
         let mut text = String::new();
         match prometheus_client::encoding::text::encode(&mut text, &self.registry) {
             Ok(()) => text,
--- a/crates/medlarreel/src/operators.rs
+++ b/crates/medlarreel/src/operators.rs
@@ -154,7 +154,7 @@
 }
 
 fn metrics(app: &App) -> Answer {
-    let mut answer = plain(StatusCode::OK, &app.metrics.encode());
+    let mut answer = plain(StatusCode::OK, &app.metrics.encode(app, &app.snapshot()));
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     answer
         .headers
--- a/crates/medlarreel/src/operators/overview.rs
+++ b/crates/medlarreel/src/operators/overview.rs
@@ -8,6 +8,7 @@
 
 use super::status::{self, Health, Lease, Status};
 use crate::app::{App, Snapshot};
+use crate::metrics::fleet;
 
 /// Audit entries shown with the status.
 const RECENT: usize = 20;
@@ -31,11 +32,19 @@
         members: members(app, snapshot, club),
         upstreams: upstreams(app, snapshot),
         services: services(app, snapshot),
-        ranks: app.metrics.by_rank(),
+        ranks: ranks(app, snapshot),
         audit: recent,
     }
 }
 
+fn ranks(app: &App, snapshot: &Snapshot) -> Vec<status::Served> {
+    let waiting = fleet::waiting(snapshot);
+    let ranks = app.metrics.by_rank().into_iter().zip(waiting);
+    ranks
+        .map(|(served, waiting)| status::Served { waiting, ..served })
+        .collect()
+}
+
 fn preset(app: &App, snapshot: &Snapshot) -> Option<status::InForce> {
     let active = snapshot.state.active()?;
     let club = snapshot.state.club_named(&app.home);
--- a/crates/medlarreel/tests/traffic/fixture.rs
+++ b/crates/medlarreel/tests/traffic/fixture.rs
@@ -111,26 +111,39 @@
     };
     apply(&mut state, Body::Lead(author.clone()));
     apply(&mut state, Body::Admit(author.clone(), member(OTHER)));
-    apply(&mut state, Body::Enroll(author.clone(), servers.collect()));
+    apply(&mut state, Body::Enroll(author, servers.collect()));
     if places[0].service == "intake" {
-        let service = state.service_named("intake").expect("is in the preset");
-        let changes = (0..SHARDS).map(|index| Change {
-            index,
-            owner: Upstream(0),
-            standby: None,
-        });
-        let plan = Body::Plan {
-            author,
-            service,
-            expected: 0,
-            changes: changes.collect(),
-            cause: "test".to_owned(),
-        };
-        apply(&mut state, plan);
+        let all: Vec<_> = (0..SHARDS).collect();
+        move_shards(&mut state, &all, Upstream(0));
     }
     state
 }
 
+/// Gives shards of the keyed service to an upstream.
+pub fn move_shards(state: &mut State, shards: &[u16], owner: Upstream) {
+    let service = state.service_named("intake").expect("is in the preset");
+    let expected = state.service(service).plan.version;
+    let club = state.club_named(CLUB).expect("is in the preset");
+    let ballot = state.club(club).highest.expect("has a holder");
+    let author = Author {
+        club: CLUB.to_owned(),
+        ballot,
+    };
+    let changes = shards.iter().map(|index| Change {
+        index: *index,
+        owner,
+        standby: None,
+    });
+    let plan = Body::Plan {
+        author,
+        service,
+        expected,
+        changes: changes.collect(),
+        cause: "test".to_owned(),
+    };
+    apply(state, plan);
+}
+
 fn apply(state: &mut State, body: Body) {
     let offset = state.next();
     let proposal = Proposal(offset.0 + 1);
--- a/crates/medlarreel/tests/traffic/main.rs
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod fixture;
 mod hostile;
+mod metrics;
 mod proxy;
 mod repeats;
 mod silence;
