Keep the slots busy in the test of silent connections under traffic

Without the pause of new requests the test passed as well, since the upstream was idle often enough for its report to show the missing request.

--- a/crates/medlarreel/tests/traffic/silence.rs
+++ b/crates/medlarreel/tests/traffic/silence.rs
@@ -170,7 +170,8 @@
 /// come and go, and against those being given up for it.
 #[tokio::test]
 async fn a_silent_connection_is_found_under_traffic() {
-    let upstream = upstream(Fencing::Checked, Duration::from_millis(5)).await;
+    // All slots but the silent one are busy at any time.
+    let upstream = upstream(Fencing::Checked, Duration::from_millis(15)).await;
     let address = upstream.address();
     let app = instance(&[place("workshop", address)], address);
     call(&app, Method::GET, "/workshop/x", &[]).await;
