--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -23,6 +23,7 @@
 use crate::dispatch::{Lane, Pool};
 use crate::metrics::Metrics;
 use crate::proxy::call;
+use crate::proxy::choice::Choices;
 use crate::proxy::retries::Retries;
 
 /// Share of requests that may be retried before a preset is in force, in percent.
@@ -31,6 +32,10 @@
 /// Number of records kept for peers that cannot reach the log.
 const KEPT_RECORDS: usize = 4_096;
 
+/// Bytes of request bodies that an instance holds at a time; entry instances
+/// are small, and bodies of one MiB in 256 requests reach it.
+pub const MAX_BODIES: usize = 256 * 1024 * 1024;
+
 /// State of the system as the traffic threads see it.
 #[derive(Debug, Default)]
 pub struct Snapshot {
@@ -69,8 +74,11 @@
     pub metrics: Metrics,
     /// Budget for retries.
     pub retries: Retries,
+    /// Upstreams of the services that are not keyed.
+    pub choices: Choices,
     snapshot: ArcSwap<Snapshot>,
     requests: AtomicU32,
+    bodies: AtomicUsize,
     withdrawn: AtomicBool,
     stopping: AtomicBool,
     next_request: AtomicU64,
@@ -87,6 +95,28 @@
     }
 }
 
+/// Memory of one request's body, counted until dropped.
+#[derive(Debug)]
+pub struct Memory<'a> {
+    app: &'a App,
+    bytes: usize,
+}
+
+impl Memory<'_> {
+    /// Counts further bytes; false if all requests together hold too many.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let before = self.app.bodies.fetch_add(bytes, Ordering::AcqRel);
+        before + bytes <= MAX_BODIES
+    }
+}
+
+impl Drop for Memory<'_> {
+    fn drop(&mut self) {
+        self.app.bodies.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 impl App {
     /// Shared state of an instance that has not established its state yet.
     pub fn new(
@@ -106,8 +136,10 @@
             max_requests,
             metrics: Metrics::new(),
             retries: Retries::new(clock.now(), DEFAULT_RETRY_PERCENT),
+            choices: Choices::default(),
             snapshot: ArcSwap::default(),
             requests: AtomicU32::new(0),
+            bodies: AtomicUsize::new(0),
             withdrawn: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             // Identities travel as JSON numbers, which are exact only below 2^53.
@@ -123,6 +155,8 @@
 
     /// Publishes a new snapshot to the traffic threads.
     pub fn publish(&self, snapshot: Snapshot) {
+        self.choices.renew(self.clock.now(), &snapshot);
+        self.metrics.published(&self.snapshot.load(), &snapshot);
         self.snapshot.store(Arc::new(snapshot));
     }
 
@@ -133,6 +167,19 @@
         (before < self.max_requests).then_some(open)
     }
 
+    /// Count of a request body's memory, empty at first.
+    pub fn memory(&self) -> Memory<'_> {
+        let bytes = 0;
+        Memory { app: self, bytes }
+    }
+
+    /// Counts a forwarded request as open, without a limit: the pools of the
+    /// other instances limit them, and a flood of callers must not displace them.
+    pub fn open_forwarded(&self) -> Open<'_> {
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        Open(self)
+    }
+
     /// Number of open requests.
     pub fn requests(&self) -> u32 {
         self.requests.load(Ordering::Acquire)
@@ -225,13 +272,6 @@
     }
 }
 
-/// Up to `count` upstreams in random order.
-pub fn choose(upstreams: &[Upstream], count: usize) -> Vec<Upstream> {
-    let amount = count.min(upstreams.len());
-    let picked = rand::seq::index::sample(&mut rand::rng(), upstreams.len(), amount);
-    picked.into_iter().map(|index| upstreams[index]).collect()
-}
-
 /// Compares secrets in a time that does not depend on where they differ.
 pub fn same(left: &[u8], right: &[u8]) -> bool {
     let difference = left.iter().zip(right).fold(0, |sum, (a, b)| sum | (a ^ b));
--- /dev/null
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -0,0 +1,9 @@
+//! The request path against upstreams and peers with faults.
+
+mod choice;
+mod fixture;
+mod hostile;
+mod metrics;
+mod proxy;
+mod repeats;
+mod silence;
