--- a/crates/core/src/holder/ledger.rs
+++ b/crates/core/src/holder/ledger.rs
@@ -63,6 +63,8 @@
     pub(super) loads: Vec<u64>,
     /// When the plan was last looked at.
     pub(super) planned: Time,
+    /// Plan version and usable upstreams for which every shard is where it shall be.
+    steady: Option<(u32, Usable)>,
 }
 
 impl Ledger {
@@ -76,9 +78,16 @@
             pending: None,
             loads: vec![0; shards],
             planned: Time(0),
+            steady: None,
         }
     }
 
+    /// Whether every shard is held and no change of the plan is in flight.
+    fn is_steady(&self) -> bool {
+        let mut slots = self.slots.iter();
+        self.pending.is_none() && slots.all(|slot| matches!(slot.hold, Hold::Held(..)))
+    }
+
     /// Whether the log names the upstream as a candidate whatever becomes of
     /// the change in flight.
     fn allows(&self, index: usize, place: Place, upstream: Upstream) -> bool {
@@ -99,9 +108,13 @@
             let Some(mut ledger) = self.ledgers.remove(&service) else {
                 continue;
             };
-            for index in 0..ledger.slots.len() {
-                self.free(view, service, index, &mut ledger);
-                self.direct(view, &usable, service, index, &mut ledger);
+            let basis = (view.state.service(service).plan.version, usable.clone());
+            if ledger.steady.as_ref() != Some(&basis) {
+                for index in 0..ledger.slots.len() {
+                    self.free(view, service, index, &mut ledger);
+                    self.direct(view, &usable, service, index, &mut ledger);
+                }
+                ledger.steady = ledger.is_steady().then_some(basis);
             }
             self.ledgers.insert(service, ledger);
         }
--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -1,5 +1,6 @@
 //! Choice of dispatchers, and the messages that carry orders to them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::ledger::shard;
@@ -65,7 +66,7 @@
             return false;
         };
         target.order.as_ref().is_none_or(|order| {
-            order.shards != target.shards
+            *order.shards != target.shards
                 || order.allowance != target.allowance
                 || order.incarnation != target.incarnation
                 || (order.primary, order.backup) != (primary, backup)
@@ -116,7 +117,7 @@
         target.order = Some(Order {
             version,
             incarnation: target.incarnation,
-            shards: target.shards.clone(),
+            shards: Arc::new(target.shards.clone()),
             allowance: target.allowance,
             primary,
             backup,
--- a/crates/core/src/holder/target.rs
+++ b/crates/core/src/holder/target.rs
@@ -1,6 +1,7 @@
 //! An upstream as the holder directs it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use medlarreel_macros::data;
@@ -25,7 +26,8 @@
 pub(super) struct Order {
     pub(super) version: Version,
     pub(super) incarnation: u64,
-    pub(super) shards: BTreeMap<u16, Epoch>,
+    /// Shared, because every tick looks whether the order is to be sent again.
+    pub(super) shards: Arc<BTreeMap<u16, Epoch>>,
     pub(super) allowance: u16,
     pub(super) primary: Instance,
     pub(super) backup: Option<Instance>,
