--- a/crates/medlarreel/src/control/publish.rs
+++ b/crates/medlarreel/src/control/publish.rs
@@ -12,7 +12,7 @@
 
 use super::Worker;
 use crate::app::Snapshot;
-use crate::dispatch::{Lane, Permit, Pool};
+use crate::dispatch::{Lane, Lanes, Permit, Pool};
 
 /// Connections kept to one peer at most.
 const PEER_CONNECTIONS: usize = 256;
@@ -24,41 +24,14 @@
     holder: Option<Instance>,
     established: bool,
     log_reachable: bool,
-    lanes: HashMap<Upstream, Arc<Lane>>,
-    /// Lanes without a permit that still have exchanges or connections.
-    retired: HashMap<Upstream, Arc<Lane>>,
+    lanes: Lanes,
     peers: HashMap<Instance, Arc<Pool>>,
 }
 
 impl Published {
     /// What the traffic threads did since the last call.
     pub(super) fn traffic(&mut self) -> Vec<(Upstream, Traffic)> {
-        let lanes = self.lanes.iter().chain(&self.retired);
-        let traffic: Vec<_> = lanes
-            .map(|(upstream, lane)| (*upstream, lane.traffic()))
-            .collect();
-        // Each is reported once more after it has closed: a stop of an unchecked
-        // upstream is acknowledged only once nothing is open.
-        let closed = traffic
-            .iter()
-            .filter(|(_, traffic)| traffic.exchanges == 0 && traffic.connections == 0);
-        for (upstream, _) in closed {
-            self.retired.remove(upstream);
-        }
-        traffic
-    }
-
-    /// Replaces the lanes; those that are left out are retired.
-    fn set_lanes(&mut self, lanes: HashMap<Upstream, Arc<Lane>>) {
-        let old = std::mem::replace(&mut self.lanes, lanes);
-        for (upstream, lane) in old {
-            if !self.lanes.contains_key(&upstream) {
-                self.retired.insert(upstream, lane);
-            }
-        }
-        for lane in self.retired.values() {
-            lane.retire();
-        }
+        self.lanes.traffic()
     }
 }
 
@@ -97,7 +70,7 @@
             state,
             holder,
             table,
-            lanes: self.published.lanes.clone(),
+            lanes: self.published.lanes.active().clone(),
             peers: self.published.peers.clone(),
         });
     }
@@ -108,7 +81,7 @@
         metrics.set("next_offset", state.next().0 as i64);
         let activation = state.active().map_or(0, |active| active.count);
         metrics.set("activation", i64::from(activation));
-        metrics.set("lanes", self.published.lanes.len() as i64);
+        metrics.set("lanes", self.published.lanes.active().len() as i64);
         let me = self.app.me;
         metrics.set("holds_control", i64::from(holder == Some(me)));
         if self.published.holder != holder {
@@ -148,8 +121,8 @@
         let mut changed = false;
         let mut kept = HashMap::new();
         let Some(until) = self.machine.dispatcher().until(now) else {
-            changed = !self.published.lanes.is_empty();
-            self.published.set_lanes(HashMap::new());
+            changed = !self.published.lanes.active().is_empty();
+            self.published.lanes.set(HashMap::new());
             return changed;
         };
         for assignment in self.machine.dispatcher().sendable_now(now) {
@@ -158,16 +131,10 @@
                 continue;
             };
             let limits = queue_limits(state, &preset, service, assignment.allowance);
-            let known = self.published.lanes.get(&assignment.upstream).cloned();
-            // Exchanges that are still open use slots and connections.
-            let known = known.or_else(|| {
-                changed = true;
-                self.published.retired.remove(&assignment.upstream)
-            });
-            let known = known.filter(|lane| lane.pool().address() == entry.server.address);
+            let (key, address) = (assignment.upstream, entry.server.address);
+            let known = self.published.lanes.find(key, address);
             let lane = known.unwrap_or_else(|| {
-                changed = true;
-                let pool = Pool::new(entry.server.address, usize::from(service.connections));
+                let pool = Pool::new(address, usize::from(service.connections));
                 Arc::new(Lane::new(pool, limits.clone()))
             });
             let shards = assignment
@@ -182,10 +149,12 @@
                 sole: assignment.fencing == Fencing::Unchecked || assignment.backup.is_none(),
             };
             lane.renew(now, permit, limits);
-            kept.insert(assignment.upstream, lane);
+            let current = self.published.lanes.active().get(&key);
+            changed |= current.is_none_or(|current| !Arc::ptr_eq(current, &lane));
+            kept.insert(key, lane);
         }
-        changed |= kept.len() != self.published.lanes.len();
-        self.published.set_lanes(kept);
+        changed |= kept.len() != self.published.lanes.active().len();
+        self.published.lanes.set(kept);
         changed
     }
 }
--- a/crates/medlarreel/src/dispatch.rs
+++ b/crates/medlarreel/src/dispatch.rs
@@ -6,9 +6,11 @@
 //! traffic threads in an immutable map.
 
 pub mod lane;
+pub mod lanes;
 pub mod pool;
 pub mod repeats;
 pub mod silence;
 
 pub use lane::{Lane, Permit};
+pub use lanes::Lanes;
 pub use pool::{Answer, Failure, Pool};
--- /dev/null
+++ b/crates/medlarreel/tests/traffic/lanes.rs
@@ -0,0 +1,104 @@
+//! What is reported of lanes whose permit has ended.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use medlarreel::clock::Clock;
+use medlarreel::dispatch::{Answer, Failure, Lane, Lanes};
+use medlarreel_core::ids::Upstream;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::fixture::*;
+
+const UPSTREAM: Upstream = Upstream(0);
+
+/// Listener that never answers.
+async fn nothing() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            held.push(stream);
+        }
+    });
+    address
+}
+
+/// Lane with an open exchange.
+async fn busy_lane(clock: Clock) -> (Arc<Lane>, JoinHandle<Result<Answer, Failure>>) {
+    let lane = lane(clock, nothing().await);
+    let exchange = tokio::spawn({
+        let lane = lane.clone();
+        async move {
+            let request = http::Request::get("/x").header("host", "test");
+            let request = request.body(Default::default()).expect("is valid");
+            lane.exchange(clock, None, None, request, LONG * 10, 1_024)
+                .await
+        }
+    });
+    eventually(|| lane.pool().open() == 1).await;
+    (lane, exchange)
+}
+
+/// Exchanges and connections in the report on the upstream.
+fn open(lanes: &mut Lanes) -> Option<(u32, u32)> {
+    let traffic = lanes.traffic();
+    let traffic = traffic.iter().find(|(upstream, _)| *upstream == UPSTREAM);
+    traffic.map(|(_, traffic)| (traffic.exchanges, traffic.connections))
+}
+
+/// Guards against a stop being acknowledged while an exchange is open, because
+/// the lane was forgotten with its permit.
+#[tokio::test]
+async fn a_retired_lane_is_reported_until_it_has_closed() {
+    let (lane, exchange) = busy_lane(Clock::start()).await;
+    let mut lanes = Lanes::default();
+    lanes.set(HashMap::from([(UPSTREAM, lane.clone())]));
+
+    lanes.set(HashMap::new());
+
+    assert!(lanes.active().is_empty());
+    assert_eq!(open(&mut lanes), Some((1, 1)));
+    exchange.abort();
+    eventually(|| lane.open() == 0 && lane.pool().open() == 0).await;
+    assert_eq!(open(&mut lanes), Some((0, 0)), "its end is reported");
+    assert_eq!(open(&mut lanes), None);
+}
+
+/// Guards against slots and connections being used twice, by the exchanges of
+/// a lane whose permit had lapsed and by those of its successor.
+#[tokio::test]
+async fn a_retired_lane_is_used_again() {
+    let (lane, exchange) = busy_lane(Clock::start()).await;
+    let address = lane.pool().address();
+    let mut lanes = Lanes::default();
+    lanes.set(HashMap::from([(UPSTREAM, lane.clone())]));
+    lanes.set(HashMap::new());
+
+    let found = lanes.find(UPSTREAM, address).expect("is still open");
+    lanes.set(HashMap::from([(UPSTREAM, found.clone())]));
+
+    assert!(Arc::ptr_eq(&found, &lane));
+    assert_eq!(open(&mut lanes), Some((1, 1)));
+    exchange.abort();
+}
+
+/// Guards against the exchanges at an upstream's former address being left out
+/// of the report on it.
+#[tokio::test]
+async fn lanes_to_two_addresses_of_an_upstream_are_reported_together() {
+    let clock = Clock::start();
+    let (old, first) = busy_lane(clock).await;
+    let (new, second) = busy_lane(clock).await;
+    let mut lanes = Lanes::default();
+    lanes.set(HashMap::from([(UPSTREAM, old)]));
+
+    lanes.set(HashMap::from([(UPSTREAM, new)]));
+
+    assert_eq!(open(&mut lanes), Some((2, 2)));
+    first.abort();
+    second.abort();
+}
--- a/crates/medlarreel/tests/traffic/main.rs
+++ b/crates/medlarreel/tests/traffic/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod fixture;
 mod hostile;
+mod lanes;
 mod metrics;
 mod proxy;
 mod repeats;
