--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::platform::list::HttpList;
 use crate::platform::log::HttpLog;
 use crate::platform::server::HttpServer;
-use crate::proxy::{self, Head};
+use crate::proxy;
 use crate::settings::Settings;
 
 /// Threads that serve peers, beside those that serve callers.
@@ -200,12 +200,7 @@
 }
 
 async fn caller(app: Arc<App>, incoming: Incoming) -> Answer {
-    let head = Head {
-        method: &incoming.method,
-        path: &incoming.path,
-        headers: &incoming.headers,
-    };
-    proxy::serve(&app, head, incoming.body).await
+    proxy::serve(&app, incoming.head(), incoming.body.clone()).await
 }
 
 fn serve_peers(app: &Arc<App>, settings: &Settings) -> Result<Server> {
--- a/crates/medlarreel/src/listen.rs
+++ b/crates/medlarreel/src/listen.rs
@@ -57,6 +57,17 @@
     pub body: Bytes,
 }
 
+impl Incoming {
+    /// Head of the request.
+    pub fn head(&self) -> Head<'_> {
+        Head {
+            method: &self.method,
+            path: &self.path,
+            headers: &self.headers,
+        }
+    }
+}
+
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
--- a/crates/medlarreel/src/peers.rs
+++ b/crates/medlarreel/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::listen::{Incoming, plain};
 use crate::platform::Failure;
 use crate::platform::http::Caller;
-use crate::proxy::{self, Head, call};
+use crate::proxy::{self, call};
 
 /// Reading a copy from a peer ends after this time.
 const COPY_LIMIT: Duration = Duration::from_secs(5);
@@ -96,12 +96,7 @@
     if !path.starts_with("/forward/") {
         return plain(StatusCode::NOT_FOUND, "not found\n");
     }
-    let head = Head {
-        method: &incoming.method,
-        path,
-        headers: &incoming.headers,
-    };
-    proxy::serve_forwarded(&app, head, incoming.body).await
+    proxy::serve_forwarded(&app, incoming.head(), incoming.body.clone()).await
 }
 
 fn records(app: &App, from: &str) -> Answer {
--- a/crates/medlarreel/tests/traffic/hostile.rs
+++ b/crates/medlarreel/tests/traffic/hostile.rs
@@ -6,7 +6,7 @@
 
 use medlarreel::app::{App, MAX_BODIES};
 use medlarreel::listen::{self, HEADER_LIMIT, Limits};
-use medlarreel::proxy::{self, Head};
+use medlarreel::proxy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -40,12 +40,7 @@
     let address = socket.local_addr().expect("has an address");
     socket.set_nonblocking(true).expect("is a socket");
     let handler = |app: Arc<App>, incoming: listen::Incoming| async move {
-        let head = Head {
-            method: &incoming.method,
-            path: &incoming.path,
-            headers: &incoming.headers,
-        };
-        proxy::serve(&app, head, incoming.body).await
+        proxy::serve(&app, incoming.head(), incoming.body.clone()).await
     };
     listen::start(app.clone(), socket, limits(time), handler).expect("starts");
     address
