--- a/crates/medlarreel/tests/pool.rs
+++ b/crates/medlarreel/tests/pool.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use medlarreel::dispatch::{Answer, Failure, Pool};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Longest wait for what must happen; ample for a busy machine.
 const LONG: Duration = Duration::from_secs(30);
@@ -296,9 +296,12 @@
 /// not sent.
 #[tokio::test]
 async fn a_refused_connection_sends_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-    let address = listener.local_addr().expect("has an address");
-    drop(listener);
+    // The port stays bound, so that no other test can listen on it.
+    let socket = TcpSocket::new_v4().expect("opens");
+    socket
+        .bind("127.0.0.1:0".parse().expect("is an address"))
+        .expect("binds");
+    let address = socket.local_addr().expect("has an address");
     let pool = Pool::new(address, 1);
 
     let outcome = ask(&pool).await;
--- a/crates/medlarreel/tests/traffic/choice.rs
+++ b/crates/medlarreel/tests/traffic/choice.rs
@@ -7,7 +7,8 @@
 use medlarreel::proxy::Refusal;
 use medlarreel_core::code::Code;
 use medlarreel_core::ids::Upstream;
-use tokio::net::TcpListener;
+use medlarreel_standin::server::any_port;
+use tokio::net::TcpSocket;
 
 use crate::fixture::*;
 
@@ -17,9 +18,10 @@
 /// and taking a connection attempt of every request.
 #[tokio::test]
 async fn an_unreachable_upstream_is_ejected() {
-    let closed = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    // The port stays bound, so that no other test can listen on it.
+    let closed = TcpSocket::new_v4().expect("opens");
+    closed.bind(any_port()).expect("binds");
     let nowhere = closed.local_addr().expect("has an address");
-    drop(closed);
     let (address, requests) = speaker(&[OK]).await;
     let places = [nowhere, address, address].map(|address| place("workshop", address));
     let app = instance(&places, address);
