--- /dev/null
+++ b/crates/core/tests/fold.rs
@@ -0,0 +1,260 @@
+//! The fold decides which records take effect.
+
+use medlarreel_core::code::Code;
+use medlarreel_core::fold::State;
+use medlarreel_core::ids::{Ballot, Instance, Offset, Proposal, Service, Upstream};
+use medlarreel_core::preset::Fencing;
+use medlarreel_core::record::{Author, Body, Change, Member, Record, Server};
+
+/// Applies bodies at consecutive offsets.
+#[derive(Default)]
+struct Stream {
+    state: State,
+    proposals: u64,
+}
+
+impl Stream {
+    fn apply(&mut self, body: Body) -> Result<(), Code> {
+        self.proposals += 1;
+        let proposal = Proposal(self.proposals);
+        self.state
+            .apply(self.state.next(), Record { proposal, body })
+    }
+
+    fn author(&self, club: &str, round: u32) -> Author {
+        let key = self.state.club_named(club).unwrap();
+        let term = self.state.club(key).term;
+        let instance = Instance(u64::from(round));
+        Author {
+            club: club.into(),
+            ballot: Ballot {
+                term,
+                round,
+                instance,
+            },
+        }
+    }
+
+    fn limits(&self) -> [u32; 2] {
+        ["kashmir", "souss"].map(|name| {
+            let key = self.state.club_named(name).unwrap();
+            self.state.club_limit(key)
+        })
+    }
+}
+
+fn text(name: &str, shares: [u8; 2], isolation: &str, shards: u16) -> String {
+    format!(
+        "[preset]\nname = {name}\nbudget = 100 slots\n\
+         [club kashmir]\nshare = {} %\n[club souss]\nshare = {} %\n\
+         [service intake]\nclub = kashmir\nkeyed = yes\nshards = {shards}\nslots = 6 slots\n\
+         connections = 100\nfencing = checked\nisolation = {isolation}\n\
+         [rank status]\ndeadline = 1 s\n[rank order]\ndeadline = 1 s\n\
+         [rank archive]\ndeadline = 1 s\n",
+        shares[0], shares[1]
+    )
+}
+
+fn publish(name: &str, expected: u32, shares: [u8; 2], isolation: &str) -> Body {
+    let text = text(name, shares, isolation, 8);
+    Body::Publish {
+        name: name.into(),
+        expected,
+        text,
+    }
+}
+
+fn activate(name: &str, expected: u32) -> Body {
+    Body::Activate {
+        name: name.into(),
+        version: 1,
+        expected,
+    }
+}
+
+fn member(id: u64, club: &str) -> Member {
+    Member {
+        instance: Instance(id),
+        club: club.into(),
+        domain: "a".into(),
+        peers: ([127, 0, 0, 1], 9000).into(),
+    }
+}
+
+fn reset(club: &str, expected: Offset) -> Body {
+    Body::Reset {
+        club: club.into(),
+        expected,
+        voter: member(1, club),
+    }
+}
+
+fn server(name: &str) -> Server {
+    Server {
+        name: name.into(),
+        service: "intake".into(),
+        domain: "a".into(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        fencing: Fencing::Checked,
+        weight: 6,
+    }
+}
+
+/// Two clubs with a preset in force that shares the budget 60 to 40.
+fn running() -> Stream {
+    let mut stream = Stream::default();
+    stream
+        .apply(publish("ordinary", 0, [60, 40], "lapse"))
+        .unwrap();
+    stream.apply(activate("ordinary", 0)).unwrap();
+    stream.apply(reset("kashmir", Offset(0))).unwrap();
+    stream.apply(reset("souss", Offset(0))).unwrap();
+    stream
+}
+
+/// Guards against two operators who both believe that their version is current.
+#[test]
+fn one_of_two_racing_presets_wins() {
+    let mut stream = running();
+    let first = stream.apply(publish("peaks", 0, [50, 50], "lapse"));
+    let second = stream.apply(publish("peaks", 0, [90, 10], "lapse"));
+    assert_eq!((first, second), (Ok(()), Err(Code::VersionConflict)));
+    let first = stream.apply(activate("peaks", 1));
+    let second = stream.apply(activate("ordinary", 1));
+    assert_eq!((first, second), (Ok(()), Err(Code::VersionConflict)));
+    assert_eq!(stream.state.active().unwrap().preset.name, "peaks");
+}
+
+/// Guards against a record whose answer was lost, appended twice: the second
+/// copy must neither take effect nor hide the first one's outcome.
+#[test]
+fn a_proposal_appended_twice_keeps_its_first_outcome() {
+    let mut stream = running();
+    let record = Record {
+        proposal: Proposal(99),
+        body: activate("ordinary", 1),
+    };
+    let first = stream.state.apply(stream.state.next(), record.clone());
+    let second = stream.state.apply(stream.state.next(), record);
+    assert_eq!((first, second), (Ok(()), Err(Code::VersionConflict)));
+    assert_eq!(stream.state.settled(Proposal(99)).unwrap().rejected, None);
+    assert_eq!(stream.state.active().unwrap().count, 2);
+}
+
+/// Guards against records read twice or out of order.
+#[test]
+fn older_offsets_change_nothing() {
+    let mut stream = running();
+    let before = stream.state.clone();
+    let record = Record {
+        proposal: Proposal(99),
+        body: activate("ordinary", 1),
+    };
+    stream.state.apply(Offset(1), record).unwrap();
+    assert_eq!(stream.state, before);
+}
+
+/// Guards against a paused former holder whose records arrive late.
+#[test]
+fn lower_ballots_and_older_terms_are_rejected() {
+    let mut stream = running();
+    let (old, new) = (stream.author("kashmir", 1), stream.author("kashmir", 2));
+    stream.apply(Body::Lead(old.clone())).unwrap();
+    stream.apply(Body::Lead(new.clone())).unwrap();
+    let late = stream.apply(Body::Enroll(old, vec![server("intake-1")]));
+    assert_eq!(late, Err(Code::StaleBallot));
+
+    let club = stream.state.club_named("kashmir").unwrap();
+    let term = stream.state.club(club).term;
+    stream.apply(reset("kashmir", term)).unwrap();
+    assert_eq!(stream.apply(Body::Lead(new)), Err(Code::StaleBallot));
+    assert_eq!(
+        stream.apply(reset("kashmir", term)),
+        Err(Code::VersionConflict)
+    );
+    assert!(!stream.state.club(club).first);
+}
+
+/// Guards against plans made from an outdated plan or naming unknown upstreams.
+#[test]
+fn plans_need_the_current_version_and_known_upstreams() {
+    let mut stream = running();
+    let author = stream.author("kashmir", 1);
+    stream
+        .apply(Body::Enroll(author.clone(), vec![server("intake-1")]))
+        .unwrap();
+    let plan = |owner, expected| Body::Plan {
+        author: author.clone(),
+        service: Service(0),
+        expected,
+        changes: vec![Change {
+            index: 3,
+            owner: Upstream(owner),
+            standby: None,
+        }],
+        cause: "join".into(),
+    };
+    assert_eq!(stream.apply(plan(7, 0)), Err(Code::UnknownName));
+    assert_eq!(stream.apply(plan(0, 0)), Ok(()));
+    assert_eq!(stream.apply(plan(0, 0)), Err(Code::VersionConflict));
+}
+
+/// Guards against a budget that is overspent while shares move between clubs.
+#[test]
+fn slots_move_only_after_the_other_club_has_yielded() {
+    let mut stream = running();
+    assert_eq!(stream.limits(), [60, 40]);
+    stream
+        .apply(publish("peaks", 0, [30, 70], "lapse"))
+        .unwrap();
+    stream.apply(activate("peaks", 1)).unwrap();
+    assert_eq!(stream.limits(), [30, 40]);
+
+    let author = stream.author("kashmir", 1);
+    let early = stream.apply(Body::Yield(author.clone(), 1));
+    assert_eq!(early, Err(Code::VersionConflict));
+    stream.apply(Body::Yield(author, 2)).unwrap();
+    assert_eq!(stream.limits(), [30, 70]);
+}
+
+/// Guards against overspending when shares go back and forth before a yield.
+#[test]
+fn reservations_never_exceed_the_budget() {
+    let mut stream = running();
+    stream
+        .apply(publish("peaks", 0, [10, 90], "lapse"))
+        .unwrap();
+    for count in 1..8 {
+        let name = if count % 2 == 1 { "peaks" } else { "ordinary" };
+        stream.apply(activate(name, count)).unwrap();
+        if count == 3 {
+            let author = stream.author("kashmir", 1);
+            stream.apply(Body::Yield(author, count + 1)).unwrap();
+        }
+        let reserved: u32 = stream.state.clubs().iter().map(|club| club.reserved).sum();
+        assert!(reserved <= 100, "{reserved} slots after activation {count}");
+    }
+}
+
+/// Guards against keys that map to other shards while their old owners hold them,
+/// and against an isolated domain that keeps keys which others may take.
+#[test]
+fn presets_keep_shards_and_isolation() {
+    let mut stream = running();
+    let text = text("other", [60, 40], "lapse", 16);
+    let more = Body::Publish {
+        name: "other".into(),
+        expected: 0,
+        text,
+    };
+    assert_eq!(stream.apply(more), Err(Code::InvalidPreset));
+    stream
+        .apply(publish("careful", 0, [60, 40], "keep"))
+        .unwrap();
+    stream.apply(activate("careful", 1)).unwrap();
+    assert_eq!(
+        stream.apply(activate("ordinary", 2)),
+        Err(Code::InvalidPreset)
+    );
+    assert_eq!(stream.state.active().unwrap().preset.name, "careful");
+}
