Do not try the standby or the backup dispatcher after an overload

In a flood of 8,700 requests a second, each request that the owner's full queue refused (106) was sent to the standby as well, which does not own the key, and the caller saw 108 instead: 5,548 of 47,355 refusals. The backup dispatcher has a queue of its own before the same slots. Overload of the owner is final now.

--- a/crates/medlarreel/src/proxy.rs
+++ b/crates/medlarreel/src/proxy.rs
@@ -167,6 +167,10 @@
             if last.outcome != Outcome::NotRun {
                 unknown.get_or_insert(last);
             }
+            // The backup dispatcher has the same slots behind it.
+            if matches!(last.code, Code::QueueFull | Code::Shed) {
+                break;
+            }
             instances.extend(last.next);
         }
     }
@@ -178,6 +182,9 @@
     let now = app.clock.now();
     match last.code {
         Code::BadRequest | Code::Expired | Code::BodyTooLarge | Code::UnknownService => false,
+        // Only the owner may serve a key, so its overload is final. In a flood
+        // each such refusal used to be followed by a futile one of the standby.
+        Code::QueueFull | Code::Shed if call.shard.is_some() => false,
         // Nothing was done for the request yet, so trying elsewhere adds no load.
         Code::Unreachable | Code::NotDispatcher | Code::NotOwner | Code::NoOwner => {
             now < call.deadline && last.outcome == Outcome::NotRun
