--- a/crates/core/src/control/extension.rs
+++ b/crates/core/src/control/extension.rs
@@ -84,6 +84,8 @@
 pub struct Extension {
     me: Instance,
     members: BTreeSet<Instance>,
+    /// Membership version that `members` belongs to.
+    version: u32,
     /// End of the last support that this member gave.
     supported: Time,
     /// End of the last promise that this member gave.
@@ -104,6 +106,7 @@
         Extension {
             me,
             members: BTreeSet::new(),
+            version: 0,
             supported: now + longest(EXTENSION),
             promised: now + longest(PROMISE_MAX),
             questions: Questions::new(me),
@@ -113,8 +116,11 @@
     }
 
     /// Takes over the admitted members of the instance's own failure domain.
-    pub fn observe(&mut self, members: impl IntoIterator<Item = Instance>) {
+    pub fn observe(&mut self, version: u32, members: impl IntoIterator<Item = Instance>) {
+        self.version = version;
         self.members = members.into_iter().collect();
+        self.support
+            .retain(|member, _| self.members.contains(member));
     }
 
     /// End of the dispatch lease, given the end of the lease from the holder.
@@ -137,19 +143,24 @@
         }
         let others = self.members.iter().filter(|&&member| member != self.me);
         others
-            .map(|&member| (member, Message::Extend(nonce)))
+            .map(|&member| (member, Message::Extend(nonce, self.version)))
             .collect()
     }
 
     /// Answers a dispatcher that asks for support.
-    pub fn extend(&mut self, now: Time, from: Instance, nonce: u64) -> Message {
-        let known = self.members.contains(&from);
+    ///
+    /// One that knows an older membership than this member gets none, so that
+    /// majorities of memberships that differ by more than one change are not
+    /// in use at the same time.
+    pub fn extend(&mut self, now: Time, from: Instance, nonce: u64, version: u32) -> Message {
+        let known = version >= self.version && self.members.contains(&from);
         Message::Extended(nonce, known && self.supports(now))
     }
 
     /// Counts the answer of a member; `lease` ends the lease from the holder.
     pub fn extended(&mut self, now: Time, lease: Time, from: Instance, nonce: u64, granted: bool) {
-        let Some(since) = self.questions.sent_at(nonce).filter(|_| granted) else {
+        let counts = granted && self.members.contains(&from);
+        let Some(since) = self.questions.sent_at(nonce).filter(|_| counts) else {
             return;
         };
         let entry = self.support.entry(from).or_insert(since);
@@ -182,12 +193,7 @@
         if self.until(lease) <= now {
             return;
         }
-        let mut since: Vec<Time> = self
-            .support
-            .iter()
-            .filter(|(member, _)| self.members.contains(member))
-            .map(|(_, &since)| since)
-            .collect();
+        let mut since: Vec<Time> = self.support.values().copied().collect();
         since.sort_unstable_by(|a, b| b.cmp(a));
         if let Some(&decisive) = since.get(self.members.len() / 2) {
             self.extended = self.extended.max(decisive + shortest(EXTENSION));
@@ -245,7 +251,8 @@
 
     /// Counts the promise of a member.
     pub fn withheld(&mut self, now: Time, from: Instance, nonce: u64) {
-        let Some(sent) = self.questions.sent_at(nonce) else {
+        let known = self.rosters.iter().any(|roster| roster.contains(&from));
+        let Some(sent) = self.questions.sent_at(nonce).filter(|_| known) else {
             return;
         };
         let until = sent + shortest(PROMISE);
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -11,6 +11,7 @@
 
 use medlarreel_macros::data;
 
+use crate::control::extension::Withholding;
 use crate::fold::State;
 use crate::ids::{Ballot, Club, Domain, Epoch, Instance, Service, Upstream, Version};
 use crate::preset::{Fencing, Isolation, ServiceLimits};
@@ -46,7 +47,7 @@
 }
 
 /// State of one control holder, from its election to its end.
-#[data(plain)]
+#[derive(Clone, Debug)]
 pub struct Holder {
     ballot: Ballot,
     club: String,
@@ -60,6 +61,8 @@
     peers: BTreeMap<Instance, Peer>,
     targets: BTreeMap<Upstream, Target>,
     ledgers: BTreeMap<Service, Ledger>,
+    /// Promises of failure domains with unreachable instances.
+    withholdings: BTreeMap<String, Withholding>,
     journal: Journal,
     /// Upstreams that the platform's list names as leaving.
     leaving: BTreeSet<Upstream>,
@@ -74,9 +77,42 @@
     /// Whether the fold contains this holder's `Lead`, and so every record of
     /// its predecessors that can still take effect.
     led: bool,
+    /// Upstreams of the club's services.
+    upstreams: Vec<Upstream>,
+    /// Keyed services of the club.
+    keyed: Vec<Service>,
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    fn new(now: Time, state: &'a State, club: Club, ballot: Ballot) -> View<'a> {
+        let mut view = View {
+            now,
+            state,
+            club,
+            led: state.club(club).highest == Some(ballot),
+            upstreams: Vec::new(),
+            keyed: Vec::new(),
+        };
+        view.upstreams = view.own_upstreams();
+        view.keyed = view.own_keyed();
+        view
+    }
+
+    /// Whether a service lets isolated failure domains keep its keys.
+    fn keeps_any(&self) -> bool {
+        let services = self.state.active().map(|active| &active.preset.services);
+        let mut services = services.into_iter().flatten();
+        services.any(|service| service.isolation == Isolation::Keep)
+    }
+
+    /// Members of the club in a failure domain.
+    fn members_of(&self, domain: &str) -> impl Iterator<Item = Instance> {
+        let members = self.state.club(self.club).members.iter();
+        members
+            .filter(move |member| member.domain == domain)
+            .map(|member| member.instance)
+    }
+
     fn limits(&self, service: Service) -> Option<&ServiceLimits> {
         let active = self.state.active()?;
         active.preset.service(&self.state.service(service).name)
@@ -100,8 +136,7 @@
         limits.is_some_and(|limits| limits.isolation == Isolation::Lapse)
     }
 
-    /// Upstreams of the club's services.
-    fn upstreams(&self) -> Vec<Upstream> {
+    fn own_upstreams(&self) -> Vec<Upstream> {
         let club = &self.state.club(self.club).name;
         let keys = (0..self.state.upstreams().len() as u32).map(Upstream);
         let own = |key: &Upstream| {
@@ -111,8 +146,7 @@
         keys.filter(own).collect()
     }
 
-    /// Keyed services of the club.
-    fn keyed(&self) -> Vec<Service> {
+    fn own_keyed(&self) -> Vec<Service> {
         let club = &self.state.club(self.club).name;
         let keys = (0..self.state.services().len() as u16).map(Service);
         let own = |key: &Service| {
@@ -139,6 +173,7 @@
             peers: BTreeMap::new(),
             targets: BTreeMap::new(),
             ledgers: BTreeMap::new(),
+            withholdings: BTreeMap::new(),
             journal: Journal::default(),
             leaving: BTreeSet::new(),
             outbox: Vec::new(),
@@ -158,6 +193,8 @@
     /// Takes in an instance's report; `tick` answers it with a dispatch lease.
     pub fn report(&mut self, now: Time, report: Report) {
         self.deposed |= report.highest > self.ballot;
+        let seen = report.upstreams.iter().filter_map(|seen| seen.version);
+        self.deposed |= seen.into_iter().any(|version| version.ballot > self.ballot);
         let instance = report.member.instance;
         for seen in &report.upstreams {
             self.observe(now, instance, report.session, seen);
@@ -199,8 +236,11 @@
 
     /// A member supports no extension of dispatch leases.
     pub fn withheld(&mut self, now: Time, from: Instance, nonce: u64) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.withheld(now, nonce);
+        let Some(peer) = self.peers.get(&from) else {
+            return;
+        };
+        if let Some(withholding) = self.withholdings.get_mut(&peer.member.domain) {
+            withholding.withheld(now, from, nonce);
         }
     }
 
@@ -215,7 +255,7 @@
     }
 
     /// Everything that is to be done now.
-    pub fn tick(&mut self, now: Time, state: &State, random: u64) -> Vec<Action> {
+    pub fn tick(&mut self, now: Time, state: &State) -> Vec<Action> {
         let Some(club) = state.club_named(&self.club) else {
             return Vec::new();
         };
@@ -224,16 +264,10 @@
         if self.deposed {
             return Vec::new();
         }
-        let led = entry.highest == Some(self.ballot);
-        let view = View {
-            now,
-            state,
-            club,
-            led,
-        };
+        let view = View::new(now, state, club, self.ballot);
         self.lease(now);
         self.write(&view);
-        self.withhold(&view, random);
+        self.withhold(&view);
         if self.survey(&view) {
             self.act(&view);
         }
@@ -252,6 +286,7 @@
         self.remind(view);
         self.replan(view);
         self.write_yield(view);
+        self.forget_peers(view);
     }
 
     /// Answers reports with dispatch leases.
--- a/crates/core/src/holder/orders.rs
+++ b/crates/core/src/holder/orders.rs
@@ -5,8 +5,9 @@
 use super::ledger::shard;
 use super::target::{Order, Renewer};
 use super::{Action, Holder, View};
-use crate::ids::{Instance, Upstream, Version};
+use crate::ids::{Epoch, Instance, Upstream, Version};
 use crate::placement::dispatchers;
+use crate::preset::Isolation;
 use crate::time::Time;
 use crate::wire::{Assignment, Message};
 
@@ -16,7 +17,7 @@
 impl Holder {
     /// Chooses the dispatcher and backup of each upstream.
     pub(super) fn appoint(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             let domain = view.state.domain(view.domain(upstream));
             let members = view.state.club(view.club).members.iter();
             let live = members.filter(|member| {
@@ -39,7 +40,7 @@
 
     /// Issues a new order for each upstream that shall hold something else than before.
     pub(super) fn issue(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.date_unissued(view, upstream);
             if !self.differs(upstream) {
                 continue;
@@ -79,8 +80,7 @@
         let primary = target.roles.map(|(primary, _)| primary);
         let mild = match &target.order {
             Some(order) => {
-                let kept =
-                    |entry: (&u16, &crate::ids::Epoch)| target.shards.get(entry.0) == Some(entry.1);
+                let kept = |entry: (&u16, &Epoch)| target.shards.get(entry.0) == Some(entry.1);
                 order.shards.iter().all(kept) && Some(order.primary) == primary
             }
             // The dispatchers of an earlier holder may be others.
@@ -127,7 +127,7 @@
 
     /// Sends orders and stops to the instances that have not acknowledged them.
     pub(super) fn remind(&mut self, view: &View) {
-        for upstream in view.upstreams() {
+        for &upstream in &view.upstreams {
             self.forget_former(view, upstream);
             self.send_order(view, upstream);
             if let Some(version) = self.stop_wanted(view, upstream) {
@@ -247,6 +247,11 @@
         incarnation: order.incarnation,
         session,
         fencing: entry.server.fencing,
+        isolation: if view.lapses(upstream) {
+            Isolation::Lapse
+        } else {
+            Isolation::Keep
+        },
         shards: shards
             .map(|(&index, &epoch)| (shard(entry.service, usize::from(index)), epoch))
             .collect(),
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -40,6 +40,9 @@
 
 fn disturbed(seed: u64, size: usize, faults: &[(u64, Fault, u64)]) -> Network {
     let mut network = Network::new(seed, size, CALM);
+    // Instances that are not members yet let the membership change often.
+    network.start();
+    network.start();
     for &(at, fault, length) in faults {
         network.schedule(at * 1_000, fault, (at + length) * 1_000);
     }
@@ -71,6 +74,7 @@
         heard: Offset(0),
         members: members.iter().copied().map(member).collect(),
         version,
+        changed: Offset(0),
         reserved: 0,
     }
 }
@@ -139,7 +143,7 @@
         let rest = network.run(CALM + 4 * SECOND);
 
         prop_assert!(held.is_ok() && rest.is_ok(), "{held:?} {rest:?}");
-        let lost = held == Ok(false) && network.has_majority();
+        let lost = held == Ok(false) && network.can_elect();
         prop_assert!(!lost, "no holder 2 s after the last fault");
     }
 
@@ -262,6 +266,23 @@
     assert!(election.members_known(now));
 }
 
+/// Guards against a change of an earlier holder that the log accepts after the
+/// present holder has begun its own.
+#[test]
+fn members_are_known_only_after_an_own_record() {
+    let (mut election, mut now) = voter();
+    let ask = stand(&mut election, &mut now);
+    let mut state = club(1, 3, &[A, B, C]);
+
+    election.vote(now, B, support(ask, 3));
+    let before = election.members_known(now);
+    state.highest = Some(ask.ballot);
+    election.observe(now, &state);
+
+    assert!(!before);
+    assert!(election.members_known(now));
+}
+
 /// Guards against a single voter that loses control by admitting another
 /// member, which does not vote before it has read the record.
 #[test]
@@ -280,16 +301,39 @@
     assert!(!election.members_known(now));
 }
 
-/// Guards against a holder that keeps control of a term that was reset.
+/// Guards against a holder that never counts the majority of the membership
+/// that it has changed to.
 #[test]
-fn reset_ends_the_lease() {
+fn informed_majority_replaces_the_previous_one() {
     let (mut election, mut now) = voter();
     let ask = stand(&mut election, &mut now);
     election.vote(now, B, support(ask, 3));
-    assert_eq!(election.holder(now), Some(A));
+    let mut state = club(1, 4, &[A, B, C, Instance(4)]);
+    state.highest = Some(ask.ballot);
 
-    election.observe(now, &club(9, 4, &[C]));
+    election.observe(now, &state);
+    let again = stand(&mut election, &mut now);
+    election.vote(now, B, support(again, 4));
+    let known = election.members_known(now);
+    election.vote(now, C, support(again, 4));
 
-    assert_eq!(election.lease(now), None);
-    assert_eq!(election.holder(now), None);
+    assert!(!known);
+    assert!(election.members_known(now));
+}
+
+/// Guards against a holder that keeps control of a term that was reset, even
+/// where it is the only voter of the new term.
+#[test]
+fn reset_ends_the_lease() {
+    for voter_of_new_term in [A, C] {
+        let (mut election, mut now) = voter();
+        let ask = stand(&mut election, &mut now);
+        election.vote(now, B, support(ask, 3));
+        assert_eq!(election.holder(now), Some(A));
+
+        election.observe(now, &club(9, 4, &[voter_of_new_term]));
+
+        assert_eq!(election.lease(now), None);
+        assert_eq!(election.holder(now), None);
+    }
 }
