--- a/crates/medlarreel/tests/traffic/fixture.rs
+++ b/crates/medlarreel/tests/traffic/fixture.rs
@@ -114,13 +114,19 @@
     apply(&mut state, Body::Enroll(author, servers.collect()));
     if places[0].service == "intake" {
         let all: Vec<_> = (0..SHARDS).collect();
-        move_shards(&mut state, &all, Upstream(0));
+        let standby = places.get(1).filter(|place| place.service == "intake");
+        let standby = standby.map(|_| Upstream(1));
+        assign_shards(&mut state, &all, Upstream(0), standby);
     }
     state
 }
 
 /// Gives shards of the keyed service to an upstream.
 pub fn move_shards(state: &mut State, shards: &[u16], owner: Upstream) {
+    assign_shards(state, shards, owner, None);
+}
+
+fn assign_shards(state: &mut State, shards: &[u16], owner: Upstream, standby: Option<Upstream>) {
     let service = state.service_named("intake").expect("is in the preset");
     let expected = state.service(service).plan.version;
     let club = state.club_named(CLUB).expect("is in the preset");
@@ -132,7 +138,7 @@
     let changes = shards.iter().map(|index| Change {
         index: *index,
         owner,
-        standby: None,
+        standby,
     });
     let plan = Body::Plan {
         author,
--- a/crates/medlarreel/tests/traffic/proxy.rs
+++ b/crates/medlarreel/tests/traffic/proxy.rs
@@ -33,6 +33,20 @@
     assert_eq!(verdict(&answer), ("300", "unknown"));
 }
 
+/// Guards against requests that the owner is too busy for being sent to the
+/// standby, which does not own the key, and reported with its refusal.
+#[tokio::test]
+async fn overload_of_the_owner_is_final() {
+    let (owner, _) = speaker(&[REFUSED]).await;
+    let (standby, asked) = speaker(&[REFUSED]).await;
+    let app = instance(&[place("intake", owner), place("intake", standby)], owner);
+
+    let answer = call(&app, Method::GET, "/intake/x", &[("medlar-key", "k")]).await;
+
+    assert_eq!(verdict(&answer), ("109", "not-run"));
+    assert_eq!(asked.load(Ordering::SeqCst), 0, "the standby is not asked");
+}
+
 /// Guards against a refusal that belongs to another request being taken for
 /// the outcome of this one.
 #[tokio::test]
