Keep the peer listener open for a moment after the leases were handed over

Cause: an ending instance closed its peer connections as soon as no request was open, while other instances still forwarded to it; requests that arrived at that moment had no run and were answered 300. Ruled out: requests in flight (counted since, and the cut ones have no run record).

--- a/crates/medlarreel/src/daemon.rs
+++ b/crates/medlarreel/src/daemon.rs
@@ -51,6 +51,10 @@
 /// balancer notices.
 const READINESS_LEAD: Duration = Duration::from_millis(500);
 
+/// Time that peers may still forward requests after the leases were handed over.
+/// Without it, a request that arrives while the connections close is lost.
+const PEER_LEAD: Duration = Duration::from_millis(500);
+
 /// Time in which the last answers are written once their requests have ended.
 const WRITE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -140,6 +144,10 @@
             while self.app.requests() > 0 {
                 tokio::time::sleep(DRAIN_STEP).await;
             }
+            tokio::time::sleep(PEER_LEAD).await;
+            while self.app.requests() > 0 {
+                tokio::time::sleep(DRAIN_STEP).await;
+            }
             // Connections to upstreams run on the threads of the listener that
             // opened them, and forwarded requests may use those as well.
             self.callers.stop(true);
--- a/crates/medlarreel/src/peers.rs
+++ b/crates/medlarreel/src/peers.rs
@@ -101,7 +101,13 @@
         path,
         headers: &incoming.headers,
     };
-    proxy::serve_forwarded(&app, head, incoming.body).await
+    let mut answer = proxy::serve_forwarded(&app, head, incoming.body).await;
+    if app.stopping() {
+        // The peer must not reuse a connection that is about to be closed.
+        let close = HeaderValue::from_static("close");
+        answer.headers.insert(http::header::CONNECTION, close);
+    }
+    answer
 }
 
 fn records(app: &App, from: &str) -> Answer {
