--- a/crates/medlarreel/src/peers.rs
+++ b/crates/medlarreel/src/peers.rs
@@ -96,7 +96,14 @@
     if !path.starts_with("/forward/") {
         return plain(StatusCode::NOT_FOUND, "not found\n");
     }
-    proxy::serve_forwarded(&app, incoming.head(), incoming.body.clone()).await
+    let body = incoming.body.clone();
+    let mut answer = proxy::serve_forwarded(&app, incoming.head(), body).await;
+    if app.stopping() {
+        // The peer must not reuse a connection that is about to be closed.
+        let close = HeaderValue::from_static("close");
+        answer.headers.insert(http::header::CONNECTION, close);
+    }
+    answer
 }
 
 fn records(app: &App, from: &str) -> Answer {
