--- a/crates/medlarreel/tests/system.rs
+++ b/crates/medlarreel/tests/system.rs
@@ -22,7 +22,7 @@
 
 use checker::check;
 use cluster::{Cluster, DOMAINS, Instance, eventually, preset};
-use load::{Calls, Outcome, Sent};
+use load::{Calls, Outcome};
 
 /// Callers' addresses of all instances.
 fn entries(cluster: &Cluster) -> Vec<SocketAddr> {
--- a/crates/medlarreel/tests/system/load.rs
+++ b/crates/medlarreel/tests/system/load.rs
@@ -112,7 +112,7 @@
     }
 
     /// Sends a booking. One without a known outcome is repeated at another
-    /// instance under the same idempotency key, as an anxious caller would. It
+    /// instance under the same idempotency key, as callers do. It
     /// counts as a further attempt only if the one before may have run.
     pub async fn book(&self, key: &str, to: &[SocketAddr]) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
