Replace a failure domain lost together with the holder within 3 s

Cause: a new holder waited 2,424 ms for dispatch leases that its predecessor could have issued until the end of its control lease. Ruled out: the election (1.0 s) and the moves (under 50 ms). Dispatch leases now end at most 1,600 ms after the control lease, so the wait is 1,626 ms.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -103,6 +103,11 @@
         (now < self.held_until(held)).then_some(held.ballot())
     }
 
+    /// End of the control lease, as far as votes have renewed it.
+    pub fn until(&self) -> Option<Time> {
+        self.held.as_ref().map(|held| self.held_until(held))
+    }
+
     /// Best guess of the holder: the instance that this one's unexpired vote
     /// is for.
     pub fn holder(&self, now: Time) -> Option<Instance> {
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -37,6 +37,16 @@
 /// Length of a dispatch lease.
 pub const LEASE: Duration = Duration::from_millis(2_400);
 
+/// Time by which a dispatch lease may outlast the control lease of its holder.
+/// A new holder waits this long for its predecessor's leases, so that a failure
+/// domain that was lost together with the holder is replaced within 3 s.
+pub const OUTLAST: Duration = Duration::from_millis(1_600);
+
+/// Time after its election by which all leases of a holder's predecessors have
+/// ended: `OUTLAST`, and the drift of the predecessor's clock while it counted
+/// the rest of its control lease of 1 s.
+const SUCCESSION: Duration = Duration::from_millis(1_610);
+
 /// What the holder wants done.
 #[data(value)]
 pub enum Action {
@@ -52,6 +62,7 @@
     ballot: Ballot,
     club: String,
     started: Time,
+    control_until: Time,
     /// Counters of the versions and epochs given out.
     versions: u64,
     epochs: u64,
@@ -165,6 +176,7 @@
             ballot,
             club,
             started: now,
+            control_until: now,
             versions: 0,
             epochs: 0,
             deposed: false,
@@ -249,6 +261,11 @@
         self.leaving = leaving;
     }
 
+    /// End of the control lease, as of its last renewal.
+    pub fn renewed(&mut self, until: Time) {
+        self.control_until = self.control_until.max(until);
+    }
+
     /// Whether the next change of membership may begin.
     pub fn settle(&mut self, settled: bool) {
         self.settled = settled;
@@ -291,28 +308,34 @@
 
     /// Answers reports with dispatch leases.
     fn lease(&mut self, now: Time) {
+        let length = LEASE.min(self.control_until.since(now) + OUTLAST);
         for (&instance, peer) in &mut self.peers {
             let Some(nonce) = peer.nonce.take() else {
                 continue;
             };
             // The recipient counts from before its report, which came earlier.
-            peer.until = Some(now + longest(LEASE));
+            peer.until = Some(now + longest(length)).max(peer.until);
             let lease = Lease {
                 ballot: self.ballot,
                 nonce,
-                length: LEASE,
+                length,
             };
             let action = Action::Send(instance, Message::Lease(lease));
             self.outbox.push(action);
         }
     }
 
+    /// Time by which the leases of earlier holders have ended.
+    fn succeeded(&self) -> Time {
+        self.started + longest(SUCCESSION)
+    }
+
     /// Whether the leases of earlier holders have ended or are accounted for.
     ///
     /// Until then the dispatchers go on as the predecessor ordered.
     fn survey(&mut self, view: &View) -> bool {
         if !self.surveyed {
-            let waited = view.now >= self.started + longest(LEASE);
+            let waited = view.now >= self.succeeded();
             let mut leased = self.peers.values().filter(|peer| peer.is_leased(view.now));
             self.surveyed = waited && leased.all(|peer| peer.known);
         }
--- a/crates/core/src/holder/proof.rs
+++ b/crates/core/src/holder/proof.rs
@@ -9,7 +9,7 @@
 //!    accepted an order of the new term.
 
 use super::target::{Renewer, Target};
-use super::{Holder, LEASE, View};
+use super::{Holder, View};
 use crate::fold::Place;
 use crate::ids::{Instance, Upstream, Version};
 use crate::time::{Time, longest};
@@ -62,7 +62,7 @@
             }
         }
         let until = peer.and_then(|peer| peer.until);
-        let until = until.unwrap_or(self.started + longest(LEASE));
+        let until = until.unwrap_or(self.succeeded());
         let expired = self.end_of_use(view, upstream, until);
         let domain = view.state.domain(view.domain(upstream));
         let kept = !view.lapses(upstream) && !self.is_withheld(view, domain);
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -306,6 +306,9 @@
             return;
         };
         duties.settle(settled);
+        if let Some(until) = self.election.until() {
+            duties.renewed(until);
+        }
         queue.perform(duties.tick(now, &self.state));
         let deposed = duties.is_deposed();
         self.enrol(now, queue);
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -100,15 +100,14 @@
 fn a_cut_domain_is_replaced_within_3_s() {
     for seed in 0..12 {
         let mut world = settled(seed);
-        // Domain 0 contains the holder, whose replacement takes up to 2 s more.
+        // Domain 0 contains the holder, which is replaced first.
         let domain = (seed % 3) as usize;
         world.cut = (domain, 14 * SECOND);
         world.run_until(20 * SECOND);
         let gaps = world.checker.gaps(8 * SECOND, 14 * SECOND, SHARDS, domain);
         let gap = gaps.into_iter().max().unwrap();
         println!("seed {seed}: domain {domain}: {} ms", gap / MS);
-        let most = if domain == 0 { 5 } else { 3 };
-        assert!(gap < most * SECOND, "seed {seed}: unavailable for {gap} us");
+        assert!(gap < 3 * SECOND, "seed {seed}: unavailable for {gap} us");
         assert_clean(&world);
     }
 }
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -309,6 +309,7 @@
         let Some(holder) = &mut process.holder else {
             return Vec::new();
         };
+        holder.renewed(process.clock.read(process.holds_until));
         holder.tick(now, &process.state)
     }
 
--- a/crates/load/src/slopes/cell.rs
+++ b/crates/load/src/slopes/cell.rs
@@ -108,6 +108,7 @@
     /// One tick of the holder and what follows from it.
     pub(super) fn tick(&mut self, traffic: &mut Traffic) {
         let begin = Instant::now();
+        self.holder.renewed(self.now + Duration::from_secs(1));
         let actions = self.holder.tick(self.now, &self.state);
         traffic.ticking += begin.elapsed();
         for action in actions {
