--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -19,6 +19,7 @@
 pub mod audit;
 pub mod budget;
 mod operator;
+mod query;
 
 pub use audit::Entry;
 
@@ -152,124 +153,6 @@
     audit: audit::Trail,
 }
 
-/// Queries.
-impl State {
-    /// Offset of the next record to apply.
-    pub fn next(&self) -> Offset {
-        self.next
-    }
-
-    /// Published presets, by name.
-    pub fn presets(&self) -> &BTreeMap<String, Published> {
-        &self.presets
-    }
-
-    /// Preset in force, if any was ever activated.
-    pub fn active(&self) -> Option<&Active> {
-        self.active.as_ref()
-    }
-
-    /// All clubs, indexed by `Club`.
-    pub fn clubs(&self) -> &[ClubState] {
-        &self.clubs
-    }
-
-    /// State of a club.
-    pub fn club(&self, club: Club) -> &ClubState {
-        &self.clubs[usize::from(club.0)]
-    }
-
-    /// Key of the named club.
-    pub fn club_named(&self, name: &str) -> Option<Club> {
-        let index = self.clubs.iter().position(|club| club.name == name)?;
-        Some(Club(index as u16))
-    }
-
-    /// All services, indexed by `Service`.
-    pub fn services(&self) -> &[ServiceState] {
-        &self.services
-    }
-
-    /// State of a service.
-    pub fn service(&self, service: Service) -> &ServiceState {
-        &self.services[usize::from(service.0)]
-    }
-
-    /// Key of the named service.
-    pub fn service_named(&self, name: &str) -> Option<Service> {
-        let index = self
-            .services
-            .iter()
-            .position(|service| service.name == name)?;
-        Some(Service(index as u16))
-    }
-
-    /// All upstreams, indexed by `Upstream`.
-    pub fn upstreams(&self) -> &[ServerState] {
-        &self.upstreams
-    }
-
-    /// State of an upstream.
-    pub fn upstream(&self, upstream: Upstream) -> &ServerState {
-        &self.upstreams[upstream.0 as usize]
-    }
-
-    /// Key of the named upstream.
-    pub fn upstream_named(&self, name: &str) -> Option<Upstream> {
-        let index = self
-            .upstreams
-            .iter()
-            .position(|entry| entry.server.name == name)?;
-        Some(Upstream(index as u32))
-    }
-
-    /// Keys of a service's upstreams.
-    pub fn upstreams_of(&self, service: Service) -> impl Iterator<Item = Upstream> + '_ {
-        let keys = (0..).map(Upstream).zip(&self.upstreams);
-        keys.filter(move |(_, entry)| entry.service == service)
-            .map(|(key, _)| key)
-    }
-
-    /// Name of a failure domain.
-    pub fn domain(&self, domain: Domain) -> &str {
-        &self.domains[usize::from(domain.0)]
-    }
-
-    /// Key of the named failure domain.
-    pub fn domain_named(&self, name: &str) -> Option<Domain> {
-        let index = self.domains.iter().position(|domain| domain == name)?;
-        Some(Domain(index as u16))
-    }
-
-    /// Operators' releases, oldest first.
-    pub fn releases(&self) -> impl Iterator<Item = &Release> {
-        self.releases.iter()
-    }
-
-    /// Outcome of a proposal, if it is among the newest `OUTCOMES`.
-    pub fn settled(&self, proposal: Proposal) -> Option<Settled> {
-        self.settled
-            .iter()
-            .rev()
-            .find(|entry| entry.proposal == proposal)
-            .copied()
-    }
-
-    /// Accepted changes, oldest first.
-    pub fn audit(&self) -> impl Iterator<Item = &Entry> {
-        self.audit.iter()
-    }
-
-    /// Owner and standby of a shard.
-    pub fn place(&self, shard: crate::ids::Shard) -> Place {
-        let plan = &self.service(shard.service).plan;
-        plan.places
-            .get(usize::from(shard.index))
-            .copied()
-            .unwrap_or_default()
-    }
-}
-
 /// Commands.
 impl State {
     /// Applies the record at `offset`; older offsets change nothing.
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -5,7 +5,7 @@
 //! Traffic is served from what the machine publishes: the fold, from which the
 //! routing table is derived, and the permits of the dispatcher.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use crate::fold::State;
 use crate::grant::dispatcher::{self, Dispatcher};
 use crate::grant::{Answer, Request};
-use crate::holder::{self, Holder};
+use crate::holder::Holder;
 use crate::ids::{Ballot, Club, Instance, Offset, Proposal, Shard, Upstream};
 use crate::preset::Fencing;
 use crate::record::{Body, Member, Record};
@@ -27,9 +27,12 @@
 
 mod copying;
 mod enrolment;
+mod queue;
 mod recovery;
 mod replay;
 
+use queue::{Queue, Step};
+
 pub use replay::Source;
 
 /// Time between reports to the holder; also renews the dispatch lease.
@@ -243,7 +246,7 @@
     /// Delivers messages to this instance itself and resolves addresses.
     fn settle(&mut self, now: Time, mut queue: Queue) -> Vec<Action> {
         let mut actions = Vec::new();
-        while let Some(step) = queue.0.pop_front() {
+        while let Some(step) = queue.next() {
             match step {
                 Step::Act(action) => actions.push(action),
                 Step::Send(to, message) if to == self.me.instance => {
@@ -496,50 +499,3 @@
         known.next().map(|member| member.peers).or(reported)
     }
 }
-
-/// Steps that the parts asked for.
-#[derive(Debug, Default)]
-struct Queue(VecDeque<Step>);
-
-#[derive(Debug)]
-enum Step {
-    Act(Action),
-    Send(Instance, Message),
-    Propose(Body),
-}
-
-impl Queue {
-    fn act(&mut self, action: Action) {
-        self.0.push_back(Step::Act(action));
-    }
-
-    fn send(&mut self, to: Instance, message: Message) {
-        self.0.push_back(Step::Send(to, message));
-    }
-
-    fn send_some(&mut self, to: Instance, message: Option<Message>) {
-        self.0
-            .extend(message.map(|message| Step::Send(to, message)));
-    }
-
-    fn send_all(&mut self, messages: Vec<(Instance, Message)>) {
-        self.0.extend(
-            messages
-                .into_iter()
-                .map(|(to, message)| Step::Send(to, message)),
-        );
-    }
-
-    fn propose(&mut self, body: Body) {
-        self.0.push_back(Step::Propose(body));
-    }
-
-    fn perform(&mut self, actions: Vec<holder::Action>) {
-        for action in actions {
-            match action {
-                holder::Action::Send(to, message) => self.send(to, message),
-                holder::Action::Append(body) => self.propose(body),
-            }
-        }
-    }
-}
