--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -116,12 +116,6 @@
         self.running.len() < usize::from(self.limits.slots)
     }
 
-    /// Earliest deadline of a waiting request.
-    pub fn earliest_deadline(&self) -> Option<Time> {
-        let front = self.front.as_ref().map(|entry| entry.ticket.deadline);
-        front.into_iter().chain(self.backlog.earliest()).min()
-    }
-
     /// Limits in force.
     pub fn limits(&self) -> &Limits {
         &self.limits
--- a/crates/core/src/admission/backlog.rs
+++ b/crates/core/src/admission/backlog.rs
@@ -102,13 +102,6 @@
         class.ages.first_key_value().map(|(_, id)| *id)
     }
 
-    /// Earliest deadline of all entries.
-    pub fn earliest(&self) -> Option<Time> {
-        let classes = self.lanes.iter().flat_map(|lane| &lane.classes);
-        let heads = classes.filter_map(|class| class.order.first_key_value());
-        heads.map(|((deadline, _), _)| *deadline).min()
-    }
-
     pub fn insert(&mut self, entry: Entry) {
         let class = self.class_of(entry.ticket.club);
         let sequence = self.sequence;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -23,7 +23,7 @@
 use crate::preset::Fencing;
 use crate::record::{Body, Member, Record};
 use crate::time::Time;
-use crate::wire::{Message, Report};
+use crate::wire::{Lease, Message, Report};
 
 mod copying;
 mod enrolment;
@@ -151,11 +151,6 @@
         &self.state
     }
 
-    /// Identity and addresses of this instance.
-    pub fn member(&self) -> &Member {
-        &self.me
-    }
-
     /// Whether the state has been established, from the log's end or a peer.
     pub fn established(&self) -> bool {
         self.replay.established()
@@ -168,10 +163,8 @@
 
     /// Likely control holder.
     pub fn holder(&self, now: Time) -> Option<Instance> {
-        self.election
-            .lease(now)
-            .map(|ballot| ballot.instance)
-            .or(self.election.holder(now))
+        let own = self.control(now).map(|ballot| ballot.instance);
+        own.or(self.election.holder(now))
     }
 
     /// The dispatcher's state.
@@ -179,11 +172,6 @@
         &self.dispatcher
     }
 
-    /// Duties of the control holder, while this instance has them.
-    pub fn duties(&self) -> Option<&Holder> {
-        self.holder.as_ref()
-    }
-
     /// Next offset to read.
     pub fn next(&self) -> Offset {
         self.state.next()
@@ -294,7 +282,7 @@
     }
 
     fn take_or_leave_control(&mut self, now: Time) {
-        let ballot = self.election.lease(now);
+        let ballot = self.control(now);
         let current = self.holder.as_ref().map(Holder::ballot);
         if ballot != current {
             let club = &self.me.club;
@@ -358,7 +346,7 @@
 
     /// Takes a message that concerns the control holder only.
     fn receive_duty(&mut self, now: Time, from: Instance, message: Message) {
-        if self.election.lease(now).is_none() {
+        if self.control(now).is_none() {
             return;
         }
         let Some(duties) = &mut self.holder else {
@@ -381,7 +369,7 @@
         }
     }
 
-    fn leased(&mut self, now: Time, lease: crate::wire::Lease) {
+    fn leased(&mut self, now: Time, lease: Lease) {
         let Some(pending) = self.report.filter(|pending| pending.nonce == lease.nonce) else {
             return;
         };
--- a/crates/medlarreel/src/app.rs
+++ b/crates/medlarreel/src/app.rs
@@ -4,7 +4,6 @@
 //! read it without a lock.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
@@ -265,11 +264,6 @@
     pub fn peer(&self, instance: Instance) -> Option<&Arc<Pool>> {
         self.peers.get(&instance)
     }
-
-    /// Address of the instance's peer listener.
-    pub fn peer_address(&self, instance: Instance) -> Option<SocketAddr> {
-        self.table.peer(instance)
-    }
 }
 
 /// Compares secrets in a time that does not depend on where they differ.
--- a/crates/medlarreel/src/dispatch/lane.rs
+++ b/crates/medlarreel/src/dispatch/lane.rs
@@ -296,11 +296,6 @@
         Rank::ALL.map(|rank| state.queue.waiting_of(rank) as u32)
     }
 
-    /// Time until which the permit is valid.
-    pub fn permitted_until(&self) -> Time {
-        self.held.load().permit.until
-    }
-
     fn enqueue(
         &self,
         now: Time,
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -89,11 +89,6 @@
         self.flow.send_modify(|flow| flow.frozen = frozen);
     }
 
-    /// Whether the gate is frozen.
-    pub fn is_frozen(&self) -> bool {
-        self.flow.borrow().frozen
-    }
-
     /// Makes every connection that is open now silent for good.
     pub fn silence(&self) {
         let next = self.next.load(Ordering::Relaxed);
