--- /dev/null
+++ b/crates/core/src/entry/lead.rs
@@ -0,0 +1,166 @@
+//! When an instance leads, and how long a leader may act.
+//!
+//! The leader's record in the store is written only under the condition that
+//! nobody else wrote in between, so each append proves that no other instance
+//! has taken over before it. Between appends the leader acts on for at most
+//! `RIGHT`, which bounds what a successor has to wait for where it can't reach
+//! an upstream itself.
+
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::time::Time;
+
+/// Time after its last successful append during which a leader may grant keys.
+/// It covers outages of the store of up to 10 s.
+pub const RIGHT: Duration = Duration::from_secs(12);
+
+/// Time between the leader's appends while nothing changes.
+pub const RENEWAL: Duration = Duration::from_secs(3);
+
+/// Silence of the leader after which another instance stands. Beats are sent
+/// every 250 ms, so this allows for five lost ones.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Difference between the delays of two instances that could stand next.
+pub const STAGGER: Duration = Duration::from_millis(250);
+
+/// What an instance believes about the lead.
+#[data(plain)]
+pub enum Role {
+    /// Somebody else leads, or nobody.
+    Follower,
+    /// This instance leads under `epoch`.
+    Leader {
+        /// Offset of the record that made it the leader.
+        epoch: u64,
+        /// Time before its last successful append was sent.
+        confirmed: Time,
+    },
+}
+
+/// Belief about who leads.
+#[data(plain)]
+pub struct Lead {
+    role: Role,
+    /// Highest epoch that is known, and its leader's name.
+    highest: u64,
+    leader: Option<String>,
+    heard: Time,
+    stand_at: Time,
+}
+
+impl Lead {
+    /// Belief of an instance that has just started.
+    pub fn new(now: Time) -> Lead {
+        Lead {
+            role: Role::Follower,
+            highest: 0,
+            leader: None,
+            heard: now,
+            stand_at: now,
+        }
+    }
+
+    /// Epoch under which this instance may act now.
+    pub fn acting(&self, now: Time) -> Option<u64> {
+        match self.role {
+            Role::Leader { epoch, confirmed } if now < confirmed + RIGHT => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Epoch under which this instance leads, whether it may act or not.
+    pub fn epoch(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader { epoch, .. } => Some(epoch),
+            Role::Follower => None,
+        }
+    }
+
+    /// Highest epoch that is known.
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// Name of the leader of the highest epoch.
+    pub fn leader(&self) -> Option<&str> {
+        self.leader.as_deref()
+    }
+
+    /// Notes that this instance became leader, by a record sent at `sent`.
+    pub fn won(&mut self, name: &str, epoch: u64, sent: Time) {
+        self.highest = epoch;
+        self.leader = Some(name.to_owned());
+        self.role = Role::Leader {
+            epoch,
+            confirmed: sent,
+        };
+    }
+
+    /// Notes a successful append of the leader, sent at `sent`.
+    pub fn confirm(&mut self, sent: Time) {
+        if let Role::Leader { confirmed, .. } = &mut self.role {
+            *confirmed = sent.max(*confirmed);
+        }
+    }
+
+    /// Time of the leader's last successful append.
+    pub fn confirmed(&self) -> Option<Time> {
+        match self.role {
+            Role::Leader { confirmed, .. } => Some(confirmed),
+            Role::Follower => None,
+        }
+    }
+
+    /// Gives up the lead.
+    pub fn resign(&mut self, now: Time) {
+        self.role = Role::Follower;
+        self.heard = now;
+    }
+
+    /// Notes a sign of life of the leader of an epoch; true if it is news.
+    ///
+    /// `able` tells whether that leader reaches the store. One that doesn't is
+    /// replaced as if it were silent.
+    pub fn hear(&mut self, now: Time, epoch: u64, leader: &str, able: bool) -> bool {
+        if epoch < self.highest {
+            return false;
+        }
+        let news = epoch > self.highest;
+        if news {
+            self.highest = epoch;
+            self.leader = Some(leader.to_owned());
+            if self.epoch().is_some_and(|mine| mine < epoch) {
+                self.role = Role::Follower;
+            }
+        }
+        if able || news {
+            self.heard = now;
+        }
+        news
+    }
+
+    /// Notes that the leader has given up its lead of an epoch.
+    pub fn resigned(&mut self, now: Time, epoch: u64) {
+        if epoch == self.highest {
+            self.heard = now - SILENCE;
+        }
+    }
+
+    /// Whether this instance stands now; `place` is its place among those that could.
+    pub fn stands(&self, now: Time, place: u32, store_reachable: bool) -> bool {
+        let patience = match self.leader {
+            Some(_) => SILENCE + STAGGER * place,
+            None => STAGGER * place,
+        };
+        let silent = now.since(self.heard) >= patience;
+        self.epoch().is_none() && store_reachable && silent && now >= self.stand_at
+    }
+
+    /// Puts off the next attempt after one that failed.
+    pub fn wait(&mut self, until: Time) {
+        self.stand_at = until;
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/ledger.rs
@@ -0,0 +1,666 @@
+//! The leader's account of who may hold which keys.
+//!
+//! Keys have at most one possible holder, and the store names it before the
+//! first grant is sent. A holder is replaced when it has answered a release, when
+//! its life is over, or when every grant that may have reached it has run out.
+//! Fences start from the leader's epoch, so upstreams refuse what earlier
+//! leaders send as soon as they have heard the present one.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use super::map::{Map, Owner, Slice};
+use super::plan::{self, Candidate, Range, Weights};
+use crate::time::Time;
+
+/// Fences of one epoch; an epoch makes far fewer grants than this.
+const FENCES_PER_EPOCH: u64 = 1 << 20;
+
+/// Part of a hold after which it is renewed, so that two renewals may be lost.
+const RENEW_PART: u32 = 3;
+
+/// Time after which an unanswered first grant or release is sent again.
+pub const RESEND: Duration = Duration::from_millis(400);
+
+/// Time that a call to an upstream may take before its connection is reset.
+/// A call can't arrive later than this.
+pub const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Addition to a hold for an upstream's clock that measures it slowly (2%) and
+/// for delays between a clock reading and a send.
+const HOLD_MARGIN: Duration = Duration::from_millis(150);
+
+/// Time for which an upstream that didn't answer is given no keys. Each attempt
+/// takes its keys out of service for a call's time.
+const AVOID: Duration = Duration::from_secs(10);
+
+/// Unanswered calls in a row after which an upstream counts as unreachable.
+const UNANSWERED: u32 = 2;
+
+/// What is to be sent to an upstream.
+#[data(plain)]
+pub struct Order {
+    /// Service that the keys belong to.
+    pub service: String,
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// Receiver.
+    pub owner: Owner,
+    /// Fencing token.
+    pub fence: u64,
+    /// Grant or release.
+    pub kind: Kind,
+}
+
+/// Kind of an order.
+#[data(plain)]
+pub enum Kind {
+    /// The upstream may hold the keys for `hold` from arrival.
+    Grant {
+        /// Length of the lease.
+        hold: Duration,
+        /// State of the last holder, by the token that its release returned.
+        handover: Option<String>,
+    },
+    /// The upstream must start no new work on the keys.
+    Release,
+}
+
+/// Answer to an order.
+#[data(plain)]
+pub enum Reply {
+    /// Carried out; a release returns the token for the next holder.
+    Done {
+        /// Token for the next holder.
+        handover: Option<String>,
+    },
+    /// A higher fence was seen.
+    Fenced,
+    /// The order certainly did not arrive.
+    NotSent,
+    /// The order may have arrived.
+    Unknown,
+}
+
+/// Latest end of the grants that an upstream may have received.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Lease {
+    /// End of the grants whose outcome is known.
+    known: Time,
+    /// End of a grant that is on its way.
+    pending: Option<Time>,
+}
+
+impl Lease {
+    fn until(known: Time) -> Lease {
+        Lease {
+            known,
+            pending: None,
+        }
+    }
+
+    fn end(self) -> Time {
+        self.pending.unwrap_or(self.known).max(self.known)
+    }
+
+    /// Notes how the grant on its way ended; `longest` is the length of a lease.
+    fn settle(&mut self, reply: &Reply, now: Time, longest: Duration) {
+        match reply {
+            Reply::Done { .. } => self.known = now + longest,
+            Reply::Unknown => self.known = self.end(),
+            Reply::NotSent | Reply::Fenced => {}
+        }
+        self.pending = None;
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Free {
+        handover: Option<String>,
+    },
+    Granting {
+        owner: Owner,
+        fence: u64,
+        handover: Option<String>,
+        /// Version of the record that names the owner.
+        version: u64,
+        sent: Option<Time>,
+        lease: Lease,
+    },
+    Held {
+        owner: Owner,
+        fence: u64,
+        sent: Time,
+        lease: Lease,
+    },
+    Releasing {
+        owner: Owner,
+        fence: u64,
+        sent: Option<Time>,
+        until: Time,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Part {
+    first: u16,
+    last: u16,
+    state: State,
+}
+
+/// Account of all keyed services.
+#[derive(Debug)]
+pub struct Ledger {
+    epoch: u64,
+    fences: u64,
+    hold: Duration,
+    version: u64,
+    recorded: u64,
+    views: u64,
+    /// Epoch of the record that was taken over.
+    predecessor: u64,
+    /// End of the rights of all earlier leaders.
+    inherited_until: Time,
+    services: BTreeMap<String, Vec<Part>>,
+    failures: HashMap<Owner, (u32, Time)>,
+}
+
+impl Ledger {
+    /// Account of a leader that knows of no grants; `hold` is the length of a lease.
+    pub fn new(epoch: u64, hold: Duration) -> Ledger {
+        Ledger {
+            epoch,
+            fences: (epoch + 1) * FENCES_PER_EPOCH,
+            hold,
+            version: 0,
+            recorded: 0,
+            views: 0,
+            predecessor: 0,
+            inherited_until: Time(0),
+            services: BTreeMap::new(),
+            failures: HashMap::new(),
+        }
+    }
+
+    /// Takes over what the previous leader recorded. Its grants may last until `until`.
+    pub fn adopt(&mut self, map: &Map, now: Time, until: Time) {
+        self.predecessor = map.epoch;
+        self.inherited_until = until;
+        for (service, slices) in &map.services {
+            let mut parts = Vec::new();
+            for slice in slices {
+                let state = match &slice.owner {
+                    Some(owner) => State::Held {
+                        owner: owner.clone(),
+                        fence: next(&mut self.fences),
+                        // Due at once, so that the upstream hears the new fence.
+                        sent: now - self.hold,
+                        lease: Lease::until(until),
+                    },
+                    None => State::Free { handover: None },
+                };
+                parts.push(Part {
+                    first: slice.first,
+                    last: slice.last,
+                    state,
+                });
+            }
+            self.services.insert(service.clone(), parts);
+        }
+        self.views += 1;
+    }
+
+    /// Shortens the time for which grants of the leader of `epoch` may last,
+    /// because it has stopped before `now`. A call of it may still be under way.
+    pub fn predecessor_stopped(&mut self, epoch: u64, now: Time) {
+        if epoch != self.predecessor {
+            return;
+        }
+        let end = now + CALL_LIMIT + self.longest();
+        for part in self.services.values_mut().flatten() {
+            match &mut part.state {
+                State::Held { lease, .. } => lease.known = end.min(lease.known),
+                State::Releasing { until, .. } => *until = end.min(*until),
+                State::Free { .. } | State::Granting { .. } => {}
+            }
+        }
+    }
+
+    /// Whether the record in the store lacks an owner that is about to be granted keys.
+    pub fn needs_record(&self) -> bool {
+        self.recorded < self.version
+    }
+
+    /// Whether earlier leaders may still send grants.
+    pub fn inherits(&self, now: Time) -> bool {
+        now < self.inherited_until && !self.services.is_empty()
+    }
+
+    /// Epoch of this leader.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Version of the record returned by `record`.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The only possible holder of each key, for the store.
+    pub fn record(&self) -> Map {
+        self.map(self.version, |state| owner(state).cloned())
+    }
+
+    /// The upstream that serves each key now, for the instances.
+    pub fn view(&self) -> Map {
+        self.map(self.views, |state| match state {
+            State::Held { owner, .. } => Some(owner.clone()),
+            _ => None,
+        })
+    }
+
+    /// Notes that the store has acknowledged the record of `version`.
+    pub fn recorded(&mut self, version: u64) {
+        self.recorded = self.recorded.max(version);
+    }
+
+    /// Lives of upstreams that may hold keys of a service.
+    pub fn holders(&self, service: &str) -> Vec<Owner> {
+        let parts = self.services.get(service).into_iter().flatten();
+        let mut owners: Vec<Owner> = parts
+            .filter_map(|part| owner(&part.state).cloned())
+            .collect();
+        owners.sort();
+        owners.dedup();
+        owners
+    }
+
+    /// Whether every key of the service has an owner that acknowledged its grant.
+    pub fn is_settled(&self, service: &str) -> bool {
+        let parts = self.services.get(service);
+        parts.is_some_and(|parts| {
+            parts
+                .iter()
+                .all(|part| matches!(part.state, State::Held { .. }))
+        })
+    }
+
+    /// Counter of the changes of the view.
+    pub fn views(&self) -> u64 {
+        self.views
+    }
+
+    /// Moves keys of a service to where they should be.
+    pub fn rearrange(
+        &mut self,
+        now: Time,
+        service: &str,
+        candidates: &[Candidate],
+        weights: &Weights,
+    ) {
+        self.failures.retain(|_, (_, at)| now.since(*at) < AVOID);
+        let reachable = |one: &&Candidate| {
+            let failed = self.failures.get(&one.owner);
+            failed.is_none_or(|(count, _)| *count < UNANSWERED)
+        };
+        let usable: Vec<Candidate> = candidates.iter().filter(reachable).cloned().collect();
+        let whole = || {
+            vec![Part {
+                first: 0,
+                last: u16::MAX,
+                state: State::Free { handover: None },
+            }]
+        };
+        let parts = self
+            .services
+            .entry(service.to_owned())
+            .or_insert_with(whole);
+        let current: Vec<Range> = parts.iter().map(range).collect();
+        let planned = plan::place(&current, &usable, weights);
+        let wanted = |key: u16| {
+            let index = planned.partition_point(|range| range.last < key);
+            planned.get(index).and_then(|range| range.owner.clone())
+        };
+        let cuts: Vec<u16> = planned.iter().map(|range| range.first).collect();
+        split(parts, &cuts);
+        for part in parts.iter_mut() {
+            let target = wanted(part.first);
+            let next_state = step(part, target, &mut self.fences, &mut self.version, now);
+            if let Some(state) = next_state {
+                part.state = state;
+                self.views += 1;
+            }
+        }
+        merge(parts, &mut self.fences, now, self.hold);
+    }
+
+    /// Drops services that are no longer keyed or no longer exist.
+    pub fn retain(&mut self, keyed: impl Fn(&str) -> bool) {
+        self.services.retain(|service, _| keyed(service));
+    }
+
+    /// Orders that are due now. `reborn` tells whether a later life of an
+    /// upstream is known.
+    pub fn tick(&mut self, now: Time, reborn: impl Fn(&Owner) -> bool) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let (hold, recorded) = (self.hold, self.recorded);
+        let longest = self.longest();
+        for (service, parts) in &mut self.services {
+            for part in parts.iter_mut() {
+                // A process that has started anew holds nothing.
+                if owner(&part.state).is_some_and(&reborn) {
+                    part.state = State::Free { handover: None };
+                    self.views += 1;
+                    continue;
+                }
+                let order = |owner: &Owner, fence, kind| Order {
+                    service: service.clone(),
+                    first: part.first,
+                    last: part.last,
+                    owner: owner.clone(),
+                    fence,
+                    kind,
+                };
+                match &mut part.state {
+                    State::Granting {
+                        owner,
+                        fence,
+                        handover,
+                        version,
+                        sent,
+                        lease,
+                    } if *version <= recorded && due(*sent, now, RESEND) => {
+                        *sent = Some(now);
+                        lease.pending = Some(now + CALL_LIMIT + longest);
+                        let handover = handover.clone();
+                        orders.push(order(owner, *fence, Kind::Grant { hold, handover }));
+                    }
+                    State::Held {
+                        owner,
+                        fence,
+                        sent,
+                        lease,
+                    } if due(Some(*sent), now, hold / RENEW_PART) => {
+                        *sent = now;
+                        lease.pending = Some(now + CALL_LIMIT + longest);
+                        let handover = None;
+                        orders.push(order(owner, *fence, Kind::Grant { hold, handover }));
+                    }
+                    State::Releasing { until, .. } if *until <= now => {
+                        part.state = State::Free { handover: None };
+                    }
+                    State::Releasing {
+                        owner, fence, sent, ..
+                    } if due(*sent, now, RESEND) => {
+                        *sent = Some(now);
+                        orders.push(order(owner, *fence, Kind::Release));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        orders
+    }
+
+    /// Notes the answer to an order sent at `sent`.
+    pub fn answered(&mut self, now: Time, sent: Time, order: &Order, reply: &Reply) {
+        match reply {
+            Reply::Done { .. } => {
+                self.failures.remove(&order.owner);
+            }
+            Reply::NotSent | Reply::Unknown => {
+                let failed = self.failures.entry(order.owner.clone()).or_insert((0, now));
+                *failed = (failed.0 + 1, now);
+            }
+            Reply::Fenced => {}
+        }
+        let longest = self.longest();
+        let Some(parts) = self.services.get_mut(&order.service) else {
+            return;
+        };
+        let covered = |part: &&mut Part| order.first <= part.first && part.last <= order.last;
+        for part in parts.iter_mut().filter(covered) {
+            if owner(&part.state) != Some(&order.owner) || fence(&part.state) != order.fence {
+                continue;
+            }
+            match &mut part.state {
+                State::Granting { lease, .. } | State::Held { lease, .. } => {
+                    lease.settle(reply, now, longest);
+                }
+                State::Free { .. } | State::Releasing { .. } => {}
+            }
+            match (&part.state, reply) {
+                (_, Reply::Fenced) => refence(&mut part.state, &mut self.fences),
+                (
+                    State::Granting {
+                        owner,
+                        fence,
+                        lease,
+                        ..
+                    },
+                    Reply::Done { .. },
+                ) => {
+                    part.state = State::Held {
+                        owner: owner.clone(),
+                        fence: *fence,
+                        sent,
+                        lease: *lease,
+                    };
+                    self.views += 1;
+                }
+                (State::Releasing { .. }, Reply::Done { handover }) => {
+                    let handover = handover.clone();
+                    part.state = State::Free { handover };
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Longest time that a hold lasts after its grant has arrived.
+    fn longest(&self) -> Duration {
+        longest(self.hold)
+    }
+
+    fn map(&self, version: u64, owner: impl Fn(&State) -> Option<Owner>) -> Map {
+        let slices = |parts: &Vec<Part>| {
+            let mut slices: Vec<Slice> = Vec::new();
+            for part in parts {
+                let owner = owner(&part.state);
+                match slices.last_mut() {
+                    Some(last) if last.owner == owner => last.last = part.last,
+                    _ => slices.push(Slice {
+                        first: part.first,
+                        last: part.last,
+                        owner,
+                    }),
+                }
+            }
+            slices
+        };
+        let services = self.services.iter();
+        Map {
+            epoch: self.epoch,
+            version,
+            services: services
+                .map(|(service, parts)| (service.clone(), slices(parts)))
+                .collect(),
+        }
+    }
+}
+
+/// Longest time that a hold lasts after its grant has arrived.
+pub fn longest(hold: Duration) -> Duration {
+    hold + hold / 50 + HOLD_MARGIN
+}
+
+fn next(fences: &mut u64) -> u64 {
+    *fences += 1;
+    *fences
+}
+
+fn owner(state: &State) -> Option<&Owner> {
+    match state {
+        State::Free { .. } => None,
+        State::Granting { owner, .. }
+        | State::Held { owner, .. }
+        | State::Releasing { owner, .. } => Some(owner),
+    }
+}
+
+fn fence(state: &State) -> u64 {
+    match state {
+        State::Free { .. } => 0,
+        State::Granting { fence, .. }
+        | State::Held { fence, .. }
+        | State::Releasing { fence, .. } => *fence,
+    }
+}
+
+fn due(sent: Option<Time>, now: Time, span: Duration) -> bool {
+    sent.is_none_or(|sent| now.since(sent) >= span)
+}
+
+fn refence(state: &mut State, fences: &mut u64) {
+    match state {
+        State::Free { .. } => {}
+        State::Granting { fence, .. }
+        | State::Held { fence, .. }
+        | State::Releasing { fence, .. } => *fence = next(fences),
+    }
+}
+
+/// Owner that a part has or is getting, for the planner.
+fn range(part: &Part) -> Range {
+    let owner = match &part.state {
+        State::Held { owner, .. } | State::Granting { owner, .. } => Some(owner.clone()),
+        State::Free { .. } | State::Releasing { .. } => None,
+    };
+    Range {
+        first: part.first,
+        last: part.last,
+        owner,
+    }
+}
+
+/// State that brings a part closer to its target; `None` if nothing changes.
+fn step(
+    part: &Part,
+    target: Option<Owner>,
+    fences: &mut u64,
+    version: &mut u64,
+    now: Time,
+) -> Option<State> {
+    match &part.state {
+        State::Free { handover } => {
+            let owner = target?;
+            *version += 1;
+            Some(State::Granting {
+                owner,
+                fence: next(fences),
+                handover: handover.clone(),
+                version: *version,
+                sent: None,
+                lease: Lease::until(now),
+            })
+        }
+        State::Held { owner, lease, .. } if target.as_ref() != Some(owner) => {
+            Some(State::Releasing {
+                owner: owner.clone(),
+                fence: next(fences),
+                sent: None,
+                until: lease.end(),
+            })
+        }
+        State::Granting {
+            owner,
+            sent,
+            lease,
+            handover,
+            ..
+        } if target.as_ref() != Some(owner) => Some(match sent {
+            None => State::Free {
+                handover: handover.clone(),
+            },
+            Some(_) => State::Releasing {
+                owner: owner.clone(),
+                fence: next(fences),
+                sent: None,
+                until: lease.end(),
+            },
+        }),
+        _ => None,
+    }
+}
+
+/// Splits parts so that none reaches over the beginning of a planned range.
+fn split(parts: &mut Vec<Part>, cuts: &[u16]) {
+    for cut in cuts {
+        let index = parts.partition_point(|part| part.last < *cut);
+        let Some(part) = parts.get_mut(index).filter(|part| part.first < *cut) else {
+            continue;
+        };
+        let mut upper = part.clone();
+        part.last = *cut - 1;
+        upper.first = *cut;
+        parts.insert(index + 1, upper);
+    }
+}
+
+/// Joins neighbours that one upstream holds, under a fence not below both.
+fn merge(parts: &mut Vec<Part>, fences: &mut u64, now: Time, hold: Duration) {
+    let mut index = 1;
+    while index < parts.len() {
+        let joined = join(
+            &parts[index - 1].state,
+            &parts[index].state,
+            fences,
+            now - hold,
+        );
+        match joined {
+            Some(state) => {
+                parts[index - 1].last = parts[index].last;
+                parts[index - 1].state = state;
+                parts.remove(index);
+            }
+            None => index += 1,
+        }
+    }
+}
+
+/// State of two neighbours as one; `overdue` is a time of sending long past.
+fn join(left: &State, right: &State, fences: &mut u64, overdue: Time) -> Option<State> {
+    let State::Held {
+        owner,
+        fence,
+        sent,
+        lease,
+    } = left
+    else {
+        return None;
+    };
+    let State::Held {
+        owner: other,
+        fence: second,
+        sent: also,
+        lease: more,
+    } = right
+    else {
+        return None;
+    };
+    if owner != other {
+        return None;
+    }
+    let same = fence == second;
+    Some(State::Held {
+        owner: owner.clone(),
+        fence: if same { *fence } else { next(fences) },
+        sent: if same { *sent.min(also) } else { overdue },
+        lease: Lease::until(lease.end().max(more.end())),
+    })
+}
--- /dev/null
+++ b/crates/core/src/entry/plan.rs
@@ -0,0 +1,232 @@
+//! Which upstream should own which keys.
+//!
+//! Keys are cut into ranges by measured weight and by the capacity of the
+//! upstreams. Ranges stay where they are unless their owner is gone, carries
+//! far more than its share, or another upstream carries far less. A key that
+//! alone fills its owner keeps it for itself.
+
+use std::collections::BTreeMap;
+
+use medlarreel_macros::data;
+
+use super::map::Owner;
+
+/// Number of keys of a service.
+const KEYS: f64 = 65_536.0;
+
+/// Load over its share at which an owner gives ranges away. A move makes its
+/// keys wait for the requests that run on them, so small gains do not pay.
+const OVERLOAD: f64 = 1.35;
+
+/// Load below its share at which an upstream is given ranges.
+const UNDERLOAD: f64 = 0.5;
+
+/// Part of an owner's share from which a single key counts as filling it.
+const DOMINANT: f64 = 0.8;
+
+/// Part of all requests that is spread evenly over the keys, for keys without
+/// a measured weight.
+const EVEN: f64 = 0.25;
+
+/// An upstream that may own keys.
+#[data(plain)]
+pub struct Candidate {
+    /// The upstream's present life.
+    pub owner: Owner,
+    /// Requests that it can run at a time, weighted by its speed.
+    pub capacity: f64,
+}
+
+/// Keys from `first` to `last` and the upstream that should own them.
+#[data(plain)]
+pub struct Range {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// Owner; `None` if nobody owns the keys.
+    pub owner: Option<Owner>,
+}
+
+/// Measured weight of single keys; other keys weigh little and evenly.
+#[data(plain)]
+#[derive(Default)]
+pub struct Weights {
+    busy: BTreeMap<u16, f64>,
+    total: f64,
+}
+
+impl Weights {
+    /// Weights from counts of requests per key.
+    pub fn new(busy: BTreeMap<u16, f64>) -> Weights {
+        let total = busy.values().sum();
+        Weights { busy, total }
+    }
+
+    /// Part of all work that the keys from `first` to `last` cause.
+    pub fn of(&self, first: u16, last: u16) -> f64 {
+        let even = (f64::from(last) - f64::from(first) + 1.0) / KEYS;
+        if self.total <= 0.0 {
+            return even;
+        }
+        let busy: f64 = self
+            .busy
+            .range(first..=last)
+            .map(|(_, weight)| weight)
+            .sum();
+        even * EVEN + busy / self.total * (1.0 - EVEN)
+    }
+
+    /// Highest key such that the keys up to it weigh at most `weight`.
+    fn cut(&self, first: u16, last: u16, weight: f64) -> Option<u16> {
+        let (mut low, mut high) = (u32::from(first), u32::from(last) + 1);
+        // Invariant: keys below `low` fit; keys up to and including `high` don't.
+        while low < high {
+            let middle = (low + high) / 2;
+            if middle <= u32::from(last) && self.of(first, middle as u16) <= weight {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        (low > u32::from(first)).then(|| (low - 1) as u16)
+    }
+
+    /// Heaviest single key of a range.
+    fn heaviest(&self, first: u16, last: u16) -> Option<(u16, f64)> {
+        let heaviest = self
+            .busy
+            .range(first..=last)
+            .max_by(|a, b| a.1.total_cmp(b.1))?;
+        Some((*heaviest.0, self.of(*heaviest.0, *heaviest.0)))
+    }
+}
+
+/// New owners for all keys, moving as little as needed.
+///
+/// Returns `current` unchanged if there is no candidate.
+pub fn place(current: &[Range], candidates: &[Candidate], weights: &Weights) -> Vec<Range> {
+    let capacity: f64 = candidates.iter().map(|one| one.capacity).sum();
+    if candidates.is_empty() || capacity <= 0.0 {
+        return current.to_vec();
+    }
+    let shares: Vec<f64> = candidates
+        .iter()
+        .map(|one| one.capacity / capacity)
+        .collect();
+    let index = |owner: &Option<Owner>| {
+        let owner = owner.as_ref()?;
+        candidates.iter().position(|one| one.owner == *owner)
+    };
+    let mut kept: Vec<Vec<(u16, u16)>> = vec![Vec::new(); candidates.len()];
+    let mut loose: Vec<(u16, u16)> = Vec::new();
+    for range in current {
+        match index(&range.owner) {
+            Some(owner) => kept[owner].push((range.first, range.last)),
+            None => loose.push((range.first, range.last)),
+        }
+    }
+    let load = |ranges: &[(u16, u16)]| -> f64 {
+        ranges
+            .iter()
+            .map(|(first, last)| weights.of(*first, *last))
+            .sum()
+    };
+    let mut loads: Vec<f64> = kept.iter().map(|ranges| load(ranges)).collect();
+    let starved = (0..shares.len()).any(|owner| loads[owner] < shares[owner] * UNDERLOAD);
+    let limit = if starved && loose.is_empty() {
+        1.0
+    } else {
+        OVERLOAD
+    };
+    for owner in 0..kept.len() {
+        if loads[owner] > shares[owner] * limit {
+            shed(&mut kept[owner], &mut loose, weights, shares[owner]);
+            loads[owner] = load(&kept[owner]);
+        }
+    }
+    settle(&mut kept, &mut loads, loose, weights, &shares);
+    let mut ranges: Vec<Range> = Vec::new();
+    for (owner, owned) in kept.into_iter().enumerate() {
+        let owner = &candidates[owner].owner;
+        ranges.extend(owned.into_iter().map(|(first, last)| Range {
+            first,
+            last,
+            owner: Some(owner.clone()),
+        }));
+    }
+    ranges.sort_by_key(|range| range.first);
+    ranges
+}
+
+/// Takes ranges from an owner until it carries its share.
+fn shed(owned: &mut Vec<(u16, u16)>, loose: &mut Vec<(u16, u16)>, weights: &Weights, share: f64) {
+    let heaviest = owned
+        .iter()
+        .filter_map(|(first, last)| weights.heaviest(*first, *last))
+        .max_by(|a, b| a.1.total_cmp(&b.1));
+    if let Some((key, _)) = heaviest.filter(|(_, weight)| *weight > share * DOMINANT) {
+        for (first, last) in std::mem::take(owned) {
+            if !(first..=last).contains(&key) {
+                loose.push((first, last));
+                continue;
+            }
+            if first < key {
+                loose.push((first, key - 1));
+            }
+            if key < last {
+                loose.push((key + 1, last));
+            }
+        }
+        owned.push((key, key));
+        return;
+    }
+    let mut left = share;
+    for (first, last) in std::mem::take(owned) {
+        let weight = weights.of(first, last);
+        if weight <= left {
+            left -= weight;
+            owned.push((first, last));
+            continue;
+        }
+        match weights.cut(first, last, left) {
+            Some(end) => {
+                owned.push((first, end));
+                loose.push((end + 1, last));
+            }
+            None => loose.push((first, last)),
+        }
+        left = 0.0;
+    }
+}
+
+/// Gives loose ranges to the upstreams that are furthest below their share.
+fn settle(
+    kept: &mut [Vec<(u16, u16)>],
+    loads: &mut [f64],
+    mut loose: Vec<(u16, u16)>,
+    weights: &Weights,
+    shares: &[f64],
+) {
+    loose.sort_by_key(|(first, last)| u32::from(*first) * 65_536 + u32::from(*last));
+    loose.reverse();
+    while let Some((first, last)) = loose.pop() {
+        let room = |owner: usize| (shares[owner] - loads[owner]) / shares[owner];
+        let Some(owner) = (0..shares.len()).max_by(|a, b| room(*a).total_cmp(&room(*b))) else {
+            return;
+        };
+        let free = shares[owner] - loads[owner];
+        let weight = weights.of(first, last);
+        // A remainder of under a tenth of a share is not worth a range of its own.
+        let end = if weight <= free + shares[owner] * 0.1 {
+            last
+        } else {
+            weights.cut(first, last, free).unwrap_or(first)
+        };
+        kept[owner].push((first, end));
+        loads[owner] += weights.of(first, end);
+        if end < last {
+            loose.push((end + 1, last));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/queue.rs
@@ -0,0 +1,346 @@
+//! Requests that wait for room, and which of them go next.
+//!
+//! A request waits at the instance that took it, not at an upstream, so that
+//! an urgent one that comes later still goes first. Urgent requests may use an
+//! upstream's own queue a little; others leave it empty. A request that can't
+//! be answered in its time any more is refused as soon as that is known.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use super::room::{Ending, Load, Room};
+use crate::ids::Upstream;
+use crate::time::Time;
+
+/// Requests that may wait at an upstream beyond its slots, by rank: most urgent
+/// and others. With several instances sending, an exact fit leaves slots idle.
+const DEPTH_URGENT: f64 = 2.0;
+const DEPTH_OTHERS: f64 = 1.0;
+
+/// Weight of the newest run in the average run time of a route.
+const RUN_WEIGHT: f64 = 0.05;
+
+/// Run time that is assumed before any run was seen.
+const FIRST_RUN: Duration = Duration::from_millis(150);
+
+/// Part of the average run time that must be left for a request to be sent.
+const NEEDED: f64 = 0.6;
+
+/// Extra time that a request to another failure domain costs in the choice: the
+/// way there and back, and the bytes.
+const FAR: Duration = Duration::from_millis(15);
+
+/// Longest queue of one instance, so that a flood can't exhaust its memory.
+const MAX_WAITING: usize = 512;
+
+/// Shortest time after which a refused caller is told to come back.
+const RETURN_MIN: Duration = Duration::from_millis(50);
+
+/// Identity of a waiting request.
+#[data(key)]
+pub struct Ticket(pub u64);
+
+/// A request that waits.
+#[data(plain)]
+pub struct Waiting {
+    /// Identity.
+    pub ticket: Ticket,
+    /// Service that it goes to.
+    pub service: String,
+    /// Its key, if the service is keyed.
+    pub key: Option<u16>,
+    /// Route, for the average run time.
+    pub route: String,
+    /// Rank, 0 being the most urgent.
+    pub rank: u8,
+    /// Time by which its answer must be there.
+    pub deadline: Time,
+    /// Upstreams that were tried.
+    pub tried: Vec<Upstream>,
+}
+
+/// An upstream that a request could go to.
+#[data(key)]
+pub struct Choice {
+    /// Upstream.
+    pub upstream: Upstream,
+    /// Its slots, as registered.
+    pub slots: u32,
+    /// Whether it runs in another failure domain.
+    pub far: bool,
+    /// Whether it is slow after its start.
+    pub cold: bool,
+}
+
+/// Why a request is refused.
+#[data(key)]
+pub enum Reason {
+    /// Its key has no owner, or its service no upstream.
+    NoUpstream,
+    /// There is no room in its time.
+    NoRoom,
+    /// Too many requests wait.
+    Full,
+}
+
+/// What is decided about a waiting request.
+#[data(plain)]
+pub enum Decision {
+    /// It goes to an upstream, and is expected to run for `expected`.
+    Send {
+        /// Receiver.
+        upstream: Upstream,
+        /// Its slots, as registered.
+        slots: u32,
+        /// Average run time of its route.
+        expected: Duration,
+    },
+    /// It is refused; the caller may come back after `after`.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// Time after which there is likely room.
+        after: Duration,
+    },
+}
+
+/// A request that was sent and has ended.
+#[data(plain)]
+pub struct Run<'a> {
+    /// Receiver.
+    pub upstream: Upstream,
+    /// Route of the request.
+    pub route: &'a str,
+    /// Service of the request.
+    pub service: &'a str,
+    /// How it ended.
+    pub ending: Ending,
+    /// Load that came with the answer.
+    pub load: Option<Load>,
+    /// Time from the send to the end.
+    pub took: Duration,
+}
+
+/// Where requests can go.
+pub trait View {
+    /// Upstreams that may run a request now; empty if there is none.
+    fn options(&self, service: &str, key: Option<u16>) -> Vec<Choice>;
+}
+
+/// Queue of one instance.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: Vec<Waiting>,
+    rooms: HashMap<Upstream, Room>,
+    runs: HashMap<String, f64>,
+    /// Recent answers per second, by service.
+    rates: HashMap<String, Rate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_second: f64,
+    at: Time,
+}
+
+/// Time over which the rate of answers is averaged.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+impl Rate {
+    fn count(&mut self, now: Time) {
+        self.fade(now);
+        self.per_second += 1.0 / RATE_SPAN.as_secs_f64();
+    }
+
+    fn fade(&mut self, now: Time) {
+        let age = now.since(self.at).as_secs_f64();
+        self.per_second *= (-age / RATE_SPAN.as_secs_f64()).exp();
+        self.at = now;
+    }
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Own requests at an upstream.
+    pub fn in_flight(&self, upstream: Upstream) -> u32 {
+        self.rooms.get(&upstream).map_or(0, Room::mine)
+    }
+
+    /// Average run time of a route.
+    pub fn expected(&self, route: &str) -> Duration {
+        let run = self.runs.get(route).copied();
+        run.map_or(FIRST_RUN, Duration::from_secs_f64)
+    }
+
+    /// Adds a request, or says why not.
+    pub fn offer(&mut self, now: Time, request: Waiting, view: &dyn View) -> Result<(), Decision> {
+        if self.waiting.len() >= MAX_WAITING {
+            let after = self.return_after(now, &request);
+            return Err(Decision::Refuse {
+                reason: Reason::Full,
+                after,
+            });
+        }
+        let left = request.deadline.since(now);
+        let needed = self.needed(&request);
+        let ahead = self.ahead(&request);
+        let options = view.options(&request.service, request.key);
+        let wait = self.wait(now, &request.service, ahead);
+        if left < needed || (!options.is_empty() && ahead > 0 && wait + needed > left) {
+            let after = self.return_after(now, &request);
+            return Err(Decision::Refuse {
+                reason: Reason::NoRoom,
+                after,
+            });
+        }
+        let place = (request.rank, request.deadline);
+        let index = self
+            .waiting
+            .partition_point(|other| (other.rank, other.deadline) <= place);
+        self.waiting.insert(index, request);
+        Ok(())
+    }
+
+    /// Removes a request whose caller has left.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.waiting.retain(|request| request.ticket != ticket);
+    }
+
+    /// Decides about all waiting requests that can go or have become hopeless.
+    pub fn decide(&mut self, now: Time, view: &dyn View) -> Vec<(Ticket, Decision)> {
+        let mut decisions = Vec::new();
+        let mut index = 0;
+        while index < self.waiting.len() {
+            match self.judge(now, &self.waiting[index], view) {
+                Some(decision) => {
+                    let request = self.waiting.remove(index);
+                    if let Decision::Send {
+                        upstream, slots, ..
+                    } = decision
+                    {
+                        let room = self.rooms.entry(upstream);
+                        room.or_insert_with(|| Room::new(slots)).start();
+                    }
+                    decisions.push((request.ticket, decision));
+                }
+                None => index += 1,
+            }
+        }
+        decisions
+    }
+
+    /// Counts the end of a request that was sent.
+    pub fn finish(&mut self, now: Time, run: &Run<'_>) {
+        let expected = self.expected(run.route);
+        if let Some(room) = self.rooms.get_mut(&run.upstream) {
+            room.finish(now, run.ending, run.load, run.took, expected);
+        }
+        if run.ending == Ending::Ran {
+            let took = run.took.as_secs_f64();
+            let average = self.runs.entry(run.route.to_owned()).or_insert(took);
+            *average += (took - *average) * RUN_WEIGHT;
+            let rate = self.rates.entry(run.service.to_owned()).or_insert(Rate {
+                per_second: 0.0,
+                at: now,
+            });
+            rate.count(now);
+        }
+    }
+
+    /// Forgets upstreams that are gone and have no request of this instance.
+    pub fn retain(&mut self, known: impl Fn(Upstream) -> bool) {
+        self.rooms
+            .retain(|key, room| room.mine() > 0 || known(*key));
+    }
+
+    fn judge(&self, now: Time, request: &Waiting, view: &dyn View) -> Option<Decision> {
+        let left = request.deadline.since(now);
+        let expected = self.expected(&request.route);
+        let options = view.options(&request.service, request.key);
+        if left < self.needed(request) {
+            let reason = match options.is_empty() {
+                true => Reason::NoUpstream,
+                false => Reason::NoRoom,
+            };
+            let after = self.return_after(now, request);
+            return Some(Decision::Refuse { reason, after });
+        }
+        let depth = match request.rank {
+            0 => DEPTH_URGENT,
+            _ => DEPTH_OTHERS,
+        };
+        let keyed = request.key.is_some();
+        let mut best: Option<(f64, Choice)> = None;
+        for option in &options {
+            let fresh = Room::new(option.slots);
+            let room = self.rooms.get(&option.upstream).unwrap_or(&fresh);
+            if !room.fits(now, depth) || (!keyed && request.tried.contains(&option.upstream)) {
+                continue;
+            }
+            let score = score(now, room, option, expected);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, *option));
+            }
+        }
+        let (_, choice) = best?;
+        Some(Decision::Send {
+            upstream: choice.upstream,
+            slots: choice.slots,
+            expected,
+        })
+    }
+
+    fn needed(&self, request: &Waiting) -> Duration {
+        self.expected(&request.route).mul_f64(NEEDED)
+    }
+
+    fn ahead(&self, request: &Waiting) -> usize {
+        let before = |other: &&Waiting| {
+            other.service == request.service
+                && (other.rank, other.deadline) <= (request.rank, request.deadline)
+        };
+        self.waiting.iter().filter(before).count()
+    }
+
+    fn wait(&self, now: Time, service: &str, ahead: usize) -> Duration {
+        let Some(mut rate) = self.rates.get(service).copied() else {
+            return Duration::ZERO;
+        };
+        rate.fade(now);
+        Duration::from_secs_f64((ahead as f64 / rate.per_second.max(1.0)).min(60.0))
+    }
+
+    fn return_after(&self, now: Time, request: &Waiting) -> Duration {
+        let wait = self.wait(now, &request.service, self.ahead(request));
+        wait.max(RETURN_MIN)
+    }
+}
+
+/// Expected time to an answer, in seconds.
+fn score(now: Time, room: &Room, option: &Choice, expected: Duration) -> f64 {
+    let crowd = (room.occupancy(now) + 1.0) / f64::from(room.slots());
+    let mut time = expected.as_secs_f64() * room.pace() * crowd.max(1.0);
+    // A nearly full upstream slows down, so emptier ones come first.
+    time += expected.as_secs_f64() * 0.2 * crowd.min(1.0);
+    if option.far {
+        time += FAR.as_secs_f64();
+    }
+    if option.cold {
+        time *= 2.0;
+    }
+    if room.is_penalized(now) {
+        time += 10.0;
+    }
+    time
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod dedup;
+pub mod entry;
 pub mod fold;
 pub mod grant;
 pub mod health;
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,163 @@
+//! Start, reload and stop of one instance.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Context, Result};
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::callers::{self, Connections};
+use crate::leader::{self, Leader};
+use crate::peers;
+use crate::reader;
+use crate::settings::{PATH_VARIABLE, Settings};
+use crate::state::State;
+
+const USAGE: &str = "usage: medlarreel-entry [--settings FILE] [--check]";
+
+/// Time from the loss of readiness until no new connections come: the platform
+/// asks once a second and takes an instance out after two misses.
+const READINESS_LEAD: Duration = Duration::from_millis(2_600);
+
+/// Time between looks at whether all connections have ended.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Time between closes of idle connections to upstreams.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Runs the program with its command line.
+///
+/// # Errors
+///
+/// If the command line or the settings are wrong, or an address can't be used.
+pub fn main(arguments: impl Iterator<Item = String>) -> Result<ExitCode> {
+    let mut options = getopts::Options::new();
+    options.optopt("s", "settings", "settings file", "FILE");
+    options.optflag("c", "check", "check the settings and exit");
+    options.optflag("h", "help", "show this help");
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let given = matches.opt_str("settings").map(PathBuf::from);
+    let path = given.or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from));
+    let path =
+        path.ok_or_else(|| eyre::eyre!("no settings: give --settings or {PATH_VARIABLE}"))?;
+    let settings = Settings::load(&path)?;
+    if matches.opt_present("check") {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let _guard = crate::log::start();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(settings, &path))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run(settings: Settings, path: &Path) -> Result<()> {
+    let listen =
+        |address| callers::bind(address).wrap_err_with(|| format!("listening on {address}"));
+    let front = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let metrics = listen(settings.metrics)?;
+    let socket = Rc::new(UdpSocket::bind(settings.peers).await?);
+    let state = State::new(settings);
+    let connections = Rc::new(Connections::default());
+    let (stop, stopped) = watch::channel(false);
+    tracing::info!(
+        name = state.name(),
+        started = state.started,
+        "instance started"
+    );
+    spawn_local(callers::serve_status(Rc::clone(&state), readiness));
+    spawn_local(callers::serve_status(Rc::clone(&state), metrics));
+    spawn_local(callers::serve(
+        Rc::clone(&state),
+        front,
+        Rc::clone(&connections),
+        stopped,
+    ));
+    spawn_local(reader::follow_config(Rc::clone(&state)));
+    spawn_local(reader::follow_directory(Rc::clone(&state)));
+    spawn_local(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
+    spawn_local(peers::report(Rc::clone(&state), Rc::clone(&socket)));
+    spawn_local(sweep(Rc::clone(&state)));
+    spawn_local({
+        let (state, socket) = (Rc::clone(&state), Rc::clone(&socket));
+        async move {
+            leader::join(&state, &socket).await;
+            Leader::new(state, socket).run().await;
+        }
+    });
+    wait_for_stop(&state, path).await?;
+    shut_down(&state, &socket, &connections, &stop).await;
+    Ok(())
+}
+
+async fn wait_for_stop(state: &State, path: &Path) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => match Settings::load(path) {
+                Ok(settings) => {
+                    tracing::info!("settings reloaded");
+                    *state.settings.borrow_mut() = settings;
+                }
+                Err(error) => tracing::error!(%error, "settings rejected, the old ones stay"),
+            },
+        }
+    }
+}
+
+/// Closes idle connections that are too old.
+async fn sweep(state: Rc<State>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = state.clock.now();
+        let usable = |upstream| {
+            let directory = state.directory.borrow();
+            directory.get(upstream).is_some_and(|record| record.usable)
+        };
+        state.pool.sweep(now, usable);
+        state.queue.borrow_mut().retain(usable);
+    }
+}
+
+/// Withdraws readiness, hands the lead over, finishes what is under way and ends.
+async fn shut_down(
+    state: &Rc<State>,
+    socket: &UdpSocket,
+    connections: &Connections,
+    stop: &watch::Sender<bool>,
+) {
+    let grace = state.settings.borrow().grace;
+    tracing::info!(connections = connections.open(), "shutdown started");
+    state.stopping.set(true);
+    let epoch = state.lead.borrow().epoch();
+    let settled = leader::depose(state);
+    if let Some(epoch) = epoch {
+        let resigned = peers::Message::Resigned { epoch, settled };
+        peers::broadcast(state, socket, &resigned).await;
+    }
+    let drained = async {
+        tokio::time::sleep(READINESS_LEAD).await;
+        stop.send_replace(true);
+        connections.close();
+        while connections.open() > 0 {
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
+    };
+    let finished = tokio::time::timeout(grace, drained).await.is_ok();
+    tracing::info!(finished, cut_off = connections.open(), "shutdown finished");
+}
--- /dev/null
+++ b/crates/entry/src/leader.rs
@@ -0,0 +1,576 @@
+//! The leader's duties: its record in the store, grants, and the map of owners.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Full;
+use medlarreel_core::entry::lead::{self, RIGHT};
+use medlarreel_core::entry::ledger::{self, CALL_LIMIT, Kind, Ledger, Order, Reply};
+use medlarreel_core::entry::map::{Map, Owner};
+use medlarreel_core::entry::plan::{Candidate, Weights};
+use medlarreel_core::time::Time;
+use medlarreel_macros::data;
+use rand::Rng;
+use tokio::net::UdpSocket;
+
+use crate::error::Error;
+use crate::link::Link;
+use crate::peers::{self, Message};
+use crate::platform::grants;
+use crate::platform::store::{Append, Store};
+use crate::state::{Member, State};
+
+/// Topic of the leader's records.
+const TOPIC: &str = "keyed.medlarreel";
+
+/// Topic of the instances.
+const MEMBERS: &str = "keyed.medlarreel-instances";
+
+/// Key of the record that names the leader.
+const LEAD: &str = "lead";
+
+/// Key of the record that names the possible holder of each key.
+const OWNERS: &str = "owners";
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between the leader's signs of life.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Time between looks at whether keys should move.
+const REARRANGE: Duration = Duration::from_millis(500);
+
+/// Time between looks at the leader's record by an instance that hears no leader.
+const LOOK: Duration = Duration::from_millis(1_000);
+
+/// Time after its first registration that a service's first placement waits for
+/// further upstreams.
+const GATHER: Duration = Duration::from_millis(1_200);
+
+/// Pause after a failed attempt to take the lead.
+const STAND_PAUSE: Duration = Duration::from_millis(500);
+
+/// Part of a key's count that is kept from one second to the next.
+const COUNT_FADE: f64 = 0.8;
+
+/// Release of a holder waits for running requests, for at most this long.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
+
+/// The leader's record.
+#[data(value)]
+struct Record {
+    name: String,
+    /// Distinguishes the records of two processes with one name.
+    nonce: u64,
+    /// Offset of the record by which the lead was won; 0 in that record itself.
+    epoch: u64,
+}
+
+/// An instance's record.
+#[data(value)]
+struct Presence {
+    address: SocketAddr,
+    started: u64,
+}
+
+/// Tasks of an instance that may lead.
+#[derive(Debug)]
+pub struct Leader {
+    state: Rc<State>,
+    socket: Rc<UdpSocket>,
+    store: Store,
+    nonce: u64,
+    end: u64,
+    appended: Time,
+    beaten: Time,
+    arranged: Time,
+    looked: Time,
+    gathering: HashMap<String, Time>,
+    counts: HashMap<String, BTreeMap<u16, f64>>,
+    shown: (u64, u64),
+}
+
+/// Gives up the lead; true if no earlier leader can act any more either.
+pub fn depose(state: &State) -> bool {
+    let now = state.clock.now();
+    state.lead.borrow_mut().resign(now);
+    let Some(ledger) = state.ledger.borrow_mut().take() else {
+        return false;
+    };
+    state.metrics.leads.set(0);
+    tracing::info!(epoch = ledger.epoch(), "no longer the leader");
+    !ledger.inherits(now)
+}
+
+/// Announces this instance and learns of the others.
+pub async fn join(state: &Rc<State>, socket: &UdpSocket) {
+    let settings = state.settings.borrow().clone();
+    let mut store = Store::new(settings.store);
+    let presence = Presence {
+        address: settings.peers,
+        started: state.started,
+    };
+    loop {
+        match announce(&mut store, &settings.name, &presence).await {
+            Ok(members) => {
+                state.store_answered(true);
+                let mut known = state.members.borrow_mut();
+                for (name, presence) in members {
+                    let member = Member {
+                        address: presence.address,
+                        started: presence.started,
+                    };
+                    if name != settings.name {
+                        known.entry(name).or_insert(member);
+                    }
+                }
+                tracing::info!(members = known.len(), "instances known");
+                break;
+            }
+            Err(error) => {
+                state.store_answered(false);
+                tracing::debug!(%error, "presence not announced");
+                tokio::time::sleep(STAND_PAUSE).await;
+            }
+        }
+    }
+    let hello = Message::Hello {
+        name: settings.name,
+        started: state.started,
+    };
+    peers::broadcast(state, socket, &hello).await;
+    *state.lead.borrow_mut() = lead::Lead::new(state.clock.now());
+}
+
+async fn announce(
+    store: &mut Store,
+    name: &str,
+    presence: &Presence,
+) -> Result<Vec<(String, Presence)>, Error> {
+    let value = encode(presence)?;
+    store.append(MEMBERS, name, &value, None).await?;
+    let newest = store.newest(MEMBERS).await?;
+    let items = newest.items.into_iter();
+    Ok(items
+        .filter_map(|item| {
+            let presence = postcard::from_bytes(&item.value?).ok()?;
+            Some((item.key, presence))
+        })
+        .collect())
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    postcard::to_allocvec(value).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+impl Leader {
+    /// Tasks of an instance that doesn't lead yet.
+    pub fn new(state: Rc<State>, socket: Rc<UdpSocket>) -> Leader {
+        let store = Store::new(state.settings.borrow().store);
+        Leader {
+            state,
+            socket,
+            store,
+            nonce: rand::rng().random(),
+            end: 0,
+            appended: Time(0),
+            beaten: Time(0),
+            arranged: Time(0),
+            looked: Time(0),
+            gathering: HashMap::new(),
+            counts: HashMap::new(),
+            shown: (0, 0),
+        }
+    }
+
+    /// Stands for the lead when nobody leads, and leads when it has won.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            let now = self.state.clock.now();
+            if self.state.lead.borrow().epoch().is_some() {
+                self.lead(now).await;
+            } else {
+                self.follow(now).await;
+            }
+            if !self.state.queue.borrow().is_empty() {
+                self.state.pump();
+            }
+        }
+    }
+
+    async fn follow(&mut self, now: Time) {
+        if self.state.stopping.get() {
+            return;
+        }
+        let place = self.place();
+        let reachable = !self.state.store.get().failing && self.state.listed.get();
+        if !self.state.lead.borrow().stands(now, place, reachable) {
+            return;
+        }
+        if now.since(self.looked) < LOOK {
+            return;
+        }
+        self.looked = now;
+        match self.stand(now).await {
+            Ok(()) => self.state.store_answered(true),
+            Err(error) => {
+                tracing::info!(%error, "lead not taken");
+                let until = self.state.clock.now() + STAND_PAUSE;
+                self.state.lead.borrow_mut().wait(until);
+            }
+        }
+    }
+
+    /// Place among the instances that could stand, so that they don't all at once.
+    fn place(&self) -> u32 {
+        let members = self.state.members.borrow();
+        let salt = self.state.lead.borrow().highest();
+        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), salt);
+        let mine = rank(&self.state.name());
+        let leader = self.state.lead.borrow().leader().map(ToOwned::to_owned);
+        let ahead = members
+            .keys()
+            .filter(|name| Some(*name) != leader.as_ref() && rank(name) < mine)
+            .count();
+        (ahead % 8) as u32
+    }
+
+    async fn stand(&mut self, now: Time) -> Result<(), Error> {
+        let newest = self.store.newest(TOPIC).await?;
+        let value = |key: &str| {
+            let item = newest.items.iter().find(|item| item.key == key)?;
+            Some((item.offset, item.value.clone()?))
+        };
+        let before = match value(LEAD) {
+            Some((offset, bytes)) => {
+                let record: Record = postcard::from_bytes(&bytes).map_err(unreadable)?;
+                Some((offset.max(record.epoch), record))
+            }
+            None => None,
+        };
+        let owners: Map = match value(OWNERS) {
+            Some((_, bytes)) => postcard::from_bytes(&bytes).map_err(unreadable)?,
+            None => Map::default(),
+        };
+        if let Some((offset, record)) = &before {
+            let epoch = if record.epoch == 0 {
+                *offset
+            } else {
+                record.epoch
+            };
+            let mut lead = self.state.lead.borrow_mut();
+            // A leader that is not heard but has won meanwhile gets its time.
+            if lead.hear(now, epoch, &record.name, true)
+                && lead.leader() != Some(&self.state.name())
+            {
+                drop(lead);
+                if owners.epoch >= self.state.view.borrow().epoch {
+                    self.state.adopt_view(owners);
+                }
+                return Ok(());
+            }
+        }
+        let record = Record {
+            name: self.state.name(),
+            nonce: self.nonce,
+            epoch: 0,
+        };
+        let sent = self.state.clock.now();
+        let value = encode(&record)?;
+        match self
+            .store
+            .append(TOPIC, LEAD, &value, Some(newest.end))
+            .await?
+        {
+            Append::Done(epoch) => {
+                self.won(epoch, sent, owners);
+                Ok(())
+            }
+            Append::Conflict => Err(Error::Refused(412)),
+        }
+    }
+
+    fn won(&mut self, epoch: u64, sent: Time, owners: Map) {
+        let now = self.state.clock.now();
+        let hold = self.state.settings.borrow().hold;
+        let mut ledger = Ledger::new(epoch, hold);
+        let until =
+            now + medlarreel_core::time::longest(RIGHT) + CALL_LIMIT + ledger::longest(hold);
+        tracing::info!(epoch, predecessor = owners.epoch, "leader now");
+        ledger.adopt(&owners, now, until);
+        self.end = epoch + 1;
+        self.appended = now;
+        self.gathering.clear();
+        *self.state.ledger.borrow_mut() = Some(ledger);
+        let name = self.state.name();
+        self.state.lead.borrow_mut().won(&name, epoch, sent);
+        self.state.metrics.leads.set(1);
+        self.state.metrics.epoch.set(epoch as i64);
+        // Beats of this epoch make the predecessor stop and answer.
+        self.beaten = Time(0);
+        self.arranged = Time(0);
+    }
+
+    async fn lead(&mut self, now: Time) {
+        if self.state.lead.borrow().acting(now).is_some() {
+            if now.since(self.arranged) >= REARRANGE {
+                self.arranged = now;
+                self.rearrange(now);
+            }
+            self.order(now);
+        }
+        self.show(now).await;
+        self.keep_record(now).await;
+    }
+
+    fn rearrange(&mut self, now: Time) {
+        self.count();
+        let state = Rc::clone(&self.state);
+        let mut ledger = state.ledger.borrow_mut();
+        let Some(ledger) = ledger.as_mut() else {
+            return;
+        };
+        let table = Rc::clone(&state.table.borrow());
+        if !table.is_known() || !state.listed.get() {
+            return;
+        }
+        let mut candidates: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
+        let directory = state.directory.borrow();
+        for (_, record) in directory.usable() {
+            let entry = &record.entry;
+            if table
+                .service(&entry.service)
+                .is_some_and(|service| service.keyed)
+            {
+                candidates
+                    .entry(&entry.service)
+                    .or_default()
+                    .push(Candidate {
+                        owner: Owner {
+                            id: entry.id.clone(),
+                            born: entry.born,
+                            address: entry.address,
+                        },
+                        capacity: f64::from(entry.slots.max(1)),
+                    });
+            }
+        }
+        ledger.retain(|name| table.service(name).is_none_or(|service| service.keyed));
+        for (service, mut found) in candidates {
+            let since = *self.gathering.entry(service.to_owned()).or_insert(now);
+            if ledger.holders(service).is_empty() && now.since(since) < GATHER {
+                continue;
+            }
+            found.sort_by(|a, b| a.owner.cmp(&b.owner));
+            let weights = Weights::new(self.counts.get(service).cloned().unwrap_or_default());
+            ledger.rearrange(now, service, &found, &weights);
+        }
+    }
+
+    /// Adds the requests by key since the last look to the faded counts.
+    fn count(&mut self) {
+        let fade = COUNT_FADE.powf(REARRANGE.as_secs_f64());
+        for keys in self.counts.values_mut() {
+            keys.values_mut().for_each(|count| *count *= fade);
+            keys.retain(|_, count| *count > 0.1);
+        }
+        for (service, keys) in std::mem::take(&mut *self.state.busy.borrow_mut()) {
+            let counts = self.counts.entry(service).or_default();
+            for (key, count) in keys {
+                *counts.entry(key).or_default() += f64::from(count);
+            }
+        }
+    }
+
+    /// Sends the orders that are due.
+    fn order(&self, now: Time) {
+        let orders = {
+            let directory = self.state.directory.borrow();
+            let reborn = |owner: &Owner| {
+                let found = directory.find(&owner.id);
+                found.is_some_and(|(_, record)| record.entry.born > owner.born)
+            };
+            let mut ledger = self.state.ledger.borrow_mut();
+            ledger.as_mut().map(|ledger| ledger.tick(now, reborn))
+        };
+        for order in orders.into_iter().flatten() {
+            let state = Rc::clone(&self.state);
+            tokio::task::spawn_local(async move { carry_out(&state, order).await });
+        }
+    }
+
+    /// Tells the other instances that the leader lives and who owns what.
+    async fn show(&mut self, now: Time) {
+        let views = {
+            let ledger = self.state.ledger.borrow();
+            ledger
+                .as_ref()
+                .map(|ledger| (ledger.epoch(), ledger.views()))
+        };
+        let Some(order) = views else {
+            return;
+        };
+        if order != self.shown {
+            self.shown = order;
+            let view = self.state.ledger.borrow().as_ref().map(Ledger::view);
+            if let Some(view) = view {
+                self.state.adopt_view(view.clone());
+                peers::broadcast(&self.state, &self.socket, &Message::View(view)).await;
+            }
+        }
+        if now.since(self.beaten) >= BEAT {
+            self.beaten = now;
+            let beat = peers::beat(&self.state, order);
+            peers::broadcast(&self.state, &self.socket, &beat).await;
+        }
+    }
+
+    /// Writes the record of owners if it lacks one, and renews the lead.
+    async fn keep_record(&mut self, now: Time) {
+        let (epoch, pending) = {
+            let ledger = self.state.ledger.borrow();
+            let Some(ledger) = ledger.as_ref() else {
+                return;
+            };
+            let record = ledger
+                .needs_record()
+                .then(|| (ledger.version(), ledger.record()));
+            (ledger.epoch(), record)
+        };
+        if pending.is_none() && now.since(self.appended) < lead::RENEWAL {
+            return;
+        }
+        if self.state.store.get().failing && now.since(self.appended) < STAND_PAUSE {
+            return;
+        }
+        let sent = self.state.clock.now();
+        self.appended = sent;
+        match self
+            .write(epoch, pending.as_ref().map(|(_, map)| map))
+            .await
+        {
+            Ok(true) => {
+                self.state.store_answered(true);
+                self.state.metrics.call("lead", "done");
+                self.state.lead.borrow_mut().confirm(sent);
+                if let (Some((version, _)), Some(ledger)) =
+                    (pending, self.state.ledger.borrow_mut().as_mut())
+                {
+                    ledger.recorded(version);
+                }
+            }
+            Ok(false) => {
+                depose(&self.state);
+            }
+            Err(error) => {
+                self.state.store_answered(false);
+                self.state.metrics.call("lead", "failed");
+                tracing::info!(%error, "leader's record not written");
+            }
+        }
+    }
+
+    /// Appends a record; false if another instance leads.
+    async fn write(&mut self, epoch: u64, owners: Option<&Map>) -> Result<bool, Error> {
+        let (key, value) = match owners {
+            Some(map) => (OWNERS, encode(map)?),
+            None => {
+                let record = Record {
+                    name: self.state.name(),
+                    nonce: self.nonce,
+                    epoch,
+                };
+                (LEAD, encode(&record)?)
+            }
+        };
+        let appended = self
+            .store
+            .append(TOPIC, key, &value, Some(self.end))
+            .await?;
+        if let Append::Done(offset) = appended {
+            self.end = offset + 1;
+            return Ok(true);
+        }
+        // The topic ends elsewhere: an own append whose answer was lost, or
+        // another leader.
+        let newest = self.store.newest(TOPIC).await?;
+        let item = newest.items.iter().find(|item| item.key == LEAD);
+        let value = item.and_then(|item| item.value.clone());
+        let record: Option<Record> = match value {
+            Some(bytes) => Some(postcard::from_bytes(&bytes).map_err(unreadable)?),
+            None => None,
+        };
+        match record {
+            Some(record) if record.nonce == self.nonce => {
+                self.end = newest.end;
+                Err(Error::Refused(412))
+            }
+            _ => Ok(false),
+        }
+    }
+}
+
+fn unreadable(error: postcard::Error) -> Error {
+    Error::Malformed(error.to_string())
+}
+
+/// Sends an order to an upstream and notes its answer.
+async fn carry_out(state: &Rc<State>, order: Order) {
+    let sent = state.clock.now();
+    let reply = match call(&order).await {
+        Ok(reply) => reply,
+        Err(Error::NotSent(_)) => Reply::NotSent,
+        Err(_) => Reply::Unknown,
+    };
+    let outcome = match &reply {
+        Reply::Done { .. } => "done",
+        Reply::Fenced => "fenced",
+        Reply::NotSent => "not_sent",
+        Reply::Unknown => "unknown",
+    };
+    let kind = match order.kind {
+        Kind::Grant { .. } => "grant",
+        Kind::Release => "release",
+    };
+    state.metrics.call(kind, outcome);
+    let now = state.clock.now();
+    if outcome != "done" || kind == "release" {
+        tracing::info!(
+            kind,
+            outcome,
+            service = order.service,
+            first = order.first,
+            last = order.last,
+            upstream = order.owner.id,
+            fence = order.fence,
+            took_ms = now.since(sent).as_millis() as u64,
+            "order answered"
+        );
+    }
+    if let Some(ledger) = state.ledger.borrow_mut().as_mut() {
+        ledger.answered(now, sent, &order, &reply);
+    }
+}
+
+async fn call(order: &Order) -> Result<Reply, Error> {
+    let (path, body) = grants::encode(order).map_err(|error| Error::NotSent(error.to_string()))?;
+    let limit = match order.kind {
+        Kind::Grant { .. } => CALL_LIMIT / 2,
+        Kind::Release => RELEASE_LIMIT,
+    };
+    let mut link = Link::connect(order.owner.address, CALL_LIMIT / 2).await?;
+    let request = Request::post(path)
+        .header(header::HOST, order.owner.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::CONTENT_LENGTH, body.len())
+        .body(Full::new(Bytes::clone(&body)))
+        .map_err(|error| Error::NotSent(error.to_string()))?;
+    let answer = link.exchange(request, limit).await?;
+    Ok(grants::decode(answer.status, &answer.headers))
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Counters and histograms of one instance.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Route and outcome of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// Name of the route.
+    pub route: String,
+    /// How the request ended.
+    pub outcome: String,
+}
+
+/// A name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Named {
+    /// What is counted.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub requests: Family<Outcome, Counter>,
+    /// Requests that were sent again, by route and reason.
+    pub resends: Family<Outcome, Counter>,
+    /// Calls to the store and to upstreams' grants, by kind and outcome.
+    pub calls: Family<Named, Counter>,
+    /// Time from a request's arrival to its answer, in seconds.
+    pub latency: Histogram,
+    /// Requests that wait.
+    pub waiting: Gauge,
+    /// Version of the configuration in force.
+    pub config: Gauge,
+    /// Epoch of the leader.
+    pub epoch: Gauge,
+    /// 1 if this instance leads.
+    pub leads: Gauge,
+    /// Log lines that were dropped.
+    pub lines_dropped: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut registry = Registry::with_prefix("medlarreel");
+        // 2 ms to 16 s, the range of deadlines.
+        let latency = Histogram::new(exponential_buckets(0.002, 2.0, 14));
+        let metrics = Metrics {
+            registry: Registry::default(),
+            requests: Family::default(),
+            resends: Family::default(),
+            calls: Family::default(),
+            latency,
+            waiting: Gauge::default(),
+            config: Gauge::default(),
+            epoch: Gauge::default(),
+            leads: Gauge::default(),
+            lines_dropped: Counter::default(),
+        };
+        registry.register(
+            "requests",
+            "Requests by route and outcome",
+            metrics.requests.clone(),
+        );
+        registry.register(
+            "resends",
+            "Second sends by route and reason",
+            metrics.resends.clone(),
+        );
+        registry.register("calls", "Calls by kind and outcome", metrics.calls.clone());
+        registry.register(
+            "latency_seconds",
+            "Arrival to answer",
+            metrics.latency.clone(),
+        );
+        registry.register("waiting", "Requests that wait", metrics.waiting.clone());
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            metrics.config.clone(),
+        );
+        registry.register("epoch", "Epoch of the leader", metrics.epoch.clone());
+        registry.register(
+            "leads",
+            "Whether this instance leads",
+            metrics.leads.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines",
+            metrics.lines_dropped.clone(),
+        );
+        Metrics {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a call.
+    pub fn call(&self, kind: &'static str, outcome: &'static str) {
+        self.calls.get_or_create(&Named { kind, outcome }).inc();
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, route: &str, outcome: &str) {
+        let labels = Outcome {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a second send.
+    pub fn resend(&self, route: &str, outcome: &str) {
+        let labels = Outcome {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.resends.get_or_create(&labels).inc();
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// If a metric can't be written.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,208 @@
+//! Messages between instances, over UDP.
+//!
+//! The leader tells all others that it lives and which keys have which owner;
+//! they tell it which keys are busy. Messages may be lost, and each is sent
+//! again or superseded.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use medlarreel_core::entry::map::Map;
+use medlarreel_macros::data;
+use tokio::net::UdpSocket;
+
+use crate::state::{Member, State};
+
+/// Largest message, in bytes.
+const MAX_MESSAGE: usize = 60_000;
+
+/// Time between reports of busy keys to the leader.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Busiest keys of a service that a report names.
+const REPORT_KEYS: usize = 200;
+
+/// A message.
+#[data(value)]
+pub enum Message {
+    /// An instance has started.
+    Hello {
+        /// Its name.
+        name: String,
+        /// Start of its process, in wall-clock milliseconds.
+        started: u64,
+    },
+    /// The leader lives.
+    Beat {
+        /// Its epoch.
+        epoch: u64,
+        /// Its name.
+        name: String,
+        /// Whether it reaches the store.
+        able: bool,
+        /// Epoch and version of its map of owners.
+        order: (u64, u64),
+    },
+    /// The sender wants the leader's map.
+    Ask,
+    /// The leader's map of owners.
+    View(Map),
+    /// The leader of an epoch has given it up, and sends no more orders.
+    Resigned {
+        /// Its epoch.
+        epoch: u64,
+        /// Whether leaders before it can't act any more either.
+        settled: bool,
+    },
+    /// Requests by service and key since the last report.
+    Busy(BTreeMap<String, Vec<(u16, u32)>>),
+}
+
+/// Sends a message; a failure is logged, since every message is repeated.
+pub async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
+    let bytes = match postcard::to_allocvec(message) {
+        Ok(bytes) if bytes.len() <= MAX_MESSAGE => bytes,
+        Ok(bytes) => {
+            tracing::error!(bytes = bytes.len(), "message too large");
+            return;
+        }
+        Err(error) => {
+            tracing::error!(%error, "message can't be encoded");
+            return;
+        }
+    };
+    if let Err(error) = socket.send_to(&bytes, to).await {
+        tracing::debug!(%to, %error, "message not sent");
+    }
+}
+
+/// Sends a message to all other instances.
+pub async fn broadcast(state: &State, socket: &UdpSocket, message: &Message) {
+    let members: Vec<SocketAddr> = {
+        let members = state.members.borrow();
+        members.values().map(|member| member.address).collect()
+    };
+    for address in members {
+        send(socket, address, message).await;
+    }
+}
+
+/// Receives messages until the process ends.
+pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_MESSAGE];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                Ok(message) => handle(&state, &socket, from, message).await,
+                Err(error) => tracing::debug!(%from, %error, "message can't be read"),
+            },
+            Err(error) => tracing::debug!(%error, "message not received"),
+        }
+    }
+}
+
+async fn handle(state: &Rc<State>, socket: &UdpSocket, from: SocketAddr, message: Message) {
+    let now = state.clock.now();
+    match message {
+        Message::Hello { name, started } => {
+            let member = Member {
+                address: from,
+                started,
+            };
+            let known = state.members.borrow_mut().insert(name.clone(), member);
+            tracing::info!(name, %from, replaced = known.is_some(), "instance joined");
+            let ledger = state.ledger.borrow().as_ref().map(|ledger| ledger.view());
+            if let Some(view) = ledger {
+                send(socket, from, &beat(state, view.order())).await;
+                send(socket, from, &Message::View(view)).await;
+            }
+        }
+        Message::Beat {
+            epoch,
+            name,
+            able,
+            order,
+        } => {
+            let was = state.lead.borrow().epoch();
+            if state.lead.borrow_mut().hear(now, epoch, &name, able) {
+                tracing::info!(epoch, leader = name, "leader changed");
+                state.metrics.epoch.set(epoch as i64);
+                if let Some(was) = was {
+                    let settled = crate::leader::depose(state);
+                    let resigned = Message::Resigned {
+                        epoch: was,
+                        settled,
+                    };
+                    send(socket, from, &resigned).await;
+                }
+            }
+            if epoch >= state.lead.borrow().highest() && order > state.view.borrow().order() {
+                send(socket, from, &Message::Ask).await;
+            }
+        }
+        Message::Ask => {
+            let view = state.ledger.borrow().as_ref().map(|ledger| ledger.view());
+            if let Some(view) = view {
+                send(socket, from, &Message::View(view)).await;
+            }
+        }
+        Message::View(map) => {
+            if map.epoch >= state.lead.borrow().highest() {
+                state.adopt_view(map);
+            }
+        }
+        Message::Resigned { epoch, settled } => {
+            state.lead.borrow_mut().resigned(now, epoch);
+            if let Some(ledger) = state.ledger.borrow_mut().as_mut().filter(|_| settled) {
+                ledger.predecessor_stopped(epoch, now);
+            }
+        }
+        Message::Busy(counts) => {
+            let mut busy = state.busy.borrow_mut();
+            for (service, keys) in counts {
+                let total = busy.entry(service).or_default();
+                for (key, count) in keys {
+                    *total.entry(key).or_default() += count;
+                }
+            }
+        }
+    }
+}
+
+/// Sign of life of this instance as the leader.
+pub fn beat(state: &State, order: (u64, u64)) -> Message {
+    let lead = state.lead.borrow();
+    Message::Beat {
+        epoch: lead.epoch().unwrap_or_default(),
+        name: state.name(),
+        able: !state.store.get().failing,
+        order,
+    }
+}
+
+/// Reports busy keys to the leader until the process ends.
+pub async fn report(state: Rc<State>, socket: Rc<UdpSocket>) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        if state.lead.borrow().epoch().is_some() {
+            continue;
+        }
+        let leader = state.lead.borrow().leader().map(ToOwned::to_owned);
+        let address = leader.and_then(|leader| {
+            let members = state.members.borrow();
+            members.get(&leader).map(|member| member.address)
+        });
+        let counts = std::mem::take(&mut *state.busy.borrow_mut());
+        if let (Some(address), false) = (address, counts.is_empty()) {
+            let counts = counts.into_iter().map(|(service, keys)| {
+                let mut keys: Vec<(u16, u32)> = keys.into_iter().collect();
+                keys.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+                keys.truncate(REPORT_KEYS);
+                (service, keys)
+            });
+            send(&socket, address, &Message::Busy(counts.collect())).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,168 @@
+//! Settings of an entry instance, from INI text to checked values.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use medlarreel_core::config::value::{self, Flaw};
+use medlarreel_core::config::{Document, Section, Shape};
+
+/// Variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "MEDLARREEL_BOOT";
+
+/// Longest hold that is asked for. Keys of a lost upstream are out of service
+/// for about this time, and renewals take place three times as often.
+const HOLD: Duration = Duration::from_secs(4);
+
+/// Time kept back before the platform kills a process that was told to stop.
+const GRACE_RESERVE: Duration = Duration::from_millis(500);
+
+const SHAPES: &[Shape] = &[
+    Shape {
+        kind: "instance",
+        named: false,
+        keys: &["name", "domain"],
+    },
+    Shape {
+        kind: "listen",
+        named: false,
+        keys: &["callers", "readiness", "peers", "metrics"],
+    },
+    Shape {
+        kind: "platform",
+        named: false,
+        keys: &["store", "heartbeat"],
+    },
+    Shape {
+        kind: "bounds",
+        named: false,
+        keys: &["grace", "hold_max", "drain", "retry_ratio"],
+    },
+];
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// UDP address for the other instances.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time between the reports of an upstream.
+    pub heartbeat: Duration,
+    /// Time from the signal to stop until the process must have ended.
+    pub grace: Duration,
+    /// Length of the leases of keys.
+    pub hold: Duration,
+    /// Time within which a leaving upstream must be left alone.
+    pub drain: Duration,
+    /// Second sends per request that all instances together may make.
+    pub retry_ratio: f64,
+}
+
+impl Settings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// If the file can't be read, or every mistake in it with its line.
+    pub fn load(path: &Path) -> eyre::Result<Settings> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| eyre::eyre!("{}: {error}", path.display()))?;
+        Settings::parse(&text).map_err(|mistakes| {
+            let lines: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
+            eyre::eyre!("{}: {}", path.display(), lines.join("; "))
+        })
+    }
+
+    /// Reads INI text.
+    ///
+    /// # Errors
+    ///
+    /// Every mistake in the text, with its line.
+    pub fn parse(text: &str) -> Result<Settings, Vec<medlarreel_core::config::Mistake>> {
+        let document = Document::read(text, SHAPES);
+        let settings = read(&document);
+        document.finish(settings)
+    }
+}
+
+fn read(document: &Document) -> Option<Settings> {
+    let instance = document.require("instance");
+    let listen = document.require("listen");
+    let platform = document.require("platform");
+    let bounds = document.sections("bounds").next();
+    let bound = |key, default| seconds_or(bounds, key, default);
+    let grace = bound("grace", Duration::from_secs(6));
+    let hold_max = bound("hold_max", Duration::from_secs(10));
+    let drain = bound("drain", Duration::from_secs(2));
+    let ratio = bounds.map_or(Some(0.2), |bounds| bounds.or("retry_ratio", ratio, 0.2));
+    let address = |key| listen.and_then(|section| section.require(key, value::address));
+    let (callers, readiness) = (address("callers"), address("readiness"));
+    let (peers, metrics) = (address("peers"), address("metrics"));
+    let instance = instance.map(|section| {
+        let name = section.require("name", text);
+        (name, section.require("domain", text))
+    });
+    let platform = platform.map(|section| {
+        let store = section.require("store", value::address);
+        (
+            store,
+            section.or("heartbeat", seconds, Duration::from_secs(1)),
+        )
+    });
+    let ((name, domain), (store, heartbeat)) = (instance?, platform?);
+    Some(Settings {
+        name: name?,
+        domain: domain?,
+        callers: callers?,
+        readiness: readiness?,
+        peers: peers?,
+        metrics: metrics?,
+        store: store?,
+        heartbeat: heartbeat?,
+        grace: grace?.saturating_sub(GRACE_RESERVE),
+        hold: hold_max?.min(HOLD),
+        drain: drain?,
+        retry_ratio: ratio?,
+    })
+}
+
+fn seconds_or(
+    section: Option<Section<'_>>,
+    key: &'static str,
+    default: Duration,
+) -> Option<Duration> {
+    section.map_or(Some(default), |section| section.or(key, seconds, default))
+}
+
+/// Seconds with fractions, such as `0.87 s`.
+fn seconds(text: &str) -> Result<Duration, Flaw> {
+    let flaw = || Flaw::bad("a time such as `0.5 s`", "write seconds and the unit s");
+    let number = text.strip_suffix('s').ok_or_else(flaw)?.trim();
+    let number: f64 = number.parse().map_err(|_| flaw())?;
+    Duration::try_from_secs_f64(number).map_err(|_| flaw())
+}
+
+fn ratio(text: &str) -> Result<f64, Flaw> {
+    let number = text.parse::<f64>().ok();
+    number
+        .filter(|number| (0.0..=1.0).contains(number))
+        .ok_or_else(|| Flaw::bad("a number from 0 to 1", "write a fraction such as 0.2"))
+}
+
+fn text(text: &str) -> Result<String, Flaw> {
+    match text.is_empty() {
+        true => Err(Flaw::bad("a name", "write the name")),
+        false => Ok(text.to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,236 @@
+//! What the tasks of an instance share. All of them run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use medlarreel_core::entry::directory::Directory;
+use medlarreel_core::entry::lead::Lead;
+use medlarreel_core::entry::ledger::Ledger;
+use medlarreel_core::entry::map::Map;
+use medlarreel_core::entry::queue::{Choice, Decision, Queue, Ticket, View};
+use medlarreel_core::entry::routes::{Split, Table};
+use medlarreel_core::retry::Budget;
+use medlarreel_core::time::Time;
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// Reserve within the time in which a leaving upstream must be left alone, for
+/// requests that are on their way and for the reader's delays.
+const DRAIN_RESERVE: Duration = Duration::from_millis(450);
+
+/// Part of the allowed second sends that an instance uses. All instances share
+/// the allowance and see uneven parts of the requests.
+const BUDGET_PART: f64 = 0.5;
+
+/// Another instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    /// Its address for messages.
+    pub address: SocketAddr,
+    /// Start of its process, in wall-clock milliseconds.
+    pub started: u64,
+}
+
+/// Belief about the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreHealth {
+    /// Newest successful call.
+    pub answered: Option<Time>,
+    /// Time of the first success after a failure.
+    pub regained: Option<Time>,
+    /// Whether the newest call failed.
+    pub failing: bool,
+}
+
+/// Shared state.
+#[derive(Debug)]
+pub struct State {
+    /// Checked settings.
+    pub settings: RefCell<Settings>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Start of the process, in wall-clock milliseconds.
+    pub started: u64,
+    /// Configuration in force.
+    pub table: RefCell<Rc<Table>>,
+    /// Counts of split routes.
+    pub split: RefCell<Split>,
+    /// Upstreams.
+    pub directory: RefCell<Directory>,
+    /// Whether the directory was read once.
+    pub listed: Cell<bool>,
+    /// Owners of keys.
+    pub view: RefCell<Map>,
+    /// Waiting requests and room at upstreams.
+    pub queue: RefCell<Queue>,
+    /// Tasks that wait for a decision.
+    pub tickets: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
+    /// Budget of second sends.
+    pub budget: RefCell<Budget>,
+    /// Idle connections.
+    pub pool: Pool,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Who leads.
+    pub lead: RefCell<Lead>,
+    /// The leader's account.
+    pub ledger: RefCell<Option<Ledger>>,
+    /// Other instances, by name.
+    pub members: RefCell<BTreeMap<String, Member>>,
+    /// Belief about the store.
+    pub store: Cell<StoreHealth>,
+    /// Whether the instance is about to stop.
+    pub stopping: Cell<bool>,
+    /// Requests by service and key since the last report.
+    pub busy: RefCell<HashMap<String, HashMap<u16, u32>>>,
+    /// Asks the reader to read registrations now.
+    pub refresh: Notify,
+    next_ticket: Cell<u64>,
+}
+
+impl State {
+    /// State of an instance that knows nothing yet.
+    pub fn new(settings: Settings) -> Rc<State> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let percent = (settings.retry_ratio * BUDGET_PART * 100.0) as u8;
+        let started = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as u64);
+        Rc::new(State {
+            settings: RefCell::new(settings),
+            clock,
+            started,
+            table: RefCell::default(),
+            split: RefCell::default(),
+            directory: RefCell::default(),
+            listed: Cell::new(false),
+            view: RefCell::default(),
+            queue: RefCell::default(),
+            tickets: RefCell::default(),
+            budget: RefCell::new(Budget::new(now, percent, 0)),
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            lead: RefCell::new(Lead::new(now)),
+            ledger: RefCell::default(),
+            members: RefCell::default(),
+            store: Cell::default(),
+            stopping: Cell::new(false),
+            busy: RefCell::default(),
+            refresh: Notify::new(),
+            next_ticket: Cell::new(0),
+        })
+    }
+
+    /// Name of this instance.
+    pub fn name(&self) -> String {
+        self.settings.borrow().name.clone()
+    }
+
+    /// Identity for a waiting request.
+    pub fn ticket(&self) -> Ticket {
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        Ticket(ticket)
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.table.borrow().is_known() && self.listed.get()
+    }
+
+    /// Notes the outcome of a call to the store.
+    pub fn store_answered(&self, success: bool) {
+        let now = self.clock.now();
+        let mut health = self.store.get();
+        if success {
+            if health.failing {
+                health.regained = Some(now);
+                tracing::info!(dependency = "store", "dependency regained");
+            }
+            health.answered = Some(now);
+        } else if !health.failing {
+            tracing::warn!(dependency = "store", "dependency lost");
+        }
+        health.failing = !success;
+        self.store.set(health);
+    }
+
+    /// Passes decisions to the tasks that wait for them.
+    pub fn pump(&self) {
+        let now = self.clock.now();
+        let decisions = self.queue.borrow_mut().decide(now, self);
+        let mut tickets = self.tickets.borrow_mut();
+        for (ticket, decision) in decisions {
+            if let Some(waiter) = tickets.remove(&ticket) {
+                // The waiter cancels its ticket before it goes away.
+                waiter.send(decision).ok();
+            }
+        }
+        self.metrics.waiting.set(self.queue.borrow().len() as i64);
+    }
+
+    /// Takes a newer map of owners; false if it is not newer.
+    pub fn adopt_view(&self, map: Map) -> bool {
+        if map.order() <= self.view.borrow().order() {
+            return false;
+        }
+        let unknown = {
+            let directory = self.directory.borrow();
+            let mut owners = map.services.values().flatten();
+            owners.any(|slice| {
+                let owner = slice.owner.as_ref();
+                owner.is_some_and(|owner| directory.find(&owner.id).is_none())
+            })
+        };
+        if unknown {
+            self.refresh.notify_one();
+        }
+        tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
+        *self.view.borrow_mut() = map;
+        self.pump();
+        true
+    }
+}
+
+impl View for State {
+    fn options(&self, service: &str, key: Option<u16>) -> Vec<Choice> {
+        let now = self.clock.now();
+        let directory = self.directory.borrow();
+        let settings = self.settings.borrow();
+        let choice = |upstream, record: &medlarreel_core::entry::directory::Record| Choice {
+            upstream,
+            slots: record.entry.slots,
+            far: record.entry.domain != settings.domain,
+            cold: now < record.warm_at,
+        };
+        let Some(key) = key else {
+            let usable = directory.usable();
+            return usable
+                .filter(|(_, record)| record.entry.service == service)
+                .map(|(upstream, record)| choice(upstream, record))
+                .collect();
+        };
+        let view = self.view.borrow();
+        let Some(owner) = view.owner(service, key) else {
+            return Vec::new();
+        };
+        let Some((upstream, record)) = directory.find(&owner.id) else {
+            return Vec::new();
+        };
+        let leaves_soon = record
+            .leaving_since
+            .is_some_and(|since| now < since + settings.drain.saturating_sub(DRAIN_RESERVE));
+        match record.entry.born == owner.born && (record.usable || leaves_soon) {
+            true => vec![choice(upstream, record)],
+            false => Vec::new(),
+        }
+    }
+}
