--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,7 +4,6 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -128,7 +127,6 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .auto_date_header(false)
-        .pipeline_flush(true)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = connection;
     let ended = tokio::select! {
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -70,7 +70,7 @@
     /// The upstream didn't run the request.
     NotRun(&'static str),
     /// No connection was made.
-    NotSent(String),
+    Unreached(String),
     /// The request may have run.
     Unknown(String),
 }
@@ -219,7 +219,7 @@
                 return pass_on(exchange, answer);
             }
             Sent::NotRun(why) => (Outcome::NotRun, why.to_owned()),
-            Sent::NotSent(why) => (Outcome::NotRun, why),
+            Sent::Unreached(why) => (Outcome::NotRun, why),
             Sent::Unknown(why) => (Outcome::Unknown, why),
         };
         if !sends_again(state, exchange, progress, outcome, &why, expected) {
@@ -355,7 +355,7 @@
         Err(error) => {
             flight.ending = Ending::Failed;
             progress.connects += 1;
-            return Sent::NotSent(error.to_string());
+            return Sent::Unreached(error.to_string());
         }
     };
     let now = state.clock.now();
@@ -378,7 +378,7 @@
             progress.under_way = false;
             progress.sends -= 1;
             progress.connects += 1;
-            return Sent::NotSent(why);
+            return Sent::Unreached(why);
         }
         Err(error) => {
             flight.ending = Ending::Failed;
