Refuse hopeless requests at once and keep slots free for urgent ones

Where a service has requests of several ranks, the others now leave 0.3 of the slots free. - requests waited until their deadline for an owner that was lost or overloaded.

Ruled out: stale connections in the pool (28 of 453 opens).

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -39,6 +39,16 @@
 /// Unanswered calls in a row after which an upstream counts as unreachable.
 const UNANSWERED: u32 = 2;
 
+/// Usual time until a free key is granted: a record in the store and a grant.
+const GRANT_TIME: Duration = Duration::from_millis(100);
+
+/// Usual time of a release: the rest of the requests that run on the keys.
+const RELEASE_TIME: Duration = Duration::from_millis(250);
+
+/// Time that a key without an owner waits while the store is away; outages
+/// last for seconds.
+const OUTAGE_TIME: Duration = Duration::from_secs(3);
+
 /// What is to be sent to an upstream.
 #[data(plain)]
 pub struct Order {
@@ -253,17 +263,34 @@
 
     /// The only possible holder of each key, for the store.
     pub fn record(&self) -> Map {
-        self.map(self.version, |state| owner(state).cloned())
+        self.map(self.version, |state| (owner(state).cloned(), 0))
     }
 
-    /// The upstream that serves each key now, for the instances.
-    pub fn view(&self) -> Map {
+    /// The upstream that serves each key now, for the instances. `able` tells
+    /// whether the store can be written.
+    pub fn view(&self, now: Time, able: bool) -> Map {
         self.map(self.views, |state| match state {
-            State::Held { owner, .. } => Some(owner.clone()),
-            _ => None,
+            State::Held { owner, .. } => (Some(owner.clone()), 0),
+            State::Free { .. } | State::Granting { .. } => {
+                (None, millis(if able { GRANT_TIME } else { OUTAGE_TIME }))
+            }
+            State::Releasing { until, sent, .. } => {
+                // An upstream that is alive answers once its requests have ended.
+                let silent = sent.is_some() && self.is_silent(owner(state));
+                let wait = if silent {
+                    until.since(now)
+                } else {
+                    RELEASE_TIME
+                };
+                (None, millis(wait + GRANT_TIME))
+            }
         })
     }
 
+    fn is_silent(&self, owner: Option<&Owner>) -> bool {
+        owner.is_some_and(|owner| self.failures.contains_key(owner))
+    }
+
     /// Notes that the store has acknowledged the record of `version`.
     pub fn recorded(&mut self, version: u64) {
         self.recorded = self.recorded.max(version);
@@ -467,17 +494,20 @@
         longest(self.hold)
     }
 
-    fn map(&self, version: u64, owner: impl Fn(&State) -> Option<Owner>) -> Map {
+    fn map(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32)) -> Map {
         let slices = |parts: &Vec<Part>| {
             let mut slices: Vec<Slice> = Vec::new();
             for part in parts {
-                let owner = owner(&part.state);
+                let (owner, wait_ms) = shown(&part.state);
                 match slices.last_mut() {
-                    Some(last) if last.owner == owner => last.last = part.last,
+                    Some(last) if last.owner == owner && last.wait_ms == wait_ms => {
+                        last.last = part.last;
+                    }
                     _ => slices.push(Slice {
                         first: part.first,
                         last: part.last,
                         owner,
+                        wait_ms,
                     }),
                 }
             }
@@ -499,6 +529,10 @@
     hold + hold / 50 + HOLD_MARGIN
 }
 
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn next(fences: &mut u64) -> u64 {
     *fences += 1;
     *fences
--- a/crates/core/src/entry/map.rs
+++ b/crates/core/src/entry/map.rs
@@ -26,6 +26,8 @@
     pub last: u16,
     /// The only upstream that may hold the keys; `None` if nobody does.
     pub owner: Option<Owner>,
+    /// Where nobody serves the keys: milliseconds until somebody likely does.
+    pub wait_ms: u32,
 }
 
 /// Owners of all keyed services.
@@ -46,10 +48,10 @@
         (self.epoch, self.version)
     }
 
-    /// Owner of a key.
-    pub fn owner(&self, service: &str, key: u16) -> Option<&Owner> {
+    /// Slice of a key.
+    pub fn slice(&self, service: &str, key: u16) -> Option<&Slice> {
         let slices = self.services.get(service)?;
         let index = slices.partition_point(|slice| slice.last < key);
-        slices.get(index)?.owner.as_ref()
+        slices.get(index)
     }
 }
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -24,6 +24,10 @@
 /// Part of an owner's share from which a single key counts as filling it.
 const DOMINANT: f64 = 0.8;
 
+/// Load above its share that an upstream takes on rather than split a range
+/// once more.
+const SLACK: f64 = 0.15;
+
 /// Part of all requests that is spread evenly over the keys, for keys without
 /// a measured weight.
 const EVEN: f64 = 0.25;
@@ -200,7 +204,9 @@
     }
 }
 
-/// Gives loose ranges to the upstreams that are furthest below their share.
+/// Gives loose ranges to upstreams that are below their share: to the owner of
+/// a neighbouring range if it has room, since each range is a lease of its
+/// own, else to the one that is furthest below.
 fn settle(
     kept: &mut [Vec<(u16, u16)>],
     loads: &mut [f64],
@@ -208,17 +214,26 @@
     weights: &Weights,
     shares: &[f64],
 ) {
-    loose.sort_by_key(|(first, last)| u32::from(*first) * 65_536 + u32::from(*last));
+    loose.sort_unstable();
     loose.reverse();
     while let Some((first, last)) = loose.pop() {
         let room = |owner: usize| (shares[owner] - loads[owner]) / shares[owner];
-        let Some(owner) = (0..shares.len()).max_by(|a, b| room(*a).total_cmp(&room(*b))) else {
+        let emptiest = (0..shares.len()).max_by(|a, b| room(*a).total_cmp(&room(*b)));
+        let Some(emptiest) = emptiest else {
             return;
         };
-        let free = shares[owner] - loads[owner];
         let weight = weights.of(first, last);
-        // A remainder of under a tenth of a share is not worth a range of its own.
-        let end = if weight <= free + shares[owner] * 0.1 {
+        let touches = |owned: &Vec<(u16, u16)>| {
+            let mut owned = owned.iter();
+            owned.any(|(start, end)| {
+                end.checked_add(1) == Some(first) || last.checked_add(1) == Some(*start)
+            })
+        };
+        let fits = |owner: &usize| loads[*owner] + weight <= shares[*owner] * (1.0 + SLACK);
+        let neighbour = (0..shares.len()).find(|owner| touches(&kept[*owner]) && fits(owner));
+        let owner = neighbour.unwrap_or(emptiest);
+        let free = shares[owner] - loads[owner];
+        let end = if weight <= free + shares[owner] * SLACK {
             last
         } else {
             weights.cut(first, last, free).unwrap_or(first)
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -5,7 +5,7 @@
 //! upstream's own queue a little; others leave it empty. A request that can't
 //! be answered in its time any more is refused as soon as that is known.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use medlarreel_macros::data;
@@ -14,10 +14,22 @@
 use crate::ids::Upstream;
 use crate::time::Time;
 
-/// Requests that may wait at an upstream beyond its slots, by rank: most urgent
-/// and others. With several instances sending, an exact fit leaves slots idle.
+/// Requests that may wait at an upstream beyond its slots. With several
+/// instances sending, an exact fit leaves slots idle.
 const DEPTH_URGENT: f64 = 2.0;
-const DEPTH_OTHERS: f64 = 1.0;
+const DEPTH: f64 = 1.0;
+
+/// Part of an upstream's slots that is kept free for urgent requests where a
+/// service has requests of several ranks. An upstream runs requests in the
+/// order in which they came, so an urgent one must find a slot free.
+const RESERVE: f64 = 0.3;
+
+/// Time for which a rank counts as present after its last request.
+const RANK_MEMORY: Duration = Duration::from_secs(5);
+
+/// Time in which an owner that this instance can't use is likely replaced: the
+/// reading interval of the leader, a release and a grant.
+const REPLACEMENT: Duration = Duration::from_millis(1_200);
 
 /// Weight of the newest run in the average run time of a route.
 const RUN_WEIGHT: f64 = 0.05;
@@ -123,10 +135,19 @@
     pub took: Duration,
 }
 
+/// Upstreams that may run a request.
+#[data(plain)]
+pub struct Outlook {
+    /// Those that may run it now.
+    pub choices: Vec<Choice>,
+    /// Where there is none: time at which there likely is one.
+    pub back: Option<Time>,
+}
+
 /// Where requests can go.
 pub trait View {
-    /// Upstreams that may run a request now; empty if there is none.
-    fn options(&self, service: &str, key: Option<u16>) -> Vec<Choice>;
+    /// Upstreams that may run a request of a service and key.
+    fn outlook(&self, service: &str, key: Option<u16>) -> Outlook;
 }
 
 /// Queue of one instance.
@@ -137,6 +158,8 @@
     runs: HashMap<String, f64>,
     /// Recent answers per second, by service.
     rates: HashMap<String, Rate>,
+    /// Time of the last request, by service and rank.
+    ranks: HashMap<String, BTreeMap<u8, Time>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -148,16 +171,18 @@
 /// Time over which the rate of answers is averaged.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
+/// Part of a service's work that one of several instances gets at least.
+const LEAST_PART: f64 = 0.05;
+
 impl Rate {
     fn count(&mut self, now: Time) {
-        self.fade(now);
-        self.per_second += 1.0 / RATE_SPAN.as_secs_f64();
+        self.per_second = self.at(now) + 1.0 / RATE_SPAN.as_secs_f64();
+        self.at = now;
     }
 
-    fn fade(&mut self, now: Time) {
+    fn at(&self, now: Time) -> f64 {
         let age = now.since(self.at).as_secs_f64();
-        self.per_second *= (-age / RATE_SPAN.as_secs_f64()).exp();
-        self.at = now;
+        self.per_second * (-age / RATE_SPAN.as_secs_f64()).exp()
     }
 }
 
@@ -184,25 +209,33 @@
     }
 
     /// Adds a request, or says why not.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that can't be answered in its time.
     pub fn offer(&mut self, now: Time, request: Waiting, view: &dyn View) -> Result<(), Decision> {
-        if self.waiting.len() >= MAX_WAITING {
-            let after = self.return_after(now, &request);
-            return Err(Decision::Refuse {
-                reason: Reason::Full,
-                after,
-            });
-        }
+        let ranks = self.ranks.entry(request.service.clone()).or_default();
+        ranks.insert(request.rank, now);
+        let refuse = |reason, after: Duration| {
+            let after = after.max(RETURN_MIN);
+            Err(Decision::Refuse { reason, after })
+        };
         let left = request.deadline.since(now);
         let needed = self.needed(&request);
-        let ahead = self.ahead(&request);
-        let options = view.options(&request.service, request.key);
-        let wait = self.wait(now, &request.service, ahead);
-        if left < needed || (!options.is_empty() && ahead > 0 && wait + needed > left) {
-            let after = self.return_after(now, &request);
-            return Err(Decision::Refuse {
-                reason: Reason::NoRoom,
-                after,
-            });
+        let outlook = view.outlook(&request.service, request.key);
+        if outlook.choices.is_empty() {
+            let back = outlook.back.unwrap_or(now + REPLACEMENT);
+            if back + needed > request.deadline {
+                return refuse(Reason::NoUpstream, back.since(now));
+            }
+        } else {
+            let wait = self.wait(now, &request, &outlook.choices, view);
+            if wait + needed > left {
+                return refuse(Reason::NoRoom, wait);
+            }
+            if self.waiting.len() >= MAX_WAITING {
+                return refuse(Reason::Full, wait);
+            }
         }
         let place = (request.rank, request.deadline);
         let index = self
@@ -267,30 +300,32 @@
     fn judge(&self, now: Time, request: &Waiting, view: &dyn View) -> Option<Decision> {
         let left = request.deadline.since(now);
         let expected = self.expected(&request.route);
-        let options = view.options(&request.service, request.key);
+        let outlook = view.outlook(&request.service, request.key);
         if left < self.needed(request) {
-            let reason = match options.is_empty() {
+            let reason = match outlook.choices.is_empty() {
                 true => Reason::NoUpstream,
                 false => Reason::NoRoom,
             };
-            let after = self.return_after(now, request);
+            let after = RETURN_MIN;
             return Some(Decision::Refuse { reason, after });
         }
-        let depth = match request.rank {
-            0 => DEPTH_URGENT,
-            _ => DEPTH_OTHERS,
-        };
+        let outranked = self.is_outranked(now, request);
         let keyed = request.key.is_some();
         let mut best: Option<(f64, Choice)> = None;
-        for option in &options {
-            let fresh = Room::new(option.slots);
-            let room = self.rooms.get(&option.upstream).unwrap_or(&fresh);
-            if !room.fits(now, depth) || (!keyed && request.tried.contains(&option.upstream)) {
+        for choice in &outlook.choices {
+            let fresh = Room::new(choice.slots);
+            let room = self.rooms.get(&choice.upstream).unwrap_or(&fresh);
+            let depth = match (request.rank, outranked) {
+                (0, _) => DEPTH_URGENT,
+                (_, true) => -(f64::from(room.slots()) * RESERVE).ceil(),
+                (_, false) => DEPTH,
+            };
+            if !room.fits(now, depth) || (!keyed && request.tried.contains(&choice.upstream)) {
                 continue;
             }
-            let score = score(now, room, option, expected);
+            let score = score(now, room, choice, expected);
             if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, *option));
+                best = Some((score, *choice));
             }
         }
         let (_, choice) = best?;
@@ -305,38 +340,56 @@
         self.expected(&request.route).mul_f64(NEEDED)
     }
 
-    fn ahead(&self, request: &Waiting) -> usize {
-        let before = |other: &&Waiting| {
-            other.service == request.service
-                && (other.rank, other.deadline) <= (request.rank, request.deadline)
-        };
-        self.waiting.iter().filter(before).count()
+    /// Whether more urgent requests for the same service came a short time ago.
+    fn is_outranked(&self, now: Time, request: &Waiting) -> bool {
+        let ranks = self.ranks.get(&request.service);
+        ranks.is_some_and(|ranks| {
+            let mut above = ranks.range(..request.rank);
+            above.any(|(_, seen)| now.since(*seen) < RANK_MEMORY)
+        })
     }
 
-    fn wait(&self, now: Time, service: &str, ahead: usize) -> Duration {
-        let Some(mut rate) = self.rates.get(service).copied() else {
+    /// Time until a request is sent, from those ahead of it.
+    fn wait(&self, now: Time, request: &Waiting, choices: &[Choice], view: &dyn View) -> Duration {
+        let place = (request.rank, request.deadline);
+        let expected = self.expected(&request.route);
+        let before = self.waiting.iter().filter(|other| {
+            other.service == request.service && (other.rank, other.deadline) <= place
+        });
+        if request.key.is_none() {
+            let ahead = before.count();
+            let slots: u32 = choices.iter().map(|choice| choice.slots).sum();
+            let rate = self.rates.get(&request.service);
+            let rate = rate.map_or(0.0, |rate| rate.at(now));
+            let least = f64::from(slots) / expected.as_secs_f64().max(0.001) * LEAST_PART;
+            let seconds = ahead as f64 / rate.max(least);
+            return Duration::from_secs_f64(seconds.min(60.0));
+        }
+        let Some(owner) = choices.first() else {
             return Duration::ZERO;
         };
-        rate.fade(now);
-        Duration::from_secs_f64((ahead as f64 / rate.per_second.max(1.0)).min(60.0))
-    }
-
-    fn return_after(&self, now: Time, request: &Waiting) -> Duration {
-        let wait = self.wait(now, &request.service, self.ahead(request));
-        wait.max(RETURN_MIN)
+        let same = |other: &&Waiting| {
+            let outlook = view.outlook(&other.service, other.key);
+            let first = outlook.choices.first();
+            first.is_some_and(|choice| choice.upstream == owner.upstream)
+        };
+        let ahead = before.filter(same).count();
+        let fresh = Room::new(owner.slots);
+        let room = self.rooms.get(&owner.upstream).unwrap_or(&fresh);
+        room.wait(now, ahead, expected)
     }
 }
 
 /// Expected time to an answer, in seconds.
-fn score(now: Time, room: &Room, option: &Choice, expected: Duration) -> f64 {
+fn score(now: Time, room: &Room, choice: &Choice, expected: Duration) -> f64 {
     let crowd = (room.occupancy(now) + 1.0) / f64::from(room.slots());
     let mut time = expected.as_secs_f64() * room.pace() * crowd.max(1.0);
     // A nearly full upstream slows down, so emptier ones come first.
     time += expected.as_secs_f64() * 0.2 * crowd.min(1.0);
-    if option.far {
+    if choice.far {
         time += FAR.as_secs_f64();
     }
-    if option.cold {
+    if choice.cold {
         time *= 2.0;
     }
     if room.is_penalized(now) {
--- a/crates/core/src/entry/room.rs
+++ b/crates/core/src/entry/room.rs
@@ -25,6 +25,12 @@
 /// Longest penalty, so that a recovered upstream is found again soon.
 const PENALTY_MAX: Duration = Duration::from_secs(3);
 
+/// Time over which the rate of answers is averaged.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// Part of an upstream's work that one of several instances gets at least.
+const LEAST_PART: f64 = 0.15;
+
 /// Load that an upstream reports with an answer.
 #[data(key)]
 pub struct Load {
@@ -58,9 +64,11 @@
     reported: Time,
     /// Average run time in seconds, relative to the expected one of each request.
     pace: f64,
+    /// Own answers per second.
+    rate: f64,
+    rated: Time,
     failures: u32,
     penalized_until: Time,
-    refused_at: Option<Time>,
 }
 
 impl Room {
@@ -72,9 +80,10 @@
             others: 0.0,
             reported: Time(0),
             pace: 1.0,
+            rate: 0.0,
+            rated: Time(0),
             failures: 0,
             penalized_until: Time(0),
-            refused_at: None,
         }
     }
 
@@ -100,6 +109,20 @@
         f64::from(self.mine) + faded
     }
 
+    /// Time until `ahead` requests of this instance have been answered, if each
+    /// runs for `expected`.
+    pub fn wait(&self, now: Time, ahead: usize, expected: Duration) -> Duration {
+        let run = expected.as_secs_f64().max(0.001) * self.pace;
+        let least = f64::from(self.slots) / run * LEAST_PART;
+        let seconds = ahead as f64 / self.rate_at(now).max(least);
+        Duration::from_secs_f64(seconds.min(60.0))
+    }
+
+    fn rate_at(&self, now: Time) -> f64 {
+        let age = now.since(self.rated).as_secs_f64();
+        self.rate * (-age / RATE_SPAN.as_secs_f64()).exp()
+    }
+
     /// Whether a request may be sent now, with at most `depth` requests waiting
     /// at the upstream.
     pub fn fits(&self, now: Time, depth: f64) -> bool {
@@ -137,6 +160,8 @@
             Ending::Ran => {
                 self.failures = 0;
                 self.penalized_until = Time(0);
+                self.rate = self.rate_at(now) + 1.0 / RATE_SPAN.as_secs_f64();
+                self.rated = now;
                 let relative = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
                 self.pace += (relative.min(10.0) - self.pace) * RUN_WEIGHT;
             }
@@ -145,7 +170,6 @@
                     self.others = f64::from(self.slots);
                     self.reported = now;
                 }
-                self.refused_at = Some(now);
             }
             Ending::Failed => {
                 self.failures += 1;
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -416,9 +416,13 @@
         let Some(order) = views else {
             return;
         };
+        let able = !self.state.store.get().failing;
         if order != self.shown {
             self.shown = order;
-            let view = self.state.ledger.borrow().as_ref().map(Ledger::view);
+            let view = {
+                let ledger = self.state.ledger.borrow();
+                ledger.as_ref().map(|ledger| ledger.view(now, able))
+            };
             if let Some(view) = view {
                 self.state.adopt_view(view.clone());
                 peers::broadcast(&self.state, &self.socket, &Message::View(view)).await;
@@ -523,7 +527,7 @@
 /// Sends an order to an upstream and notes its answer.
 async fn carry_out(state: &Rc<State>, order: Order) {
     let sent = state.clock.now();
-    let reply = match call(&order).await {
+    let reply = match call(state, &order).await {
         Ok(reply) => reply,
         Err(Error::NotSent(_)) => Reply::NotSent,
         Err(_) => Reply::Unknown,
@@ -558,13 +562,25 @@
     }
 }
 
-async fn call(order: &Order) -> Result<Reply, Error> {
+async fn call(state: &State, order: &Order) -> Result<Reply, Error> {
     let (path, body) = grants::encode(order).map_err(|error| Error::NotSent(error.to_string()))?;
     let limit = match order.kind {
         Kind::Grant { .. } => CALL_LIMIT / 2,
         Kind::Release => RELEASE_LIMIT,
     };
-    let mut link = Link::connect(order.owner.address, CALL_LIMIT / 2).await?;
+    let upstream = {
+        let directory = state.directory.borrow();
+        let found = directory.find(&order.owner.id);
+        found
+            .filter(|(_, record)| record.entry.born == order.owner.born)
+            .map(|(upstream, _)| upstream)
+    };
+    let now = state.clock.now();
+    let kept = upstream.and_then(|upstream| state.pool.take(now, upstream, false));
+    let mut link = match kept {
+        Some(link) => link,
+        None => Link::connect(order.owner.address, CALL_LIMIT / 2).await?,
+    };
     let request = Request::post(path)
         .header(header::HOST, order.owner.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
@@ -572,5 +588,9 @@
         .body(Full::new(Bytes::clone(&body)))
         .map_err(|error| Error::NotSent(error.to_string()))?;
     let answer = link.exchange(request, limit).await?;
+    if let Some(upstream) = upstream {
+        let now = state.clock.now();
+        state.pool.put(now, upstream, link, &answer.headers);
+    }
     Ok(grants::decode(answer.status, &answer.headers))
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -113,8 +113,7 @@
             };
             let known = state.members.borrow_mut().insert(name.clone(), member);
             tracing::info!(name, %from, replaced = known.is_some(), "instance joined");
-            let ledger = state.ledger.borrow().as_ref().map(|ledger| ledger.view());
-            if let Some(view) = ledger {
+            if let Some(view) = view(state) {
                 send(socket, from, &beat(state, view.order())).await;
                 send(socket, from, &Message::View(view)).await;
             }
@@ -143,8 +142,7 @@
             }
         }
         Message::Ask => {
-            let view = state.ledger.borrow().as_ref().map(|ledger| ledger.view());
-            if let Some(view) = view {
+            if let Some(view) = view(state) {
                 send(socket, from, &Message::View(view)).await;
             }
         }
@@ -171,6 +169,13 @@
     }
 }
 
+/// Map of owners, if this instance leads.
+fn view(state: &State) -> Option<Map> {
+    let able = !state.store.get().failing;
+    let ledger = state.ledger.borrow();
+    Some(ledger.as_ref()?.view(state.clock.now(), able))
+}
+
 /// Sign of life of this instance as the leader.
 pub fn beat(state: &State, order: (u64, u64)) -> Message {
     let lead = state.lead.borrow();
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -17,6 +17,10 @@
 /// milliseconds; while the store is slow they take a few hundred.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time for a connection. It takes milliseconds, and a lost packet is sent again
+/// only after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
 /// Most of an answer, in KiB.
 const READ_KIB: u32 = 1_024;
 
@@ -199,7 +203,7 @@
             .map_err(malformed)?;
         let mut link = match self.link.take().filter(Link::is_open) {
             Some(link) => link,
-            None => Link::connect(self.address, CALL_LIMIT).await?,
+            None => Link::connect(self.address, CONNECT_LIMIT).await?,
         };
         // A call without an answer leaves the connection unusable, so the link
         // is put back only after a whole answer.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -31,12 +31,17 @@
 /// Most connections that are tried in vain for one request.
 const MAX_CONNECTS: u32 = 3;
 
-/// Pause before a request is sent again to the same upstream.
-const SAME_PAUSE: Duration = Duration::from_millis(30);
+/// Pause before a request is sent again to the owner of its key: after the
+/// owner was full, and after it no longer held the key.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+const MOVED_PAUSE: Duration = Duration::from_millis(120);
 
 /// Part of its remaining time after which a refused caller comes back at the latest.
 const RETURN_PART: u32 = 3;
 
+/// Reason of a refusal by an upstream that doesn't hold the key.
+const NOT_OWNER: &str = "not the owner";
+
 /// Header fields that concern one connection only.
 const PER_CONNECTION: [HeaderName; 7] = [
     header::CONNECTION,
@@ -226,7 +231,8 @@
             return give_up(state, exchange, progress, outcome, &why);
         }
         if exchange.key.is_some() {
-            tokio::time::sleep(SAME_PAUSE).await;
+            let moved = why == NOT_OWNER;
+            tokio::time::sleep(if moved { MOVED_PAUSE } else { FULL_PAUSE }).await;
         }
     }
 }
@@ -404,7 +410,7 @@
             let now = state.clock.now();
             state.pool.put(now, upstream, link, &answer.headers);
             match answer.status {
-                StatusCode::MISDIRECTED_REQUEST => Sent::NotRun("not the owner"),
+                StatusCode::MISDIRECTED_REQUEST => Sent::NotRun(NOT_OWNER),
                 _ => Sent::NotRun("refused by the upstream"),
             }
         }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::RETURN_GRACE;
+use medlarreel_core::entry::directory::{RETURN_GRACE, store_was_away};
 use medlarreel_core::entry::routes::Table;
 use medlarreel_core::time::Time;
 
@@ -23,6 +23,10 @@
 /// Shortest time between two reads of the registrations.
 const DIRECTORY_MIN: Duration = Duration::from_millis(150);
 
+/// Time without a successful read from which the store may have been away. Three
+/// lost reports remove a registration.
+const OUTAGE: Duration = Duration::from_millis(2_000);
+
 /// Pause after a failed call, so that an overloaded store is not pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -87,20 +91,19 @@
 pub async fn follow_directory(state: Rc<State>) {
     let address = state.settings.borrow().store;
     let mut store = Store::new(address);
-    let mut from = None;
+    let mut position = Position::default();
     let mut since = state.clock.now();
     loop {
         let started = state.clock.now();
-        let read = directory_step(&state, &mut store, from, since).await;
+        let read = directory_step(&state, &mut store, &mut position, since).await;
         noted(&state, "directory", &read);
         match read {
-            Ok(end) => {
+            Ok(()) if position.from.is_some() => {
                 since = started;
-                from = end;
-                if from.is_some() {
-                    rest(&state).await;
-                }
+                rest(&state).await;
             }
+            // The position is no longer kept, so everything is read anew.
+            Ok(()) => {}
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
@@ -116,47 +119,77 @@
     }
 }
 
+/// Where the next read starts.
+#[derive(Debug, Default)]
+struct Position {
+    /// Offset of the next record; `None` to read the newest of each key.
+    from: Option<u64>,
+    /// Highest offset that was read.
+    end: u64,
+    /// Until when removals are put off, because the store was away.
+    grace: Option<Time>,
+}
+
+impl Position {
+    /// Notes a read up to `end`, after `outage` without one.
+    fn advance(&mut self, state: &State, end: u64, outage: Duration) {
+        let now = state.clock.now();
+        let heartbeat = state.settings.borrow().heartbeat;
+        let upstreams = state.directory.borrow().usable().count();
+        let reports = end.saturating_sub(self.end);
+        if outage > OUTAGE && store_was_away(reports, upstreams, heartbeat, outage) {
+            tracing::info!(?outage, reports, upstreams, "store was away");
+            self.grace = Some(now + RETURN_GRACE);
+        }
+        self.from = Some(end);
+        self.end = end;
+    }
+
+    /// Time at which a removal that was just read takes effect.
+    fn removal(&self, now: Time) -> Time {
+        self.grace.map_or(now, |end| end.max(now))
+    }
+}
+
 async fn directory_step(
     state: &State,
     store: &mut Store,
-    from: Option<u64>,
+    position: &mut Position,
     since: Time,
-) -> Result<Option<u64>, Error> {
-    let Some(from) = from else {
-        let newest = store.newest(registry::TOPIC).await?;
-        state.store_answered(true);
-        let present: Vec<&str> = newest
-            .items
+) -> Result<(), Error> {
+    let (items, whole, end) = match position.from {
+        None => {
+            let newest = store.newest(registry::TOPIC).await?;
+            (newest.items, true, newest.end)
+        }
+        Some(from) => match store.read(registry::TOPIC, from, Duration::ZERO).await? {
+            Read::Records(items, end) => (items, false, end),
+            Read::Trimmed => {
+                position.from = None;
+                return Ok(());
+            }
+        },
+    };
+    state.store_answered(true);
+    let now = state.clock.now();
+    position.advance(state, end, now.since(since));
+    let removal = position.removal(now);
+    if whole {
+        let present: Vec<&str> = items
             .iter()
             .filter(|item| item.value.is_some())
             .map(|item| item.key.as_str())
             .collect();
-        let at = removal_time(state);
-        state.directory.borrow_mut().retain(&present, since, at);
-        apply_entries(state, &newest.items, since);
-        state.listed.set(true);
-        return Ok(Some(newest.end));
-    };
-    match store.read(registry::TOPIC, from, Duration::ZERO).await? {
-        Read::Records(items, end) => {
-            state.store_answered(true);
-            apply_entries(state, &items, since);
-            Ok(Some(end))
-        }
-        Read::Trimmed => Ok(None),
+        let mut directory = state.directory.borrow_mut();
+        directory.retain(&present, since, removal);
     }
+    apply_entries(state, &items, since, removal);
+    state.listed.set(true);
+    Ok(())
 }
 
-/// Time at which a removal that was just read takes effect.
-fn removal_time(state: &State) -> Time {
-    let now = state.clock.now();
-    let regained = state.store.get().regained;
-    regained.map_or(now, |at| now.max(at + RETURN_GRACE))
-}
-
-fn apply_entries(state: &State, items: &[Item], since: Time) {
+fn apply_entries(state: &State, items: &[Item], since: Time, at: Time) {
     let now = state.clock.now();
-    let at = removal_time(state);
     let mut directory = state.directory.borrow_mut();
     for item in items {
         let Some(value) = &item.value else {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::Directory;
+use medlarreel_core::entry::directory::{Directory, Record};
 use medlarreel_core::entry::lead::Lead;
 use medlarreel_core::entry::ledger::Ledger;
 use medlarreel_core::entry::map::Map;
-use medlarreel_core::entry::queue::{Choice, Decision, Queue, Ticket, View};
+use medlarreel_core::entry::queue::{Choice, Decision, Outlook, Queue, Ticket, View};
 use medlarreel_core::entry::routes::{Split, Table};
 use medlarreel_core::retry::Budget;
 use medlarreel_core::time::Time;
@@ -68,6 +68,8 @@
     pub listed: Cell<bool>,
     /// Owners of keys.
     pub view: RefCell<Map>,
+    /// Time at which the map of owners was taken.
+    pub viewed: Cell<Time>,
     /// Waiting requests and room at upstreams.
     pub queue: RefCell<Queue>,
     /// Tasks that wait for a decision.
@@ -113,6 +115,7 @@
             directory: RefCell::default(),
             listed: Cell::new(false),
             view: RefCell::default(),
+            viewed: Cell::default(),
             queue: RefCell::default(),
             tickets: RefCell::default(),
             budget: RefCell::new(Budget::new(now, percent, 0)),
@@ -195,17 +198,18 @@
         }
         tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
         *self.view.borrow_mut() = map;
+        self.viewed.set(self.clock.now());
         self.pump();
         true
     }
 }
 
 impl View for State {
-    fn options(&self, service: &str, key: Option<u16>) -> Vec<Choice> {
+    fn outlook(&self, service: &str, key: Option<u16>) -> Outlook {
         let now = self.clock.now();
         let directory = self.directory.borrow();
         let settings = self.settings.borrow();
-        let choice = |upstream, record: &medlarreel_core::entry::directory::Record| Choice {
+        let choice = |upstream, record: &Record| Choice {
             upstream,
             slots: record.entry.slots,
             far: record.entry.domain != settings.domain,
@@ -213,24 +217,37 @@
         };
         let Some(key) = key else {
             let usable = directory.usable();
-            return usable
+            let choices = usable
                 .filter(|(_, record)| record.entry.service == service)
-                .map(|(upstream, record)| choice(upstream, record))
-                .collect();
+                .map(|(upstream, record)| choice(upstream, record));
+            return Outlook {
+                choices: choices.collect(),
+                back: None,
+            };
+        };
+        let mut outlook = Outlook {
+            choices: Vec::new(),
+            back: None,
         };
         let view = self.view.borrow();
-        let Some(owner) = view.owner(service, key) else {
-            return Vec::new();
+        let Some(slice) = view.slice(service, key) else {
+            return outlook;
         };
-        let Some((upstream, record)) = directory.find(&owner.id) else {
-            return Vec::new();
+        let Some(owner) = &slice.owner else {
+            let wait = Duration::from_millis(slice.wait_ms.into());
+            outlook.back = Some(now.max(self.viewed.get() + wait));
+            return outlook;
         };
-        let leaves_soon = record
-            .leaving_since
-            .is_some_and(|since| now < since + settings.drain.saturating_sub(DRAIN_RESERVE));
-        match record.entry.born == owner.born && (record.usable || leaves_soon) {
-            true => vec![choice(upstream, record)],
-            false => Vec::new(),
-        }
+        let found = directory.find(&owner.id);
+        let current = found.filter(|(_, record)| record.entry.born == owner.born);
+        outlook
+            .choices
+            .extend(current.and_then(|(upstream, record)| {
+                let leaves_soon = record.leaving_since.is_some_and(|since| {
+                    now < since + settings.drain.saturating_sub(DRAIN_RESERVE)
+                });
+                (record.usable || leaves_soon).then(|| choice(upstream, record))
+            }));
+        outlook
     }
 }
