Notice a caller's close behind pipelined requests

Bytes are read ahead until the close comes into sight; requests read before it are dropped.

The reports in the log do not tell whether the store was away: upstreams append only what changes (12 records in 13 s).

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -17,22 +17,6 @@
 /// Time after the store's return within which lapsed registrations come back.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2_100);
 
-/// Part of the expected reports during an outage from which the store was not
-/// away, but only out of this instance's reach.
-const REPORTED: f64 = 0.3;
-
-/// Whether the store itself was away during an outage, judged by the reports
-/// that it took meanwhile. Registrations lapse then although their upstreams live.
-pub fn store_was_away(
-    reports: u64,
-    upstreams: usize,
-    heartbeat: Duration,
-    outage: Duration,
-) -> bool {
-    let beats = outage.as_secs_f64() / heartbeat.as_secs_f64().max(0.001);
-    (reports as f64) < beats * upstreams as f64 * REPORTED
-}
-
 /// What an upstream says about itself.
 #[data(plain)]
 pub struct Entry {
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -376,7 +376,7 @@
         let ahead = before.filter(same).count();
         let fresh = Room::new(owner.slots);
         let room = self.rooms.get(&owner.upstream).unwrap_or(&fresh);
-        room.wait(now, ahead, expected)
+        room.wait(now, ahead, expected, DEPTH)
     }
 }
 
--- a/crates/core/src/entry/room.rs
+++ b/crates/core/src/entry/room.rs
@@ -25,11 +25,9 @@
 /// Longest penalty, so that a recovered upstream is found again soon.
 const PENALTY_MAX: Duration = Duration::from_secs(3);
 
-/// Time over which the rate of answers is averaged.
-const RATE_SPAN: Duration = Duration::from_secs(1);
-
-/// Part of an upstream's work that one of several instances gets at least.
-const LEAST_PART: f64 = 0.15;
+/// Requests that go to an upstream for each one of this instance while several
+/// instances have requests for it.
+const RIVALS: f64 = 2.0;
 
 /// Load that an upstream reports with an answer.
 #[data(key)]
@@ -64,9 +62,6 @@
     reported: Time,
     /// Average run time in seconds, relative to the expected one of each request.
     pace: f64,
-    /// Own answers per second.
-    rate: f64,
-    rated: Time,
     failures: u32,
     penalized_until: Time,
 }
@@ -80,8 +75,6 @@
             others: 0.0,
             reported: Time(0),
             pace: 1.0,
-            rate: 0.0,
-            rated: Time(0),
             failures: 0,
             penalized_until: Time(0),
         }
@@ -109,20 +102,16 @@
         f64::from(self.mine) + faded
     }
 
-    /// Time until `ahead` requests of this instance have been answered, if each
-    /// runs for `expected`.
-    pub fn wait(&self, now: Time, ahead: usize, expected: Duration) -> Duration {
-        let run = expected.as_secs_f64().max(0.001) * self.pace;
-        let least = f64::from(self.slots) / run * LEAST_PART;
-        let seconds = ahead as f64 / self.rate_at(now).max(least);
+    /// Time until a request is sent that has `ahead` requests of this instance
+    /// before it, if each runs for `expected` and `depth` may wait there.
+    pub fn wait(&self, now: Time, ahead: usize, expected: Duration, depth: f64) -> Duration {
+        let run = expected.as_secs_f64() * self.pace;
+        let slots = f64::from(self.slots);
+        let beyond = (self.occupancy(now) + 1.0 - slots - depth).max(0.0);
+        let seconds = (beyond + ahead as f64 * RIVALS) * run / slots;
         Duration::from_secs_f64(seconds.min(60.0))
     }
 
-    fn rate_at(&self, now: Time) -> f64 {
-        let age = now.since(self.rated).as_secs_f64();
-        self.rate * (-age / RATE_SPAN.as_secs_f64()).exp()
-    }
-
     /// Whether a request may be sent now, with at most `depth` requests waiting
     /// at the upstream.
     pub fn fits(&self, now: Time, depth: f64) -> bool {
@@ -160,8 +149,6 @@
             Ending::Ran => {
                 self.failures = 0;
                 self.penalized_until = Time(0);
-                self.rate = self.rate_at(now) + 1.0 / RATE_SPAN.as_secs_f64();
-                self.rated = now;
                 let relative = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
                 self.pace += (relative.min(10.0) - self.pace) * RUN_WEIGHT;
             }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 
 use crate::platform::headers::READY_PATH;
 use crate::proxy;
+use crate::socket::Socket;
 use crate::state::State;
 
 /// Connections that wait to be accepted.
@@ -115,10 +117,11 @@
         return;
     }
     let limits = state.table.borrow().config().limits.clone();
+    let socket = Socket::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
-        let state = Rc::clone(&state);
+        let (state, socket) = (Rc::clone(&state), socket.clone());
         // Boxed, so that the connection can be taken apart at its end.
-        Box::pin(async move { Ok::<_, Infallible>(proxy::serve(&state, request).await) })
+        Box::pin(async move { answer(&state, &socket, request).await })
     });
     let mut close = connections.close.subscribe();
     let connection = http1::Builder::new()
@@ -127,7 +130,7 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = connection;
     let ended = tokio::select! {
         ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
@@ -142,11 +145,36 @@
     }
 }
 
+/// Serves a request, or drops it once its caller has left.
+///
+/// # Errors
+///
+/// `BrokenPipe` if the caller has left; the connection ends then.
+async fn answer(
+    state: &Rc<State>,
+    socket: &Socket,
+    request: Request<Incoming>,
+) -> std::io::Result<Response<Full<Bytes>>> {
+    // Requests that came before the close are dropped as well.
+    let left = || std::io::Error::from(std::io::ErrorKind::BrokenPipe);
+    if socket.is_closed() {
+        return Err(left());
+    }
+    let serving = pin!(proxy::serve(state, request));
+    tokio::select! {
+        response = serving => Ok(response),
+        () = socket.closed() => {
+            tracing::debug!("a caller left before its answer");
+            Err(left())
+        }
+    }
+}
+
 /// Closes a connection so that the last answer arrives.
 ///
 /// Requests that came behind it were not read. Closing with unread bytes would
 /// reset the connection and discard the answer, so they are read and dropped.
-async fn linger(mut stream: TcpStream) {
+async fn linger(mut stream: Socket) {
     let closing = async {
         stream.shutdown().await?;
         let mut rest = [0; 4096];
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -198,6 +198,7 @@
             } else {
                 self.follow(now).await;
             }
+            self.state.expire();
             if !self.state.queue.borrow().is_empty() {
                 self.state.pump();
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod proxy;
 pub mod reader;
 pub mod settings;
+pub mod socket;
 pub mod state;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -31,10 +31,8 @@
 /// Most connections that are tried in vain for one request.
 const MAX_CONNECTS: u32 = 3;
 
-/// Pause before a request is sent again to the owner of its key: after the
-/// owner was full, and after it no longer held the key.
-const FULL_PAUSE: Duration = Duration::from_millis(30);
-const MOVED_PAUSE: Duration = Duration::from_millis(120);
+/// Pause before a request is sent again to the owner of its key.
+const SAME_PAUSE: Duration = Duration::from_millis(30);
 
 /// Part of its remaining time after which a refused caller comes back at the latest.
 const RETURN_PART: u32 = 3;
@@ -231,8 +229,7 @@
             return give_up(state, exchange, progress, outcome, &why);
         }
         if exchange.key.is_some() {
-            let moved = why == NOT_OWNER;
-            tokio::time::sleep(if moved { MOVED_PAUSE } else { FULL_PAUSE }).await;
+            tokio::time::sleep(SAME_PAUSE).await;
         }
     }
 }
@@ -410,7 +407,12 @@
             let now = state.clock.now();
             state.pool.put(now, upstream, link, &answer.headers);
             match answer.status {
-                StatusCode::MISDIRECTED_REQUEST => Sent::NotRun(NOT_OWNER),
+                StatusCode::MISDIRECTED_REQUEST => {
+                    if let Some(key) = exchange.key {
+                        state.not_held(&exchange.service, key, upstream);
+                    }
+                    Sent::NotRun(NOT_OWNER)
+                }
                 _ => Sent::NotRun("refused by the upstream"),
             }
         }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::{RETURN_GRACE, store_was_away};
+use medlarreel_core::entry::directory::RETURN_GRACE;
 use medlarreel_core::entry::routes::Table;
 use medlarreel_core::time::Time;
 
@@ -23,10 +23,6 @@
 /// Shortest time between two reads of the registrations.
 const DIRECTORY_MIN: Duration = Duration::from_millis(150);
 
-/// Time without a successful read from which the store may have been away. Three
-/// lost reports remove a registration.
-const OUTAGE: Duration = Duration::from_millis(2_000);
-
 /// Pause after a failed call, so that an overloaded store is not pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -91,14 +87,14 @@
 pub async fn follow_directory(state: Rc<State>) {
     let address = state.settings.borrow().store;
     let mut store = Store::new(address);
-    let mut position = Position::default();
+    let mut from = None;
     let mut since = state.clock.now();
     loop {
         let started = state.clock.now();
-        let read = directory_step(&state, &mut store, &mut position, since).await;
+        let read = directory_step(&state, &mut store, &mut from, since).await;
         noted(&state, "directory", &read);
         match read {
-            Ok(()) if position.from.is_some() => {
+            Ok(()) if from.is_some() => {
                 since = started;
                 rest(&state).await;
             }
@@ -119,61 +115,34 @@
     }
 }
 
-/// Where the next read starts.
-#[derive(Debug, Default)]
-struct Position {
-    /// Offset of the next record; `None` to read the newest of each key.
-    from: Option<u64>,
-    /// Highest offset that was read.
-    end: u64,
-    /// Until when removals are put off, because the store was away.
-    grace: Option<Time>,
-}
-
-impl Position {
-    /// Notes a read up to `end`, after `outage` without one.
-    fn advance(&mut self, state: &State, end: u64, outage: Duration) {
-        let now = state.clock.now();
-        let heartbeat = state.settings.borrow().heartbeat;
-        let upstreams = state.directory.borrow().usable().count();
-        let reports = end.saturating_sub(self.end);
-        if outage > OUTAGE && store_was_away(reports, upstreams, heartbeat, outage) {
-            tracing::info!(?outage, reports, upstreams, "store was away");
-            self.grace = Some(now + RETURN_GRACE);
-        }
-        self.from = Some(end);
-        self.end = end;
-    }
-
-    /// Time at which a removal that was just read takes effect.
-    fn removal(&self, now: Time) -> Time {
-        self.grace.map_or(now, |end| end.max(now))
-    }
-}
-
 async fn directory_step(
     state: &State,
     store: &mut Store,
-    position: &mut Position,
+    from: &mut Option<u64>,
     since: Time,
 ) -> Result<(), Error> {
-    let (items, whole, end) = match position.from {
+    let (items, whole, end) = match *from {
         None => {
             let newest = store.newest(registry::TOPIC).await?;
             (newest.items, true, newest.end)
         }
-        Some(from) => match store.read(registry::TOPIC, from, Duration::ZERO).await? {
+        Some(position) => match store
+            .read(registry::TOPIC, position, Duration::ZERO)
+            .await?
+        {
             Read::Records(items, end) => (items, false, end),
             Read::Trimmed => {
-                position.from = None;
+                *from = None;
                 return Ok(());
             }
         },
     };
     state.store_answered(true);
+    *from = Some(end);
     let now = state.clock.now();
-    position.advance(state, end, now.since(since));
-    let removal = position.removal(now);
+    // What lapsed while the store was away gets time to come back.
+    let regained = state.store.get().regained;
+    let removal = regained.map_or(now, |at| now.max(at + RETURN_GRACE));
     if whole {
         let present: Vec<&str> = items
             .iter()
@@ -207,11 +176,8 @@
             tracing::info!(upstream = id, service, born, draining, "upstream changed");
         }
     }
-    let gone = directory.expire(now);
     drop(directory);
-    for upstream in gone {
-        tracing::info!(upstream = upstream.0, "upstream gone");
-    }
+    state.expire();
     state.pump();
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,6 +12,7 @@
 use medlarreel_core::entry::map::Map;
 use medlarreel_core::entry::queue::{Choice, Decision, Outlook, Queue, Ticket, View};
 use medlarreel_core::entry::routes::{Split, Table};
+use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::Budget;
 use medlarreel_core::time::Time;
 use tokio::sync::{Notify, oneshot};
@@ -25,6 +26,13 @@
 /// requests that are on their way and for the reader's delays.
 const DRAIN_RESERVE: Duration = Duration::from_millis(450);
 
+/// Time without an answer of the store that counts as an outage.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// Time for which a range is not sent to an upstream that has just refused one
+/// of its keys; a renewal or a newer map comes within it.
+const NOT_HELD: Duration = Duration::from_millis(500);
+
 /// Part of the allowed second sends that an instance uses. All instances share
 /// the allowance and see uneven parts of the requests.
 const BUDGET_PART: f64 = 0.5;
@@ -92,6 +100,9 @@
     pub stopping: Cell<bool>,
     /// Requests by service and key since the last report.
     pub busy: RefCell<HashMap<String, HashMap<u16, u32>>>,
+    /// Ranges that an upstream doesn't hold although the map says so, by their
+    /// first key, and until when this is believed.
+    pub not_held: RefCell<HashMap<(Upstream, u16), Time>>,
     /// Asks the reader to read registrations now.
     pub refresh: Notify,
     next_ticket: Cell<u64>,
@@ -127,6 +138,7 @@
             store: Cell::default(),
             stopping: Cell::new(false),
             busy: RefCell::default(),
+            not_held: RefCell::default(),
             refresh: Notify::new(),
             next_ticket: Cell::new(0),
         })
@@ -155,9 +167,13 @@
         let mut health = self.store.get();
         if success {
             if health.failing {
-                health.regained = Some(now);
                 tracing::info!(dependency = "store", "dependency regained");
             }
+            // Several connections fail and recover one after the other; only a
+            // gap in the answers of all of them is an outage.
+            if health.answered.is_some_and(|last| now.since(last) > OUTAGE) {
+                health.regained = Some(now);
+            }
             health.answered = Some(now);
         } else if !health.failing {
             tracing::warn!(dependency = "store", "dependency lost");
@@ -166,6 +182,29 @@
         self.store.set(health);
     }
 
+    /// Carries out removals of registrations that are due.
+    pub fn expire(&self) {
+        let gone = self.directory.borrow_mut().expire(self.clock.now());
+        if gone.is_empty() {
+            return;
+        }
+        for upstream in gone {
+            tracing::info!(upstream = upstream.0, "upstream gone");
+        }
+        self.pump();
+    }
+
+    /// Notes that an upstream doesn't hold a key that the map gives it.
+    pub fn not_held(&self, service: &str, key: u16, upstream: Upstream) {
+        let view = self.view.borrow();
+        if let Some(slice) = view.slice(service, key) {
+            let until = self.clock.now() + NOT_HELD;
+            self.not_held
+                .borrow_mut()
+                .insert((upstream, slice.first), until);
+        }
+    }
+
     /// Passes decisions to the tasks that wait for them.
     pub fn pump(&self) {
         let now = self.clock.now();
@@ -199,6 +238,7 @@
         tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
         *self.view.borrow_mut() = map;
         self.viewed.set(self.clock.now());
+        self.not_held.borrow_mut().clear();
         self.pump();
         true
     }
