Test the entry instance's decisions; keep leases of unanswered grants

Also found by the tests: a joining upstream got no keys, because its share fell back to the neighbours of the ranges.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -99,10 +99,13 @@
 /// Latest end of the grants that an upstream may have received.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Lease {
-    /// End of the grants whose outcome is known.
+    /// End of the own grants whose outcome is known. It never moves back, since
+    /// an unanswered grant may arrive after a later one with the same fence.
     known: Time,
-    /// End of a grant that is on its way.
+    /// End of an own grant that is on its way.
     pending: Option<Time>,
+    /// End of the grants of earlier leaders, until the upstream has heard this one.
+    inherited: Time,
 }
 
 impl Lease {
@@ -110,18 +113,47 @@
         Lease {
             known,
             pending: None,
+            inherited: Time(0),
+        }
+    }
+
+    fn inherited(until: Time) -> Lease {
+        Lease {
+            known: Time(0),
+            pending: None,
+            inherited: until,
         }
     }
 
     fn end(self) -> Time {
-        self.pending.unwrap_or(self.known).max(self.known)
+        let own = self.pending.unwrap_or(self.known).max(self.known);
+        own.max(self.inherited)
+    }
+
+    /// Whether a grant may follow the one sent at `sent`: after `span`, and with
+    /// one call on its way at a time.
+    fn allows(self, sent: Option<Time>, now: Time, span: Duration) -> bool {
+        let span = if self.pending.is_some() {
+            span.max(CALL_LIMIT)
+        } else {
+            span
+        };
+        due(sent, now, span)
+    }
+
+    /// Notes a grant that is sent now and ends at `end` at the latest.
+    fn send(&mut self, end: Time) {
+        self.pending = Some(self.pending.unwrap_or(end).max(end));
     }
 
     /// Notes how the grant on its way ended; `longest` is the length of a lease.
     fn settle(&mut self, reply: &Reply, now: Time, longest: Duration) {
         match reply {
-            Reply::Done { .. } => self.known = now + longest,
-            Reply::Unknown => self.known = self.end(),
+            Reply::Done { .. } => {
+                self.known = self.known.max(now + longest);
+                self.inherited = Time(0);
+            }
+            Reply::Unknown => self.known = self.pending.unwrap_or(self.known).max(self.known),
             Reply::NotSent | Reply::Fenced => {}
         }
         self.pending = None;
@@ -210,7 +242,7 @@
                         fence: next(&mut self.fences),
                         // Due at once, so that the upstream hears the new fence.
                         sent: now - self.hold,
-                        lease: Lease::until(until),
+                        lease: Lease::inherited(until),
                     },
                     None => State::Free { handover: None },
                 };
@@ -234,7 +266,7 @@
         let end = now + CALL_LIMIT + self.longest();
         for part in self.services.values_mut().flatten() {
             match &mut part.state {
-                State::Held { lease, .. } => lease.known = end.min(lease.known),
+                State::Held { lease, .. } => lease.inherited = end.min(lease.inherited),
                 State::Releasing { until, .. } => *until = end.min(*until),
                 State::Free { .. } | State::Granting { .. } => {}
             }
@@ -401,9 +433,9 @@
                         version,
                         sent,
                         lease,
-                    } if *version <= recorded && due(*sent, now, RESEND) => {
+                    } if *version <= recorded && lease.allows(*sent, now, RESEND) => {
                         *sent = Some(now);
-                        lease.pending = Some(now + CALL_LIMIT + longest);
+                        lease.send(now + CALL_LIMIT + longest);
                         let handover = handover.clone();
                         orders.push(order(owner, *fence, Kind::Grant { hold, handover }));
                     }
@@ -412,9 +444,9 @@
                         fence,
                         sent,
                         lease,
-                    } if due(Some(*sent), now, hold / RENEW_PART) => {
+                    } if lease.allows(Some(*sent), now, hold / RENEW_PART) => {
                         *sent = now;
-                        lease.pending = Some(now + CALL_LIMIT + longest);
+                        lease.send(now + CALL_LIMIT + longest);
                         let handover = None;
                         orders.push(order(owner, *fence, Kind::Grant { hold, handover }));
                     }
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -218,7 +218,9 @@
     loose.reverse();
     while let Some((first, last)) = loose.pop() {
         let room = |owner: usize| (shares[owner] - loads[owner]) / shares[owner];
-        let emptiest = (0..shares.len()).max_by(|a, b| room(*a).total_cmp(&room(*b)));
+        // The first of equals, so that equal inputs give equal plans.
+        let owners = (0..shares.len()).rev();
+        let emptiest = owners.max_by(|a, b| room(*a).total_cmp(&room(*b)));
         let Some(emptiest) = emptiest else {
             return;
         };
@@ -231,7 +233,8 @@
         };
         let fits = |owner: &usize| loads[*owner] + weight <= shares[*owner] * (1.0 + SLACK);
         let neighbour = (0..shares.len()).find(|owner| touches(&kept[*owner]) && fits(owner));
-        let owner = neighbour.unwrap_or(emptiest);
+        let starved = room(emptiest) > 1.0 - UNDERLOAD;
+        let owner = neighbour.filter(|_| !starved).unwrap_or(emptiest);
         let free = shares[owner] - loads[owner];
         let end = if weight <= free + shares[owner] * SLACK {
             last
--- /dev/null
+++ b/crates/core/tests/entry/directory.rs
@@ -0,0 +1,85 @@
+//! Registrations: lives, order of reports, removals.
+
+use medlarreel_core::entry::directory::{Directory, Entry, RETURN_GRACE};
+
+use crate::fixture::{at, entry};
+
+/// Guards against requests to an upstream that has said that it leaves.
+#[test]
+fn draining_upstream_is_not_usable() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), entry(1));
+
+    let draining = Entry {
+        draining: true,
+        sequence: 2,
+        ..entry(1)
+    };
+    let changed = directory.apply(at(900), at(0), draining);
+
+    assert!(changed);
+    assert_eq!(directory.usable().count(), 0);
+    let (_, record) = directory.find("u1").unwrap();
+    assert_eq!(record.leaving_since, Some(at(0)));
+}
+
+/// Guards against a late report that brings a leaving upstream back.
+#[test]
+fn older_reports_of_a_life_are_ignored() {
+    let mut directory = Directory::default();
+    let draining = Entry {
+        draining: true,
+        sequence: 5,
+        ..entry(1)
+    };
+    directory.apply(at(0), at(0), draining);
+
+    let changed = directory.apply(at(10), at(0), entry(1));
+
+    assert!(!changed);
+    assert_eq!(directory.usable().count(), 0);
+}
+
+/// Guards against taking a restarted upstream for the life that held keys.
+#[test]
+fn later_life_gets_a_key_of_its_own() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), entry(1));
+    let first = directory.find("u1").unwrap().0;
+
+    let reborn = Entry {
+        born: 2,
+        ..entry(1)
+    };
+    directory.apply(at(10), at(0), reborn);
+    directory.apply(at(20), at(0), entry(1));
+
+    let (second, record) = directory.find("u1").unwrap();
+    assert_ne!(first, second);
+    assert_eq!(record.entry.born, 2);
+    assert!(!directory.get(first).unwrap().usable);
+}
+
+/// Guards against dropping every upstream after an outage of the store.
+#[test]
+fn removal_put_off_is_undone_by_a_new_report() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), entry(1));
+    directory.apply(at(0), at(0), entry(2));
+    directory.remove("u1", at(0), at(0) + RETURN_GRACE);
+    directory.remove("u2", at(0), at(0) + RETURN_GRACE);
+
+    let back = Entry {
+        sequence: 2,
+        ..entry(1)
+    };
+    directory.apply(at(1_000), at(0), back);
+    let gone = directory.expire(at(0) + RETURN_GRACE);
+
+    assert_eq!(gone.len(), 1);
+    let usable: Vec<_> = directory
+        .usable()
+        .map(|(_, record)| &record.entry.id)
+        .collect();
+    assert_eq!(usable, ["u1"]);
+}
--- /dev/null
+++ b/crates/core/tests/entry/fixture.rs
@@ -0,0 +1,57 @@
+//! Fixtures shared by the tests.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use medlarreel_core::entry::directory::Entry;
+use medlarreel_core::entry::map::Owner;
+use medlarreel_core::entry::plan::Candidate;
+use medlarreel_core::time::Time;
+
+/// Time `ms` milliseconds after the beginning of a test.
+pub fn at(ms: u64) -> Time {
+    Time(60_000_000 + ms * 1_000)
+}
+
+/// Span in milliseconds.
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Address of the upstream with a number.
+pub fn address(number: u8) -> SocketAddr {
+    (Ipv4Addr::new(10, 0, 0, number), 8_000).into()
+}
+
+/// First life of the upstream with a number.
+pub fn owner(number: u8) -> Owner {
+    Owner {
+        id: format!("u{number}"),
+        born: 1,
+        address: address(number),
+    }
+}
+
+/// Candidates 1 to `count`, all of one capacity.
+pub fn candidates(count: u8) -> Vec<Candidate> {
+    let candidate = |number| Candidate {
+        owner: owner(number),
+        capacity: 6.0,
+    };
+    (1..=count).map(candidate).collect()
+}
+
+/// Registration of the upstream with a number.
+pub fn entry(number: u8) -> Entry {
+    Entry {
+        id: format!("u{number}"),
+        service: "intake".into(),
+        address: address(number),
+        domain: "a".into(),
+        slots: 6,
+        draining: false,
+        warmup: Duration::ZERO,
+        sequence: 1,
+        born: 1,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/entry/ledger.rs
@@ -0,0 +1,204 @@
+//! The leader's account: record before grant, release before regrant, fences.
+
+use std::time::Duration;
+
+use medlarreel_core::entry::ledger::{CALL_LIMIT, Kind, Ledger, Order, Reply, longest};
+use medlarreel_core::entry::plan::Weights;
+use medlarreel_core::time::Time;
+
+use crate::fixture::{at, candidates, ms, owner};
+
+const HOLD: Duration = Duration::from_secs(4);
+const SERVICE: &str = "intake";
+
+fn done() -> Reply {
+    Reply::Done {
+        handover: Some("token".into()),
+    }
+}
+
+/// Ledger of epoch 5 whose keys upstreams 1 and 2 hold since `now`.
+fn held(now: Time) -> Ledger {
+    let mut ledger = Ledger::new(5, HOLD);
+    ledger.rearrange(now, SERVICE, &candidates(2), &Weights::default());
+    ledger.recorded(ledger.version());
+    answer_all(&mut ledger, now, &done());
+    ledger
+}
+
+fn answer_all(ledger: &mut Ledger, now: Time, reply: &Reply) -> Vec<Order> {
+    let orders = ledger.tick(now, |_| false);
+    for order in &orders {
+        ledger.answered(now, now, order, reply);
+    }
+    orders
+}
+
+/// Guards against a grant that a new leader could not know of.
+#[test]
+fn grants_wait_for_the_record() {
+    let mut ledger = Ledger::new(5, HOLD);
+    ledger.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
+
+    let before = ledger.tick(at(0), |_| false);
+    let needed = ledger.needs_record();
+    ledger.recorded(ledger.version());
+    let after = ledger.tick(at(0), |_| false);
+
+    assert!(before.is_empty());
+    assert!(needed);
+    assert_eq!(after.len(), 2);
+}
+
+/// Guards against two holders after an upstream is lost without an answer.
+#[test]
+fn lost_holder_keeps_its_keys_until_its_lease_ends() {
+    let mut ledger = held(at(0));
+    let rest = &candidates(2)[1..];
+
+    ledger.rearrange(at(100), SERVICE, rest, &Weights::default());
+    let release = answer_all(&mut ledger, at(100), &Reply::NotSent);
+    ledger.rearrange(at(3_900), SERVICE, rest, &Weights::default());
+    ledger.recorded(ledger.version());
+    let early = ledger.tick(at(3_900), |_| false);
+    let end = at(0) + longest(HOLD);
+    ledger.tick(end, |_| false);
+    ledger.rearrange(end, SERVICE, rest, &Weights::default());
+    ledger.recorded(ledger.version());
+    let late = ledger.tick(end, |_| false);
+
+    let first = |orders: &[Order]| orders.iter().any(|order| order.first == 0);
+    assert_eq!(release[0].kind, Kind::Release);
+    assert!(
+        !early
+            .iter()
+            .any(|order| order.first == 0 && order.owner == owner(2))
+    );
+    assert!(first(&late));
+}
+
+/// Guards against cold keys and against grants below the fence of a release.
+#[test]
+fn answered_release_passes_its_token_on() {
+    let mut ledger = held(at(0));
+    let rest = &candidates(2)[1..];
+
+    ledger.rearrange(at(100), SERVICE, rest, &Weights::default());
+    let release = answer_all(&mut ledger, at(100), &done());
+    ledger.rearrange(at(200), SERVICE, rest, &Weights::default());
+    ledger.recorded(ledger.version());
+    let grant = ledger.tick(at(200), |_| false);
+
+    let grant = grant.iter().find(|order| order.first == 0).unwrap();
+    assert!(grant.fence > release[0].fence);
+    assert_eq!(grant.owner, owner(2));
+    let handover = Some("token".to_owned());
+    assert_eq!(
+        grant.kind,
+        Kind::Grant {
+            hold: HOLD,
+            handover
+        }
+    );
+}
+
+/// Guards against waiting for the lease of a process that has started anew.
+#[test]
+fn later_life_frees_the_keys_at_once() {
+    let mut ledger = held(at(0));
+
+    ledger.tick(at(100), |holder| *holder == owner(1));
+    ledger.rearrange(at(100), SERVICE, &candidates(2)[1..], &Weights::default());
+    ledger.recorded(ledger.version());
+    let orders = ledger.tick(at(100), |_| false);
+
+    assert!(
+        orders
+            .iter()
+            .any(|order| order.first == 0 && order.owner == owner(2))
+    );
+}
+
+/// Guards against a renewal under way that arrives after the lease was thought over.
+#[test]
+fn renewal_under_way_extends_the_lease() {
+    let mut ledger = held(at(0));
+    let renewals = ledger.tick(at(2_000), |_| false);
+    assert_eq!(renewals.len(), 2);
+
+    let rest = &candidates(2)[1..];
+    ledger.rearrange(at(2_100), SERVICE, rest, &Weights::default());
+    let end = at(2_000) + CALL_LIMIT + longest(HOLD);
+    ledger.tick(end - ms(1), |_| false);
+    ledger.rearrange(end - ms(1), SERVICE, rest, &Weights::default());
+    ledger.recorded(ledger.version());
+    let early = ledger.tick(end - ms(1), |_| false);
+    ledger.tick(end, |_| false);
+    ledger.rearrange(end, SERVICE, rest, &Weights::default());
+    ledger.recorded(ledger.version());
+    let late = ledger.tick(end, |_| false);
+
+    let regrant = |order: &Order| order.first == 0 && order.owner == owner(2);
+    assert!(!early.iter().any(regrant));
+    assert!(late.iter().any(regrant));
+}
+
+/// Guards against a new leader whose fences upstreams refuse, and against moving
+/// what the previous leader may still renew.
+#[test]
+fn successor_renews_in_place_with_higher_fences() {
+    let mut first = held(at(0));
+    let old = first.tick(at(2_000), |_| false);
+    let record = first.record();
+
+    let mut second = Ledger::new(6, HOLD);
+    second.adopt(&record, at(2_000), at(20_000));
+    let orders = second.tick(at(2_000), |_| false);
+    second.rearrange(at(2_000), SERVICE, &candidates(2)[1..], &Weights::default());
+    second.recorded(second.version());
+    let later = second.tick(at(19_000), |_| false);
+
+    assert_eq!(orders.len(), old.len());
+    for (new, old) in orders.iter().zip(&old) {
+        assert_eq!(
+            (&new.owner, new.first, new.last),
+            (&old.owner, old.first, old.last)
+        );
+        assert!(new.fence > old.fence);
+    }
+    assert!(
+        !later
+            .iter()
+            .any(|order| order.first == 0 && order.owner == owner(2))
+    );
+}
+
+/// Guards against shortening the wait while leaders before the last may still act.
+#[test]
+fn only_the_recorded_predecessor_shortens_the_wait() {
+    let record = held(at(0)).record();
+    let mut ledger = Ledger::new(9, HOLD);
+    ledger.adopt(&record, at(0), at(20_000));
+
+    ledger.predecessor_stopped(8, at(0));
+    ledger.rearrange(at(0), SERVICE, &candidates(2)[1..], &Weights::default());
+    ledger.tick(at(10_000), |_| false);
+    let unchanged = ledger.is_settled(SERVICE);
+    ledger.predecessor_stopped(5, at(0));
+    ledger.tick(at(10_000), |_| false);
+    ledger.rearrange(
+        at(10_000),
+        SERVICE,
+        &candidates(2)[1..],
+        &Weights::default(),
+    );
+    ledger.recorded(ledger.version());
+    let orders = ledger.tick(at(10_000), |_| false);
+
+    assert!(!unchanged);
+    assert!(
+        orders
+            .iter()
+            .any(|order| order.first == 0 && order.owner == owner(2))
+    );
+}
--- /dev/null
+++ b/crates/core/tests/entry/plan.rs
@@ -0,0 +1,136 @@
+//! Placement of keys: balance, movement, hot keys.
+
+use std::collections::BTreeMap;
+
+use medlarreel_core::entry::plan::{Candidate, Range, Weights, place};
+use proptest::prelude::*;
+
+use crate::fixture::{candidates, owner};
+
+/// Largest load over its share, as the requirements state.
+const IMBALANCE: f64 = 1.15;
+
+fn free() -> Vec<Range> {
+    vec![Range {
+        first: 0,
+        last: u16::MAX,
+        owner: None,
+    }]
+}
+
+fn load(ranges: &[Range], candidate: &Candidate, weights: &Weights) -> f64 {
+    let owned = ranges
+        .iter()
+        .filter(|range| range.owner.as_ref() == Some(&candidate.owner));
+    owned.map(|range| weights.of(range.first, range.last)).sum()
+}
+
+fn moved(before: &[Range], after: &[Range]) -> f64 {
+    let owner_of = |ranges: &[Range], key: u16| {
+        let index = ranges.partition_point(|range| range.last < key);
+        ranges[index].owner.clone()
+    };
+    let keys = (0..=u16::MAX).step_by(16);
+    let all = keys.clone().count() as f64;
+    let changed = keys.filter(|key| owner_of(before, *key) != owner_of(after, *key));
+    changed.count() as f64 / all
+}
+
+/// Guards against an uneven first placement.
+#[test]
+fn first_placement_is_even() {
+    let candidates = candidates(15);
+    let weights = Weights::default();
+
+    let ranges = place(&free(), &candidates, &weights);
+
+    for candidate in &candidates {
+        let relative = load(&ranges, candidate, &weights) * 15.0;
+        assert!(relative < IMBALANCE, "{relative}");
+    }
+}
+
+/// Guards against moving keys whose owner is alive when another one is lost.
+#[test]
+fn only_the_keys_of_a_lost_owner_move() {
+    let all = candidates(15);
+    let weights = Weights::default();
+    let before = place(&free(), &all, &weights);
+
+    let after = place(&before, &all[1..], &weights);
+
+    assert!(moved(&before, &after) < 1.2 / 15.0);
+}
+
+/// Guards against an upstream that joins and gets nothing to do.
+#[test]
+fn joining_upstream_gets_its_share() {
+    let all = candidates(16);
+    let weights = Weights::default();
+    let before = place(&free(), &all[1..], &weights);
+
+    let after = place(&before, &all, &weights);
+
+    let share = load(&after, &all[0], &weights) * 16.0;
+    assert!(share > 0.5, "{share}");
+    assert!(moved(&before, &after) < 1.2 * 2.0 / 16.0);
+}
+
+/// Guards against other keys that wait behind a key with a third of all requests.
+#[test]
+fn hot_key_is_left_alone_with_its_owner() {
+    let all = candidates(15);
+    let before = place(&free(), &all, &Weights::default());
+    let mut counts: BTreeMap<u16, f64> = (0..200).map(|key| (key * 300, 1.0)).collect();
+    counts.insert(12_345, 100.0);
+    let weights = Weights::new(counts);
+
+    let after = place(&before, &all, &weights);
+
+    let hot = after
+        .iter()
+        .find(|range| (range.first..=range.last).contains(&12_345));
+    let hot = hot.unwrap();
+    assert_eq!((hot.first, hot.last), (12_345, 12_345));
+    let same = after
+        .iter()
+        .filter(|range| range.owner == hot.owner)
+        .count();
+    assert_eq!(same, 1);
+}
+
+proptest! {
+    /// Guards against gaps, overlaps and lost keys, whatever the weights.
+    #[test]
+    fn every_key_has_one_owner(
+        count in 1u8..20,
+        lost in 0u8..5,
+        counts in prop::collection::btree_map(any::<u16>(), 0.1..50.0f64, 0..60),
+    ) {
+        let all = candidates(count);
+        let weights = Weights::new(counts);
+        let before = place(&free(), &all, &Weights::default());
+        let left = &all[usize::from(lost.min(count - 1))..];
+
+        let after = place(&before, left, &weights);
+
+        let mut next = 0u32;
+        for range in &after {
+            prop_assert_eq!(u32::from(range.first), next);
+            prop_assert!(left.iter().any(|one| Some(&one.owner) == range.owner.as_ref()));
+            next = u32::from(range.last) + 1;
+        }
+        prop_assert_eq!(next, 65_536);
+    }
+}
+
+/// Guards against a plan that forgets the owners when there is no candidate.
+#[test]
+fn nothing_moves_without_candidates() {
+    let before = place(&free(), &candidates(2), &Weights::default());
+
+    let after = place(&before, &[], &Weights::default());
+
+    assert_eq!(before, after);
+    assert_eq!(after[0].owner, Some(owner(1)));
+}
--- /dev/null
+++ b/crates/core/tests/entry/queue.rs
@@ -0,0 +1,250 @@
+//! Queueing and refusing: who goes first, who is refused and when.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use medlarreel_core::entry::queue::{
+    Choice, Decision, Outlook, Queue, Reason, Run, Ticket, View, Waiting,
+};
+use medlarreel_core::entry::room::{Ending, Load};
+use medlarreel_core::ids::Upstream;
+use medlarreel_core::time::Time;
+
+use crate::fixture::{at, ms};
+
+/// Upstreams with six slots; keys belong to upstream 0 unless there is none.
+struct Fleet {
+    count: u32,
+    back: Option<Time>,
+}
+
+impl View for Fleet {
+    fn outlook(&self, _: &str, key: Option<u16>) -> Outlook {
+        let count = if key.is_some() {
+            self.count.min(1)
+        } else {
+            self.count
+        };
+        let choice = |number| Choice {
+            upstream: Upstream(number),
+            slots: 6,
+            far: false,
+            cold: false,
+        };
+        Outlook {
+            choices: (0..count).map(choice).collect(),
+            back: self.back,
+        }
+    }
+}
+
+fn fleet(count: u32) -> Fleet {
+    Fleet { count, back: None }
+}
+
+fn request(ticket: u64, rank: u8, now: Time, left: Duration) -> Waiting {
+    Waiting {
+        ticket: Ticket(ticket),
+        service: "workshop".into(),
+        key: None,
+        route: format!("rank-{rank}"),
+        rank,
+        deadline: now + left,
+        tried: Vec::new(),
+    }
+}
+
+fn sent(decisions: &[(Ticket, Decision)]) -> Vec<u64> {
+    let sends = decisions
+        .iter()
+        .filter(|(_, decision)| matches!(decision, Decision::Send { .. }));
+    sends.map(|(ticket, _)| ticket.0).collect()
+}
+
+fn finish(queue: &mut Queue, now: Time, rank: u8, load: Option<Load>, took: Duration) {
+    let run = Run {
+        upstream: Upstream(0),
+        route: &format!("rank-{rank}"),
+        service: "workshop",
+        ending: Ending::Ran,
+        load,
+        took,
+    };
+    queue.finish(now, &run);
+}
+
+/// Guards against an urgent request that waits behind a flood of others.
+#[test]
+fn urgent_request_overtakes_a_flood() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    for ticket in 0..40 {
+        queue
+            .offer(now, request(ticket, 2, now, ms(5_000)), &fleet)
+            .ok();
+    }
+    queue.decide(now, &fleet);
+    queue
+        .offer(now, request(100, 0, now, ms(800)), &fleet)
+        .unwrap();
+
+    let decisions = queue.decide(now, &fleet);
+
+    assert_eq!(sent(&decisions), [100]);
+}
+
+/// Guards against slots that are all taken when an urgent request comes: an
+/// upstream runs requests in the order in which they came.
+#[test]
+fn slots_stay_free_while_urgent_requests_come() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    queue
+        .offer(now, request(0, 0, now, ms(800)), &fleet)
+        .unwrap();
+    queue.decide(now, &fleet);
+    finish(&mut queue, now, 0, None, ms(60));
+    for ticket in 1..20 {
+        queue
+            .offer(now, request(ticket, 2, now, ms(5_000)), &fleet)
+            .ok();
+    }
+
+    let decisions = queue.decide(now, &fleet);
+
+    assert_eq!(sent(&decisions).len(), 4);
+}
+
+/// Guards against slots that stay idle where all requests have one rank.
+#[test]
+fn all_slots_are_used_without_urgent_requests() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    for ticket in 0..20 {
+        queue
+            .offer(now, request(ticket, 2, now, ms(5_000)), &fleet)
+            .ok();
+    }
+
+    let decisions = queue.decide(now, &fleet);
+
+    assert!(sent(&decisions).len() >= 6);
+}
+
+/// Guards against a request that is held until its deadline without hope.
+#[test]
+fn hopeless_request_is_refused_at_once() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    for _ in 0..50 {
+        finish(&mut queue, now, 1, None, ms(400));
+    }
+
+    let refused = queue.offer(now, request(1, 1, now, ms(50)), &fleet);
+
+    let reason = Reason::NoRoom;
+    assert!(matches!(refused, Err(Decision::Refuse { reason: given, .. }) if given == reason));
+}
+
+/// Guards against waiting for a key whose holder is lost for longer than the
+/// request's time, and against a return before the key is served again.
+#[test]
+fn request_for_a_key_without_owner_is_told_when_to_return() {
+    let now = at(0);
+    let mut queue = Queue::default();
+    let fleet = Fleet {
+        count: 0,
+        back: Some(now + ms(3_000)),
+    };
+    let keyed = |left| Waiting {
+        key: Some(7),
+        ..request(1, 1, now, left)
+    };
+
+    let short = queue.offer(now, keyed(ms(1_000)), &fleet);
+    let long = queue.offer(now, keyed(ms(5_000)), &fleet);
+
+    let after = ms(3_000);
+    let reason = Reason::NoUpstream;
+    assert_eq!(short, Err(Decision::Refuse { reason, after }));
+    assert_eq!(long, Ok(()));
+}
+
+/// Guards against sending to an upstream that others have filled.
+#[test]
+fn reported_load_of_others_counts() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    queue
+        .offer(now, request(0, 1, now, ms(900)), &fleet)
+        .unwrap();
+    queue.decide(now, &fleet);
+    let load = Load {
+        running: 6,
+        waiting: 5,
+        slots: 6,
+    };
+    finish(&mut queue, now, 1, Some(load), ms(100));
+    queue
+        .offer(now, request(1, 1, now, ms(900)), &fleet)
+        .unwrap();
+
+    let full = queue.decide(now, &fleet);
+    let later = queue.decide(at(600), &fleet);
+
+    assert_eq!(sent(&full), Vec::<u64>::new());
+    assert_eq!(sent(&later), [1]);
+}
+
+/// Plays a flood of rank 2 at twice the capacity beside steady requests of rank
+/// 0, and checks what the callers of each get.
+#[test]
+fn flood_leaves_urgent_requests_their_objective() {
+    let (mut queue, fleet) = (Queue::default(), fleet(3));
+    let mut running: BTreeMap<(Time, u64), (Upstream, u8, Time)> = BTreeMap::new();
+    let mut arrived: BTreeMap<u64, (u8, Time)> = BTreeMap::new();
+    let (mut urgent, mut in_time, mut others) = (0u32, 0u32, 0u32);
+    let mut ticket = 0;
+    for step in 0..10_000u64 {
+        let now = at(step);
+        while let Some(((end, id), (upstream, rank, start))) = running.pop_first() {
+            if end > now {
+                running.insert((end, id), (upstream, rank, start));
+                break;
+            }
+            let route = format!("rank-{rank}");
+            let run = Run {
+                upstream,
+                route: &route,
+                service: "workshop",
+                ending: Ending::Ran,
+                load: None,
+                took: now.since(start),
+            };
+            queue.finish(now, &run);
+            let waited = now.since(arrived[&id].1);
+            in_time += u32::from(rank == 0 && waited <= ms(200));
+            others += u32::from(rank == 2);
+        }
+        // 18 slots: 20 urgent requests a second take one, 90 others a second 36.
+        for (every, rank, left) in [(50, 0, ms(800)), (11, 2, ms(2_500))] {
+            if step % every == 0 {
+                ticket += 1;
+                arrived.insert(ticket, (rank, now));
+                urgent += u32::from(rank == 0);
+                queue
+                    .offer(now, request(ticket, rank, now, left), &fleet)
+                    .ok();
+            }
+        }
+        for (id, decision) in queue.decide(now, &fleet) {
+            if let Decision::Send { upstream, .. } = decision {
+                let rank = arrived[&id.0].0;
+                let run = if rank == 0 { ms(64) } else { ms(400) };
+                running.insert((now + run, id.0), (upstream, rank, now));
+            }
+        }
+    }
+
+    assert!(
+        f64::from(in_time) >= 0.99 * f64::from(urgent - 2),
+        "{in_time} of {urgent}"
+    );
+    // Two of six slots are kept free at each upstream: 30 a second for 10 s.
+    assert!(others >= 250, "{others}");
+}
