--- /dev/null
+++ b/crates/entry/tests/path/settings.rs
@@ -0,0 +1,49 @@
+//! Settings files: what is accepted, and what is said about mistakes.
+
+use std::time::Duration;
+
+use medlarreel_entry::settings::Settings;
+
+use crate::fixture::settings;
+
+fn text() -> String {
+    settings(
+        &[7_001, 7_002, 7_003, 7_004],
+        ([127, 0, 0, 1], 7_000).into(),
+    )
+}
+
+/// Guards against bounds that are read in the wrong unit.
+#[test]
+fn times_are_seconds_with_fractions() {
+    let text = text().replace("heartbeat = 1 s", "heartbeat = 0.87 s");
+
+    let settings = Settings::parse(&text).unwrap();
+
+    assert_eq!(settings.heartbeat, Duration::from_millis(870));
+    assert_eq!(settings.drain, Duration::from_secs(2));
+    assert!(settings.hold <= Duration::from_secs(10));
+}
+
+/// Guards against a deployment that leaves bounds out.
+#[test]
+fn bounds_may_be_missing() {
+    let text = text();
+    let (rest, _) = text.split_once("[bounds]").unwrap();
+
+    let settings = Settings::parse(rest).unwrap();
+
+    assert_eq!(settings.drain, Duration::from_secs(2));
+}
+
+/// Guards against a start with settings that nobody meant.
+#[test]
+fn every_mistake_is_reported_with_its_line() {
+    let text = text().replace("store = 127.0.0.1:7000", "store = nowhere");
+    let text = text.replace("retry_ratio = 0.2", "retry_ratio = 20");
+
+    let mistakes = Settings::parse(&text).unwrap_err();
+
+    let lines: Vec<usize> = mistakes.iter().map(|mistake| mistake.line).collect();
+    assert_eq!(lines, [10, 16]);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod gate;
 pub mod list;
 pub mod log;
+pub mod platform;
 pub mod server;
 pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,218 @@
+//! Stand-in for the platform's log store.
+//!
+//! Topics have one partition and are kept in memory. The newest record of each
+//! key of a keyed topic is found by a scan, since tests write few records.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::error::Error;
+use crate::gate::Gate;
+use crate::server::{self, Reply, Server, number};
+
+/// Longest wait of a read.
+const MAX_WAIT_MS: u64 = 30_000;
+
+/// The store.
+#[derive(Debug)]
+pub struct Store {
+    topics: Mutex<BTreeMap<String, Vec<Bytes>>>,
+    appended: watch::Sender<u64>,
+    down: AtomicBool,
+    lost: AtomicU32,
+    calls: AtomicU32,
+}
+
+/// Starts a store.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn start(listen: SocketAddr) -> Result<Server<Store>, Error> {
+    let store = Store {
+        topics: Mutex::default(),
+        appended: watch::channel(0).0,
+        down: AtomicBool::new(false),
+        lost: AtomicU32::new(0),
+        calls: AtomicU32::new(0),
+    };
+    server::start(listen, store, Gate::new(usize::MAX)).await
+}
+
+impl Store {
+    /// Appends a record of a keyed topic, as the operator and upstreams do.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.append(topic, record.freeze());
+    }
+
+    /// Newest value of a key.
+    pub fn get(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let topics = self.topics();
+        let records = topics.get(topic)?.iter().rev();
+        let found = records
+            .filter_map(split)
+            .find(|(name, _)| name == key);
+        found
+            .map(|(_, value)| value)
+            .filter(|value| !value.is_empty())
+    }
+
+    /// Makes every call fail without effect, or ends that.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Loses the answers of the next appends; they take effect.
+    pub fn lose(&self, appends: u32) {
+        self.lost.store(appends, Ordering::SeqCst);
+    }
+
+    /// Number of calls so far.
+    pub fn calls(&self) -> u32 {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    fn topics(&self) -> MutexGuard<'_, BTreeMap<String, Vec<Bytes>>> {
+        self.topics
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn append(&self, topic: &str, record: Bytes) -> (usize, usize) {
+        let mut topics = self.topics();
+        let records = topics.entry(topic.to_owned()).or_default();
+        records.push(record);
+        self.appended.send_modify(|count| *count += 1);
+        (records.len() - 1, records.len())
+    }
+
+    fn end(&self, topic: &str) -> usize {
+        self.topics().get(topic).map_or(0, Vec::len)
+    }
+
+    async fn appends(&self, query: Option<&str>, mut body: Bytes) -> Result<Reply, Error> {
+        let topic = text(query, "topic")?;
+        let end = self.end(&topic);
+        if number(query, "asOf", end)? != end {
+            return Ok(server::json(412, &json!({"end": end})));
+        }
+        let mut first = None;
+        while body.len() >= 4 {
+            let length = body.get_u32() as usize;
+            if length > body.len() {
+                return Err(Error::Malformed("record is cut short".into()));
+            }
+            let (offset, _) = self.append(&topic, body.split_to(length));
+            first = first.or(Some(offset));
+        }
+        let lose = |count: u32| count.checked_sub(1);
+        if self
+            .lost
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, lose)
+            .is_ok()
+        {
+            return Err(Error::Lost);
+        }
+        let (offset, end) = (first.unwrap_or(end), self.end(&topic));
+        Ok(server::json(200, &json!({"offset": offset, "end": end})))
+    }
+
+    async fn read(&self, query: Option<&str>) -> Result<Reply, Error> {
+        let topic = text(query, "topic")?;
+        let from = number(query, "from", 0usize)?;
+        let wait = number(query, "waitMs", 0u64)?.min(MAX_WAIT_MS);
+        let mut appended = self.appended.subscribe();
+        let news = async {
+            while self.end(&topic) <= from {
+                if appended.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // The time may pass without a record; the answer is empty then.
+        let _ = tokio::time::timeout(Duration::from_millis(wait), news).await;
+        let topics = self.topics();
+        let records = topics.get(&topic).map_or(&[][..], Vec::as_slice);
+        let mut body = BytesMut::new();
+        body.put_u64(records.len() as u64);
+        body.put_u64(0);
+        for record in records.iter().skip(from) {
+            body.put_u32(record.len() as u32);
+            body.put_slice(record);
+        }
+        Ok(Response::new(Full::new(body.freeze())))
+    }
+
+    fn newest(&self, query: Option<&str>) -> Result<Reply, Error> {
+        let topic = text(query, "topic")?;
+        let topics = self.topics();
+        let records = topics.get(&topic).map_or(&[][..], Vec::as_slice);
+        let mut newest = BTreeMap::new();
+        for (offset, record) in records.iter().enumerate() {
+            match split(record) {
+                Some((key, value)) if value.is_empty() => {
+                    newest.remove(&key);
+                }
+                Some((key, value)) => {
+                    newest.insert(key, (STANDARD.encode(value), offset));
+                }
+                None => {}
+            }
+        }
+        let item = |(key, (value, offset)): (String, (String, usize))| json!({"key": key, "value": value, "offset": offset});
+        let items: Vec<_> = newest.into_iter().map(item).collect();
+        let end = records.len();
+        Ok(server::json(
+            200,
+            &json!({"items": items, "hasMore": false, "end": end}),
+        ))
+    }
+}
+
+impl server::Service for Store {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Error> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.down.load(Ordering::SeqCst) {
+            return Ok(server::text(503, "the store is down"));
+        }
+        let (parts, body) = request.into_parts();
+        let query = parts.uri.query();
+        match parts.uri.path() {
+            "/medlarreel/log-append" => self.appends(query, server::body(body).await?).await,
+            "/medlarreel/log-read" => self.read(query).await,
+            "/medlarreel/log-newest" => self.newest(query),
+            path => Err(Error::Missing(path.to_owned())),
+        }
+    }
+}
+
+/// Key and value of a record.
+fn split(record: &Bytes) -> Option<(String, Bytes)> {
+    let mut record = record.clone();
+    let length = record.try_get_u8().ok()? as usize;
+    if length > record.len() {
+        return None;
+    }
+    let key = String::from_utf8(record.split_to(length).to_vec()).ok()?;
+    Some((key, record))
+}
+
+fn text(query: Option<&str>, name: &str) -> Result<String, Error> {
+    number(query, name, String::new())
+}
