Let the leader read the store for all instances

The leader now reads with long polls and passes records on by UDP; the others read at their start, when they missed records, and while the leader does not hear from the store.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::callers::{self, Connections};
 use crate::leader::{self, Leader};
 use crate::peers;
-use crate::reader;
+use crate::reader::{self, Topic};
 use crate::settings::{PATH_VARIABLE, Settings};
 use crate::state::State;
 
@@ -84,8 +84,9 @@
         Rc::clone(&connections),
         stopped,
     ));
-    spawn_local(reader::follow_config(Rc::clone(&state)));
-    spawn_local(reader::follow_directory(Rc::clone(&state)));
+    for topic in Topic::ALL {
+        spawn_local(reader::follow(Rc::clone(&state), topic, Rc::clone(&socket)));
+    }
     spawn_local(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(peers::report(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(sweep(Rc::clone(&state)));
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -210,7 +210,7 @@
             return;
         }
         let place = self.place();
-        let reachable = !self.state.store.get().failing && self.state.listed.get();
+        let reachable = !self.state.store.get().failing && self.state.is_listed();
         if !self.state.lead.borrow().stands(now, place, reachable) {
             return;
         }
@@ -338,7 +338,7 @@
             return;
         };
         let table = Rc::clone(&state.table.borrow());
-        if !table.is_known() || !state.listed.get() {
+        if !table.is_known() || !state.is_listed() {
             return;
         }
         let mut candidates: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
@@ -431,7 +431,7 @@
         }
         if now.since(self.beaten) >= BEAT {
             self.beaten = now;
-            let beat = peers::beat(&self.state, order);
+            let beat = peers::beat(&self.state, now, order);
             peers::broadcast(&self.state, &self.socket, &beat).await;
         }
     }
@@ -591,7 +591,7 @@
     let answer = link.exchange(request, limit).await?;
     if let Some(upstream) = upstream {
         let now = state.clock.now();
-        state.pool.put(now, upstream, link, &answer.headers);
+        state.keep(now, upstream, link, &answer.headers);
     }
     Ok(grants::decode(answer.status, &answer.headers))
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::map::Map;
+use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
+use crate::reader::{News, Progress, Topic};
 use crate::state::{Member, State};
 
 /// Largest message, in bytes.
@@ -44,7 +46,11 @@
         able: bool,
         /// Epoch and version of its map of owners.
         order: (u64, u64),
+        /// How far it has read each topic of the store.
+        read: Vec<(Topic, Progress)>,
     },
+    /// Records that the leader has read.
+    News(News),
     /// The sender wants the leader's map.
     Ask,
     /// The leader's map of owners.
@@ -65,7 +71,8 @@
     let bytes = match postcard::to_allocvec(message) {
         Ok(bytes) if bytes.len() <= MAX_MESSAGE => bytes,
         Ok(bytes) => {
-            tracing::error!(bytes = bytes.len(), "message too large");
+            // Receivers read what they miss from the store.
+            tracing::info!(bytes = bytes.len(), "message too large, not sent");
             return;
         }
         Err(error) => {
@@ -114,7 +121,7 @@
             let known = state.members.borrow_mut().insert(name.clone(), member);
             tracing::info!(name, %from, replaced = known.is_some(), "instance joined");
             if let Some(view) = view(state) {
-                send(socket, from, &beat(state, view.order())).await;
+                send(socket, from, &beat(state, now, view.order())).await;
                 send(socket, from, &Message::View(view)).await;
             }
         }
@@ -123,6 +130,7 @@
             name,
             able,
             order,
+            read,
         } => {
             let was = state.lead.borrow().epoch();
             if state.lead.borrow_mut().hear(now, epoch, &name, able) {
@@ -137,10 +145,18 @@
                     send(socket, from, &resigned).await;
                 }
             }
+            if epoch >= state.lead.borrow().highest() {
+                for (topic, progress) in &read {
+                    if state.feed(*topic).hear(now, progress) {
+                        state.store_heard();
+                    }
+                }
+            }
             if epoch >= state.lead.borrow().highest() && order > state.view.borrow().order() {
                 send(socket, from, &Message::Ask).await;
             }
         }
+        Message::News(news) => crate::reader::receive(state, news),
         Message::Ask => {
             if let Some(view) = view(state) {
                 send(socket, from, &Message::View(view)).await;
@@ -177,13 +193,15 @@
 }
 
 /// Sign of life of this instance as the leader.
-pub fn beat(state: &State, order: (u64, u64)) -> Message {
+pub fn beat(state: &State, now: Time, order: (u64, u64)) -> Message {
     let lead = state.lead.borrow();
+    let progress = |topic| Some((topic, state.feed(topic).progress(now)?));
     Message::Beat {
         epoch: lead.epoch().unwrap_or_default(),
         name: state.name(),
         able: !state.store.get().failing,
         order,
+        read: Topic::ALL.into_iter().filter_map(progress).collect(),
     }
 }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -52,8 +52,9 @@
         None
     }
 
-    /// Keeps a connection whose last answer had these header fields.
-    pub fn put(&self, now: Time, upstream: Upstream, link: Link, answer: &HeaderMap) {
+    /// Keeps a connection whose last answer had these header fields, with at most
+    /// `most` idle ones to an upstream.
+    pub fn put(&self, now: Time, upstream: Upstream, link: Link, answer: &HeaderMap, most: usize) {
         if closes(answer) {
             return;
         }
@@ -66,7 +67,12 @@
             limit,
         };
         let mut idle = self.idle.borrow_mut();
-        idle.entry(upstream).or_default().push(one);
+        let links = idle.entry(upstream).or_default();
+        if links.len() >= most {
+            // The oldest goes, since it would be closed first anyway.
+            links.remove(0);
+        }
+        links.push(one);
     }
 
     /// Closes connections that are too old and those of upstreams that are gone.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -400,12 +400,12 @@
     match verdict {
         Ok(true) => {
             let now = state.clock.now();
-            state.pool.put(now, upstream, link, &answer.headers);
+            state.keep(now, upstream, link, &answer.headers);
             Sent::Answered(answer)
         }
         Ok(false) => {
             let now = state.clock.now();
-            state.pool.put(now, upstream, link, &answer.headers);
+            state.keep(now, upstream, link, &answer.headers);
             match answer.status {
                 StatusCode::MISDIRECTED_REQUEST => {
                     if let Some(key) = exchange.key {
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -1,66 +1,314 @@
 //! Readers of the platform's store: configuration and registrations.
+//!
+//! The leader reads all the time and passes new records on. The others read only
+//! at their start, when records that the leader knows did not reach them, and
+//! while the leader itself doesn't hear from the store.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::RETURN_GRACE;
 use medlarreel_core::entry::routes::Table;
 use medlarreel_core::time::Time;
+use medlarreel_macros::data;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::error::Error;
+use crate::peers::{self, Message};
 use crate::platform::store::{Item, Read, Store};
 use crate::platform::{config, registry};
 use crate::state::State;
 
-/// Time that a read waits for a new configuration. A connection that has gone
-/// silent hides new configurations for about this time.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// Time that a read of the leader waits for a record. A connection that has gone
+/// silent hides new records for about this time.
+const LEADER_WAIT: Duration = Duration::from_millis(600);
 
-/// Time between reads of the registrations. A leaving upstream must be left alone
-/// within seconds, and upstreams report about once a second.
-const DIRECTORY_INTERVAL: Duration = Duration::from_millis(900);
+/// Time that a read of another instance waits for a record.
+const WAIT: Duration = Duration::from_millis(1_000);
 
-/// Shortest time between two reads of the registrations.
-const DIRECTORY_MIN: Duration = Duration::from_millis(150);
+/// Shortest time between two reads, for topics that grow all the time.
+const INTERVAL_MIN: Duration = Duration::from_millis(150);
+
+/// Age from which the leader's reading no longer counts. New records must take
+/// effect within 2 s.
+const STALE: Duration = Duration::from_millis(1_000);
+
+/// Time for records that the leader has sent to arrive.
+const DELIVERY: Duration = Duration::from_millis(30);
+
+/// Time between looks at whether a read is due.
+const LOOK: Duration = Duration::from_millis(250);
 
 /// Pause after a failed call, so that an overloaded store is not pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Keeps the configuration up to date.
-pub async fn follow_config(state: Rc<State>) {
+/// What is read.
+#[data(key)]
+pub enum Topic {
+    /// Configurations of the operator.
+    Config,
+    /// Registrations of upstreams.
+    Directory,
+}
+
+impl Topic {
+    /// Both topics.
+    pub const ALL: [Topic; 2] = [Topic::Config, Topic::Directory];
+
+    fn name(self) -> &'static str {
+        match self {
+            Topic::Config => config::TOPIC,
+            Topic::Directory => registry::TOPIC,
+        }
+    }
+
+    fn kind(self) -> &'static str {
+        match self {
+            Topic::Config => "config",
+            Topic::Directory => "directory",
+        }
+    }
+}
+
+/// How far a topic has been read.
+#[data(value)]
+pub struct Progress {
+    /// Position of the next record.
+    pub end: u64,
+    /// Time since when there may be unread records, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Records that the leader passes on.
+#[data(value)]
+pub struct News {
+    /// Topic of the records.
+    pub topic: Topic,
+    /// Position of the first record.
+    pub from: u64,
+    /// Position after the last one.
+    pub end: u64,
+    /// Keys and values.
+    pub records: Vec<(String, Option<Vec<u8>>)>,
+    /// Time for which removals are put off, in milliseconds.
+    pub grace_ms: u64,
+}
+
+/// State of one topic's reader.
+#[derive(Debug)]
+pub struct Feed {
+    position: RefCell<Position>,
+    due: Notify,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    /// Offset of the next record; `None` to read the newest of each key.
+    from: Option<u64>,
+    /// Every record before this time has been read.
+    since: Time,
+    /// Time at which a leader that reads was heard.
+    heard: Option<Time>,
+    /// Whether the store has records that were not read.
+    behind: bool,
+}
+
+impl Default for Feed {
+    fn default() -> Feed {
+        Feed {
+            position: RefCell::default(),
+            due: Notify::new(),
+        }
+    }
+}
+
+impl Feed {
+    /// Whether the topic was read once.
+    pub fn is_read(&self) -> bool {
+        self.position.borrow().from.is_some()
+    }
+
+    /// How far the topic has been read, if at all.
+    pub fn progress(&self, now: Time) -> Option<Progress> {
+        let position = self.position.borrow();
+        Some(Progress {
+            end: position.from?,
+            age_ms: now.since(position.since).as_millis() as u64,
+        })
+    }
+
+    /// Asks for a read.
+    pub fn refresh(&self) {
+        self.position.borrow_mut().behind = true;
+        self.due.notify_one();
+    }
+
+    /// Notes how far the leader has read; true if that is recent.
+    pub fn hear(&self, now: Time, progress: &Progress) -> bool {
+        let age = Duration::from_millis(progress.age_ms);
+        if age > STALE {
+            return false;
+        }
+        let mut position = self.position.borrow_mut();
+        position.heard = Some(now);
+        match position.from {
+            Some(from) if progress.end <= from => position.since = position.since.max(now - age),
+            _ => {
+                position.behind = true;
+                self.due.notify_one();
+            }
+        }
+        true
+    }
+
+    /// Waits until a read is due.
+    async fn until_due(&self, state: &State) {
+        loop {
+            let now = state.clock.now();
+            let position = *self.position.borrow();
+            let leads = state.lead.borrow().epoch().is_some();
+            let heard = position.heard.is_some_and(|heard| now.since(heard) < STALE);
+            if leads || !heard || position.from.is_none() {
+                return;
+            }
+            if position.behind {
+                tokio::time::sleep(DELIVERY).await;
+                if self.position.borrow().behind {
+                    return;
+                }
+                continue;
+            }
+            // Nothing is missed if the wait ends without a sign: it is one more look.
+            let _ = tokio::time::timeout(LOOK, self.due.notified()).await;
+        }
+    }
+}
+
+/// Keeps a topic up to date.
+pub async fn follow(state: Rc<State>, topic: Topic, socket: Rc<UdpSocket>) {
     let address = state.settings.borrow().store;
     let mut store = Store::new(address);
-    let mut from = None;
     loop {
-        let read = config_step(&state, &mut store, from).await;
-        noted(&state, "config", &read);
-        match read {
-            Ok(end) => from = end,
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        state.feed(topic).until_due(&state).await;
+        let started = state.clock.now();
+        let read = read(&state, topic, &mut store, started).await;
+        match &read {
+            Ok(news) => {
+                state.metrics.call(topic.kind(), "done");
+                state.store_answered(true);
+                if let Some(news) = news
+                    .clone()
+                    .filter(|_| state.lead.borrow().epoch().is_some())
+                {
+                    peers::broadcast(&state, &socket, &Message::News(news)).await;
+                }
+                tokio::time::sleep(INTERVAL_MIN).await;
+            }
+            Err(error) => {
+                state.metrics.call(topic.kind(), "failed");
+                tracing::debug!(topic = topic.kind(), %error, "store not read");
+                state.store_answered(false);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
 }
 
-/// Reads once; returns the position to read from next, `None` to start anew.
-async fn config_step(
+/// Reads once and applies what is new; returns it for the other instances.
+async fn read(
     state: &State,
+    topic: Topic,
     store: &mut Store,
-    from: Option<u64>,
-) -> Result<Option<u64>, Error> {
-    let Some(from) = from else {
-        let newest = store.newest(config::TOPIC).await?;
-        apply_config(state, &newest.items);
-        return Ok(Some(newest.end));
+    started: Time,
+) -> Result<Option<News>, Error> {
+    let before = *state.feed(topic).position.borrow();
+    let Some(from) = before.from else {
+        let newest = store.newest(topic.name()).await?;
+        state.store_answered(true);
+        let end = newest.end;
+        apply(state, topic, &newest.items, true, Duration::ZERO);
+        advance(state, topic, end, started);
+        return Ok(None);
+    };
+    let leads = state.lead.borrow().epoch().is_some();
+    let wait = match (leads, before.behind) {
+        (_, true) => Duration::ZERO,
+        (true, false) => LEADER_WAIT,
+        (false, false) => WAIT,
+    };
+    let (items, end) = match store.read(topic.name(), from, wait).await? {
+        Read::Records(items, end) => (items, end),
+        Read::Trimmed => {
+            state.feed(topic).position.borrow_mut().from = None;
+            return Ok(None);
+        }
+    };
+    state.store_answered(true);
+    let now = state.clock.now();
+    if state.feed(topic).position.borrow().from != Some(from) {
+        // Records from the leader came first.
+        return Ok(None);
+    }
+    apply(state, topic, &items, false, Duration::ZERO);
+    // An answer without records is as new as its end.
+    let read_to = if items.is_empty() {
+        now - DELIVERY
+    } else {
+        started
     };
-    match store.read(config::TOPIC, from, CONFIG_WAIT).await? {
-        Read::Records(items, end) => {
-            apply_config(state, &items);
-            Ok(Some(end))
+    advance(state, topic, end, read_to.max(started));
+    let grace = removal(state, Duration::ZERO).since(now);
+    Ok((!items.is_empty()).then(|| News {
+        topic,
+        from,
+        end,
+        records: items
+            .into_iter()
+            .map(|item| (item.key, item.value.map(|value| value.to_vec())))
+            .collect(),
+        grace_ms: grace.as_millis() as u64,
+    }))
+}
+
+/// Applies records that the leader has passed on.
+pub fn receive(state: &State, news: News) {
+    let feed = state.feed(news.topic);
+    let from = feed.position.borrow().from;
+    match from {
+        Some(from) if from == news.from => {
+            let item = |(key, value): (String, Option<Vec<u8>>)| Item {
+                key,
+                value: value.map(Into::into),
+                offset: 0,
+            };
+            let items: Vec<Item> = news.records.into_iter().map(item).collect();
+            let grace = Duration::from_millis(news.grace_ms);
+            apply(state, news.topic, &items, false, grace);
+            let now = state.clock.now();
+            advance(state, news.topic, news.end, now - DELIVERY);
         }
-        Read::Trimmed => Ok(None),
+        Some(from) if from >= news.end => {}
+        _ => feed.refresh(),
     }
 }
 
+fn advance(state: &State, topic: Topic, end: u64, since: Time) {
+    let mut position = state.feed(topic).position.borrow_mut();
+    position.from = Some(end);
+    position.since = position.since.max(since);
+    position.behind = false;
+}
+
+fn apply(state: &State, topic: Topic, items: &[Item], whole: bool, grace: Duration) {
+    match topic {
+        Topic::Config => apply_config(state, items),
+        Topic::Directory => apply_entries(state, items, whole, grace),
+    }
+    state.pump();
+}
+
 fn apply_config(state: &State, items: &[Item]) {
     let configs = items.iter().filter(|item| item.key == config::KEY);
     let Some(value) = configs.filter_map(|item| item.value.as_ref()).next_back() else {
@@ -77,89 +325,30 @@
             state.metrics.config.set(version as i64);
             *state.table.borrow_mut() = Rc::new(Table::new(config));
             state.split.borrow_mut().reset();
-            state.pump();
         }
         Err(error) => tracing::error!(%error, "configuration can't be read, ignored"),
     }
 }
 
-/// Keeps the registrations up to date.
-pub async fn follow_directory(state: Rc<State>) {
-    let address = state.settings.borrow().store;
-    let mut store = Store::new(address);
-    let mut from = None;
-    let mut since = state.clock.now();
-    loop {
-        let started = state.clock.now();
-        let read = directory_step(&state, &mut store, &mut from, since).await;
-        noted(&state, "directory", &read);
-        match read {
-            Ok(()) if from.is_some() => {
-                since = started;
-                rest(&state).await;
-            }
-            // The position is no longer kept, so everything is read anew.
-            Ok(()) => {}
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
-        }
-    }
-}
-
-/// Waits for the next read.
-async fn rest(state: &State) {
-    tokio::time::sleep(DIRECTORY_MIN).await;
-    let waited = DIRECTORY_INTERVAL - DIRECTORY_MIN;
-    tokio::select! {
-        () = tokio::time::sleep(waited) => {}
-        () = state.refresh.notified() => {}
-    }
-}
-
-async fn directory_step(
-    state: &State,
-    store: &mut Store,
-    from: &mut Option<u64>,
-    since: Time,
-) -> Result<(), Error> {
-    let (items, whole, end) = match *from {
-        None => {
-            let newest = store.newest(registry::TOPIC).await?;
-            (newest.items, true, newest.end)
-        }
-        Some(position) => match store
-            .read(registry::TOPIC, position, Duration::ZERO)
-            .await?
-        {
-            Read::Records(items, end) => (items, false, end),
-            Read::Trimmed => {
-                *from = None;
-                return Ok(());
-            }
-        },
-    };
-    state.store_answered(true);
-    *from = Some(end);
+/// Time at which a removal that was just read takes effect. What lapsed while
+/// the store was away gets time to come back.
+fn removal(state: &State, grace: Duration) -> Time {
     let now = state.clock.now();
-    // What lapsed while the store was away gets time to come back.
     let regained = state.store.get().regained;
-    let removal = regained.map_or(now, |at| now.max(at + RETURN_GRACE));
-    if whole {
-        let present: Vec<&str> = items
-            .iter()
-            .filter(|item| item.value.is_some())
-            .map(|item| item.key.as_str())
-            .collect();
-        let mut directory = state.directory.borrow_mut();
-        directory.retain(&present, since, removal);
-    }
-    apply_entries(state, &items, since, removal);
-    state.listed.set(true);
-    Ok(())
+    let own = regained.map_or(now, |at| now.max(at + RETURN_GRACE));
+    own.max(now + grace)
 }
 
-fn apply_entries(state: &State, items: &[Item], since: Time, at: Time) {
+fn apply_entries(state: &State, items: &[Item], whole: bool, grace: Duration) {
     let now = state.clock.now();
+    let since = state.feed(Topic::Directory).position.borrow().since;
+    let at = removal(state, grace);
     let mut directory = state.directory.borrow_mut();
+    if whole {
+        let present = items.iter().filter(|item| item.value.is_some());
+        let present: Vec<&str> = present.map(|item| item.key.as_str()).collect();
+        directory.retain(&present, since, at);
+    }
     for item in items {
         let Some(value) = &item.value else {
             tracing::info!(upstream = item.key, "registration removed");
@@ -178,19 +367,4 @@
     }
     drop(directory);
     state.expire();
-    state.pump();
-}
-
-fn noted<T>(state: &State, kind: &'static str, read: &Result<T, Error>) {
-    match read {
-        Ok(_) => {
-            state.metrics.call(kind, "done");
-            state.store_answered(true);
-        }
-        Err(error) => {
-            state.metrics.call(kind, "failed");
-            tracing::debug!(kind, %error, "store not read");
-            state.store_answered(false);
-        }
-    }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use medlarreel_core::entry::directory::{Directory, Record};
 use medlarreel_core::entry::lead::Lead;
 use medlarreel_core::entry::ledger::Ledger;
@@ -15,11 +16,13 @@
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::Budget;
 use medlarreel_core::time::Time;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::reader::{Feed, Topic};
 use crate::settings::Settings;
 
 /// Reserve within the time in which a leaving upstream must be left alone, for
@@ -72,8 +75,10 @@
     pub split: RefCell<Split>,
     /// Upstreams.
     pub directory: RefCell<Directory>,
-    /// Whether the directory was read once.
-    pub listed: Cell<bool>,
+    /// Reader of the configuration.
+    pub config_feed: Feed,
+    /// Reader of the registrations.
+    pub directory_feed: Feed,
     /// Owners of keys.
     pub view: RefCell<Map>,
     /// Time at which the map of owners was taken.
@@ -103,8 +108,6 @@
     /// Ranges that an upstream doesn't hold although the map says so, by their
     /// first key, and until when this is believed.
     pub not_held: RefCell<HashMap<(Upstream, u16), Time>>,
-    /// Asks the reader to read registrations now.
-    pub refresh: Notify,
     next_ticket: Cell<u64>,
 }
 
@@ -124,7 +127,8 @@
             table: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::default(),
-            listed: Cell::new(false),
+            config_feed: Feed::default(),
+            directory_feed: Feed::default(),
             view: RefCell::default(),
             viewed: Cell::default(),
             queue: RefCell::default(),
@@ -139,7 +143,6 @@
             stopping: Cell::new(false),
             busy: RefCell::default(),
             not_held: RefCell::default(),
-            refresh: Notify::new(),
             next_ticket: Cell::new(0),
         })
     }
@@ -156,25 +159,34 @@
         Ticket(ticket)
     }
 
+    /// Reader of a topic.
+    pub fn feed(&self, topic: Topic) -> &Feed {
+        match topic {
+            Topic::Config => &self.config_feed,
+            Topic::Directory => &self.directory_feed,
+        }
+    }
+
+    /// Whether the registrations were read once.
+    pub fn is_listed(&self) -> bool {
+        self.directory_feed.is_read()
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.table.borrow().is_known() && self.listed.get()
+        !self.stopping.get() && self.table.borrow().is_known() && self.is_listed()
     }
 
     /// Notes the outcome of a call to the store.
     pub fn store_answered(&self, success: bool) {
-        let now = self.clock.now();
         let mut health = self.store.get();
         if success {
             if health.failing {
                 tracing::info!(dependency = "store", "dependency regained");
             }
-            // Several connections fail and recover one after the other; only a
-            // gap in the answers of all of them is an outage.
-            if health.answered.is_some_and(|last| now.since(last) > OUTAGE) {
-                health.regained = Some(now);
-            }
-            health.answered = Some(now);
+            self.store.set(health);
+            self.store_heard();
+            health = self.store.get();
         } else if !health.failing {
             tracing::warn!(dependency = "store", "dependency lost");
         }
@@ -182,6 +194,19 @@
         self.store.set(health);
     }
 
+    /// Notes that the store has answered this instance or the leader.
+    pub fn store_heard(&self) {
+        let now = self.clock.now();
+        let mut health = self.store.get();
+        // Several connections fail and recover one after the other; only a gap in
+        // the answers of all of them is an outage.
+        if health.answered.is_some_and(|last| now.since(last) > OUTAGE) {
+            health.regained = Some(now);
+        }
+        health.answered = Some(now);
+        self.store.set(health);
+    }
+
     /// Carries out removals of registrations that are due.
     pub fn expire(&self) {
         let gone = self.directory.borrow_mut().expire(self.clock.now());
@@ -205,6 +230,21 @@
         }
     }
 
+    /// Keeps an idle connection, within this instance's part of the upstream's
+    /// limit. A fifth of the limit is left for connections in use beyond it.
+    pub fn keep(&self, now: Time, upstream: Upstream, link: Link, answer: &HeaderMap) {
+        let directory = self.directory.borrow();
+        let record = directory.get(upstream);
+        let limit = record.and_then(|record| {
+            let table = self.table.borrow();
+            let service = table.service(&record.entry.service)?;
+            Some(service.connections)
+        });
+        let instances = self.members.borrow().len() + 1;
+        let most = limit.map_or(1, |limit| (limit * 4 / 5 / instances).max(1));
+        self.pool.put(now, upstream, link, answer, most);
+    }
+
     /// Passes decisions to the tasks that wait for them.
     pub fn pump(&self) {
         let now = self.clock.now();
@@ -233,7 +273,7 @@
             })
         };
         if unknown {
-            self.refresh.notify_one();
+            self.directory_feed.refresh();
         }
         tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
         *self.view.borrow_mut() = map;
