Replace a leader only when its record stands still, and keep its ticks short

They look at the record now and stand only if it stays the same for 1.2 s, or if the leader has resigned. - 26,551 releases were sent to lost upstreams, and a new leader ordered everything within one tick. Epochs start at 1; a test guards it.

--- a/crates/core/src/entry/lead.rs
+++ b/crates/core/src/entry/lead.rs
@@ -17,11 +17,16 @@
 pub const RIGHT: Duration = Duration::from_secs(12);
 
 /// Time between the leader's appends while nothing changes.
-pub const RENEWAL: Duration = Duration::from_secs(3);
+pub const RENEWAL: Duration = Duration::from_millis(900);
 
-/// Silence of the leader after which another instance stands. Beats are sent
-/// every 250 ms, so this allows for five lost ones.
-pub const SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence of the leader after which another instance looks at its record. Beats
+/// are sent every 250 ms, so this allows for two lost ones.
+pub const SILENCE: Duration = Duration::from_millis(750);
+
+/// Time for which the leader's record must stay the same before another instance
+/// stands. A leader that is only out of this instance's sight keeps the lead,
+/// since instances on two sides of a cut would take it from each other.
+pub const STILL: Duration = Duration::from_millis(1_200);
 
 /// Difference between the delays of two instances that could stand next.
 pub const STAGGER: Duration = Duration::from_millis(250);
@@ -33,7 +38,7 @@
     Follower,
     /// This instance leads under `epoch`.
     Leader {
-        /// Offset of the record that made it the leader.
+        /// Epoch of its lead, from 1.
         epoch: u64,
         /// Time before its last successful append was sent.
         confirmed: Time,
@@ -49,6 +54,10 @@
     leader: Option<String>,
     heard: Time,
     stand_at: Time,
+    /// End of the leader's topic, and the time at which it was first seen.
+    seen: Option<(u64, Time)>,
+    /// Whether the leader has given its lead up.
+    vacant: bool,
 }
 
 impl Lead {
@@ -60,6 +69,8 @@
             leader: None,
             heard: now,
             stand_at: now,
+            seen: None,
+            vacant: false,
         }
     }
 
@@ -91,6 +102,7 @@
 
     /// Notes that this instance became leader, by a record sent at `sent`.
     pub fn won(&mut self, name: &str, epoch: u64, sent: Time) {
+        self.vacant = false;
         self.highest = epoch;
         self.leader = Some(name.to_owned());
         self.role = Role::Leader {
@@ -130,6 +142,7 @@
         }
         let news = epoch > self.highest;
         if news {
+            self.vacant = false;
             self.highest = epoch;
             self.leader = Some(leader.to_owned());
             if self.epoch().is_some_and(|mine| mine < epoch) {
@@ -146,10 +159,24 @@
     pub fn resigned(&mut self, now: Time, epoch: u64) {
         if epoch == self.highest {
             self.heard = now - SILENCE;
+            self.vacant = true;
+        }
+    }
+
+    /// Whether the leader's topic, which ends at `end`, shows that nobody leads.
+    pub fn is_still(&mut self, now: Time, end: u64) -> bool {
+        match self.seen {
+            _ if self.vacant => true,
+            Some((seen, since)) if seen == end => now.since(since) >= STILL,
+            _ => {
+                self.seen = Some((end, now));
+                false
+            }
         }
     }
 
-    /// Whether this instance stands now; `place` is its place among those that could.
+    /// Whether this instance looks at the leader's record now, to stand if nobody
+    /// leads; `place` is its place among those that could.
     pub fn stands(&self, now: Time, place: u32, store_reachable: bool) -> bool {
         let patience = match self.leader {
             Some(_) => SILENCE + STAGGER * place,
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -28,6 +28,10 @@
 /// A call can't arrive later than this.
 pub const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Time after which a release is sent again to an upstream that didn't answer
+/// several calls. A lost one costs a connection attempt each time.
+const RESEND_SILENT: Duration = Duration::from_millis(1_500);
+
 /// Addition to a hold for an upstream's clock that measures it slowly (2%) and
 /// for delays between a clock reading and a send.
 const HOLD_MARGIN: Duration = Duration::from_millis(150);
@@ -403,12 +407,17 @@
         self.services.retain(|service, _| keyed(service));
     }
 
-    /// Orders that are due now. `reborn` tells whether a later life of an
+    /// Orders that are due now, at most `most`. `reborn` tells whether a later life of an
     /// upstream is known.
-    pub fn tick(&mut self, now: Time, reborn: impl Fn(&Owner) -> bool) -> Vec<Order> {
+    pub fn tick(&mut self, now: Time, most: usize, reborn: impl Fn(&Owner) -> bool) -> Vec<Order> {
         let mut orders = Vec::new();
         let (hold, recorded) = (self.hold, self.recorded);
         let longest = self.longest();
+        let failures = &self.failures;
+        let silent = |owner: &Owner| {
+            let failed = failures.get(owner);
+            failed.is_some_and(|(count, _)| *count >= UNANSWERED)
+        };
         for (service, parts) in &mut self.services {
             for part in parts.iter_mut() {
                 // A process that has started anew holds nothing.
@@ -417,6 +426,9 @@
                     self.views += 1;
                     continue;
                 }
+                if orders.len() >= most {
+                    return orders;
+                }
                 let order = |owner: &Owner, fence, kind| Order {
                     service: service.clone(),
                     first: part.first,
@@ -455,7 +467,12 @@
                     }
                     State::Releasing {
                         owner, fence, sent, ..
-                    } if due(*sent, now, RESEND) => {
+                    } if due(
+                        *sent,
+                        now,
+                        if silent(owner) { RESEND_SILENT } else { RESEND },
+                    ) =>
+                    {
                         *sent = Some(now);
                         orders.push(order(owner, *fence, Kind::Release));
                     }
--- a/crates/core/tests/entry/lead.rs
+++ b/crates/core/tests/entry/lead.rs
@@ -1,6 +1,6 @@
 //! Who stands for the lead, and how long a leader acts.
 
-use medlarreel_core::entry::lead::{Lead, RIGHT, SILENCE, STAGGER};
+use medlarreel_core::entry::lead::{Lead, RIGHT, SILENCE, STAGGER, STILL};
 
 use crate::fixture::{at, ms};
 
@@ -50,8 +50,33 @@
     let mut lead = Lead::new(at(0));
     lead.hear(at(0), 3, "a", true);
 
-    lead.hear(at(1_400), 3, "a", false);
+    lead.hear(at(700), 3, "a", false);
 
     assert!(lead.stands(at(0) + SILENCE, 0, true));
     assert!(!lead.stands(at(0) + SILENCE, 0, false));
 }
+
+/// Guards against two sides of a cut that take the lead from each other.
+#[test]
+fn leader_that_writes_its_record_keeps_the_lead() {
+    let mut lead = Lead::new(at(0));
+    lead.hear(at(0), 3, "a", true);
+
+    let first = lead.is_still(at(0), 10);
+    let renewed = lead.is_still(at(0) + STILL, 11);
+    let later = lead.is_still(at(0) + STILL + STILL, 11);
+
+    assert_eq!([first, renewed, later], [false, false, true]);
+}
+
+/// Guards against waiting for a leader that has said that it stops.
+#[test]
+fn vacant_lead_is_taken_at_once() {
+    let mut lead = Lead::new(at(0));
+    lead.hear(at(0), 3, "a", true);
+
+    lead.resigned(at(100), 3);
+
+    assert!(lead.stands(at(100), 0, true));
+    assert!(lead.is_still(at(100), 10));
+}
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -27,7 +27,7 @@
 }
 
 fn answer_all(ledger: &mut Ledger, now: Time, reply: &Reply) -> Vec<Order> {
-    let orders = ledger.tick(now, |_| false);
+    let orders = ledger.tick(now, usize::MAX, |_| false);
     for order in &orders {
         ledger.answered(now, now, order, reply);
     }
@@ -40,10 +40,10 @@
     let mut ledger = Ledger::new(5, HOLD);
     ledger.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
 
-    let before = ledger.tick(at(0), |_| false);
+    let before = ledger.tick(at(0), usize::MAX, |_| false);
     let needed = ledger.needs_record();
     ledger.recorded(ledger.version());
-    let after = ledger.tick(at(0), |_| false);
+    let after = ledger.tick(at(0), usize::MAX, |_| false);
 
     assert!(before.is_empty());
     assert!(needed);
@@ -60,12 +60,12 @@
     let release = answer_all(&mut ledger, at(100), &Reply::NotSent);
     ledger.rearrange(at(3_900), SERVICE, rest, &Weights::default());
     ledger.recorded(ledger.version());
-    let early = ledger.tick(at(3_900), |_| false);
+    let early = ledger.tick(at(3_900), usize::MAX, |_| false);
     let end = at(0) + longest(HOLD);
-    ledger.tick(end, |_| false);
+    ledger.tick(end, usize::MAX, |_| false);
     ledger.rearrange(end, SERVICE, rest, &Weights::default());
     ledger.recorded(ledger.version());
-    let late = ledger.tick(end, |_| false);
+    let late = ledger.tick(end, usize::MAX, |_| false);
 
     let first = |orders: &[Order]| orders.iter().any(|order| order.first == 0);
     assert_eq!(release[0].kind, Kind::Release);
@@ -87,7 +87,7 @@
     let release = answer_all(&mut ledger, at(100), &done());
     ledger.rearrange(at(200), SERVICE, rest, &Weights::default());
     ledger.recorded(ledger.version());
-    let grant = ledger.tick(at(200), |_| false);
+    let grant = ledger.tick(at(200), usize::MAX, |_| false);
 
     let grant = grant.iter().find(|order| order.first == 0).unwrap();
     assert!(grant.fence > release[0].fence);
@@ -107,10 +107,10 @@
 fn later_life_frees_the_keys_at_once() {
     let mut ledger = held(at(0));
 
-    ledger.tick(at(100), |holder| *holder == owner(1));
+    ledger.tick(at(100), usize::MAX, |holder| *holder == owner(1));
     ledger.rearrange(at(100), SERVICE, &candidates(2)[1..], &Weights::default());
     ledger.recorded(ledger.version());
-    let orders = ledger.tick(at(100), |_| false);
+    let orders = ledger.tick(at(100), usize::MAX, |_| false);
 
     assert!(
         orders
@@ -123,20 +123,20 @@
 #[test]
 fn renewal_under_way_extends_the_lease() {
     let mut ledger = held(at(0));
-    let renewals = ledger.tick(at(2_000), |_| false);
+    let renewals = ledger.tick(at(2_000), usize::MAX, |_| false);
     assert_eq!(renewals.len(), 2);
 
     let rest = &candidates(2)[1..];
     ledger.rearrange(at(2_100), SERVICE, rest, &Weights::default());
     let end = at(2_000) + CALL_LIMIT + longest(HOLD);
-    ledger.tick(end - ms(1), |_| false);
+    ledger.tick(end - ms(1), usize::MAX, |_| false);
     ledger.rearrange(end - ms(1), SERVICE, rest, &Weights::default());
     ledger.recorded(ledger.version());
-    let early = ledger.tick(end - ms(1), |_| false);
-    ledger.tick(end, |_| false);
+    let early = ledger.tick(end - ms(1), usize::MAX, |_| false);
+    ledger.tick(end, usize::MAX, |_| false);
     ledger.rearrange(end, SERVICE, rest, &Weights::default());
     ledger.recorded(ledger.version());
-    let late = ledger.tick(end, |_| false);
+    let late = ledger.tick(end, usize::MAX, |_| false);
 
     let regrant = |order: &Order| order.first == 0 && order.owner == owner(2);
     assert!(!early.iter().any(regrant));
@@ -148,15 +148,15 @@
 #[test]
 fn successor_renews_in_place_with_higher_fences() {
     let mut first = held(at(0));
-    let old = first.tick(at(2_000), |_| false);
+    let old = first.tick(at(2_000), usize::MAX, |_| false);
     let record = first.record();
 
     let mut second = Ledger::new(6, HOLD);
     second.adopt(&record, at(2_000), at(20_000));
-    let orders = second.tick(at(2_000), |_| false);
+    let orders = second.tick(at(2_000), usize::MAX, |_| false);
     second.rearrange(at(2_000), SERVICE, &candidates(2)[1..], &Weights::default());
     second.recorded(second.version());
-    let later = second.tick(at(19_000), |_| false);
+    let later = second.tick(at(19_000), usize::MAX, |_| false);
 
     assert_eq!(orders.len(), old.len());
     for (new, old) in orders.iter().zip(&old) {
@@ -182,10 +182,10 @@
 
     ledger.predecessor_stopped(8, at(0));
     ledger.rearrange(at(0), SERVICE, &candidates(2)[1..], &Weights::default());
-    ledger.tick(at(10_000), |_| false);
+    ledger.tick(at(10_000), usize::MAX, |_| false);
     let unchanged = ledger.is_settled(SERVICE);
     ledger.predecessor_stopped(5, at(0));
-    ledger.tick(at(10_000), |_| false);
+    ledger.tick(at(10_000), usize::MAX, |_| false);
     ledger.rearrange(
         at(10_000),
         SERVICE,
@@ -193,7 +193,7 @@
         &Weights::default(),
     );
     ledger.recorded(ledger.version());
-    let orders = ledger.tick(at(10_000), |_| false);
+    let orders = ledger.tick(at(10_000), usize::MAX, |_| false);
 
     assert!(!unchanged);
     assert!(
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -173,7 +173,7 @@
             leader
                 .ledger
                 .rearrange(now, SERVICE, &usable, &Weights::default());
-            for order in leader.ledger.tick(now, |_| false) {
+            for order in leader.ledger.tick(now, usize::MAX, |_| false) {
                 self.send(now, epoch, order);
             }
         }
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -1,5 +1,6 @@
 //! The leader's duties: its record in the store, grants, and the map of owners.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,19 +40,29 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Most orders of one tick. A new leader orders everything anew, and on a tenth of
+/// a core a hundred connections at once would delay its signs of life.
+const ORDERS_PER_TICK: usize = 16;
+
 /// Time between the leader's signs of life.
 const BEAT: Duration = Duration::from_millis(250);
 
+/// Shortest time between two maps of owners, for each receiver.
+const SHOW_PAUSE: Duration = Duration::from_millis(4);
+
 /// Time between looks at whether keys should move.
 const REARRANGE: Duration = Duration::from_millis(500);
 
 /// Time between looks at the leader's record by an instance that hears no leader.
-const LOOK: Duration = Duration::from_millis(1_000);
+const LOOK: Duration = Duration::from_millis(600);
 
 /// Time after its first registration that a service's first placement waits for
 /// further upstreams.
 const GATHER: Duration = Duration::from_millis(1_200);
 
+/// Last place in the order in which instances stand.
+const MOST_PLACES: u32 = 12;
+
 /// Pause after a failed attempt to take the lead.
 const STAND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -67,7 +78,7 @@
     name: String,
     /// Distinguishes the records of two processes with one name.
     nonce: u64,
-    /// Offset of the record by which the lead was won; 0 in that record itself.
+    /// Epoch of the lead; 0 in the record by which it was won.
     epoch: u64,
 }
 
@@ -76,6 +87,29 @@
 struct Presence {
     address: SocketAddr,
     started: u64,
+    /// Share of a core that the instance may use, in percent.
+    strength: u32,
+}
+
+/// Access to the leader's topic.
+#[derive(Debug)]
+struct Writer {
+    store: Store,
+    /// Distinguishes this process's records from those of others.
+    nonce: u64,
+    /// End of the topic after the newest own record.
+    end: u64,
+}
+
+/// Outcome of a write of the leader.
+#[derive(Debug)]
+struct Written {
+    epoch: u64,
+    sent: Time,
+    /// Version of the record of owners, if it was written.
+    version: Option<u64>,
+    /// Whether this instance still leads.
+    result: Result<bool, Error>,
 }
 
 /// Tasks of an instance that may lead.
@@ -83,9 +117,10 @@
 pub struct Leader {
     state: Rc<State>,
     socket: Rc<UdpSocket>,
-    store: Store,
-    nonce: u64,
-    end: u64,
+    /// Access to the leader's topic, unless a write is under way.
+    writer: Option<Writer>,
+    /// Outcome of the newest write.
+    written: Rc<RefCell<Option<(Writer, Written)>>>,
     appended: Time,
     beaten: Time,
     arranged: Time,
@@ -93,6 +128,7 @@
     gathering: HashMap<String, Time>,
     counts: HashMap<String, BTreeMap<u16, f64>>,
     shown: (u64, u64),
+    shown_at: Time,
 }
 
 /// Gives up the lead; true if no earlier leader can act any more either.
@@ -114,6 +150,7 @@
     let presence = Presence {
         address: settings.peers,
         started: state.started,
+        strength: settings.strength,
     };
     loop {
         match announce(&mut store, &settings.name, &presence).await {
@@ -124,6 +161,7 @@
                     let member = Member {
                         address: presence.address,
                         started: presence.started,
+                        strength: presence.strength,
                     };
                     if name != settings.name {
                         known.entry(name).or_insert(member);
@@ -142,6 +180,7 @@
     let hello = Message::Hello {
         name: settings.name,
         started: state.started,
+        strength: settings.strength,
     };
     peers::broadcast(state, socket, &hello).await;
     *state.lead.borrow_mut() = lead::Lead::new(state.clock.now());
@@ -175,9 +214,12 @@
         Leader {
             state,
             socket,
-            store,
-            nonce: rand::rng().random(),
-            end: 0,
+            writer: Some(Writer {
+                store,
+                nonce: rand::rng().random(),
+                end: 0,
+            }),
+            written: Rc::default(),
             appended: Time(0),
             beaten: Time(0),
             arranged: Time(0),
@@ -185,6 +227,7 @@
             gathering: HashMap::new(),
             counts: HashMap::new(),
             shown: (0, 0),
+            shown_at: Time(0),
         }
     }
 
@@ -218,7 +261,15 @@
             return;
         }
         self.looked = now;
-        match self.stand(now).await {
+        if let Some((writer, _)) = self.written.take() {
+            self.writer = Some(writer);
+        }
+        let Some(mut writer) = self.writer.take() else {
+            return;
+        };
+        let stood = self.stand(now, &mut writer).await;
+        self.writer = Some(writer);
+        match stood {
             Ok(()) => self.state.store_answered(true),
             Err(error) => {
                 tracing::info!(%error, "lead not taken");
@@ -229,21 +280,30 @@
     }
 
     /// Place among the instances that could stand, so that they don't all at once.
+    /// Stronger instances come first, since leading costs processor time.
     fn place(&self) -> u32 {
-        let members = self.state.members.borrow();
         let salt = self.state.lead.borrow().highest();
-        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), salt);
-        let mine = rank(&self.state.name());
+        let rank = |name: &str, strength: u32| {
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), salt);
+            (std::cmp::Reverse(strength), hash)
+        };
+        let (name, strength) = {
+            let settings = self.state.settings.borrow();
+            (settings.name.clone(), settings.strength)
+        };
+        let mine = rank(&name, strength);
         let leader = self.state.lead.borrow().leader().map(ToOwned::to_owned);
+        let members = self.state.members.borrow();
         let ahead = members
-            .keys()
-            .filter(|name| Some(*name) != leader.as_ref() && rank(name) < mine)
+            .iter()
+            .filter(|(name, _)| Some(*name) != leader.as_ref())
+            .filter(|(name, member)| rank(name, member.strength) < mine)
             .count();
-        (ahead % 8) as u32
+        (ahead as u32).min(MOST_PLACES)
     }
 
-    async fn stand(&mut self, now: Time) -> Result<(), Error> {
-        let newest = self.store.newest(TOPIC).await?;
+    async fn stand(&mut self, now: Time, writer: &mut Writer) -> Result<(), Error> {
+        let newest = writer.store.newest(TOPIC).await?;
         let value = |key: &str| {
             let item = newest.items.iter().find(|item| item.key == key)?;
             Some((item.offset, item.value.clone()?))
@@ -251,7 +311,7 @@
         let before = match value(LEAD) {
             Some((offset, bytes)) => {
                 let record: Record = postcard::from_bytes(&bytes).map_err(unreadable)?;
-                Some((offset.max(record.epoch), record))
+                Some((offset, record))
             }
             None => None,
         };
@@ -266,12 +326,13 @@
                 record.epoch
             };
             let mut lead = self.state.lead.borrow_mut();
-            // A leader that is not heard but has won meanwhile gets its time.
-            if lead.hear(now, epoch, &record.name, true)
-                && lead.leader() != Some(&self.state.name())
-            {
-                drop(lead);
-                if owners.epoch >= self.state.view.borrow().epoch {
+            // What an own earlier process wrote can't be renewed by anybody.
+            let own = record.name == self.state.name();
+            lead.hear(now, epoch, &record.name, false);
+            let still = own || lead.is_still(now, newest.end);
+            drop(lead);
+            if !still {
+                if owners.epoch > self.state.view.borrow().epoch {
                     self.state.adopt_view(owners);
                 }
                 return Ok(());
@@ -279,18 +340,16 @@
         }
         let record = Record {
             name: self.state.name(),
-            nonce: self.nonce,
+            nonce: writer.nonce,
             epoch: 0,
         };
         let sent = self.state.clock.now();
         let value = encode(&record)?;
-        match self
-            .store
-            .append(TOPIC, LEAD, &value, Some(newest.end))
-            .await?
-        {
-            Append::Done(epoch) => {
-                self.won(epoch, sent, owners);
+        let store = &mut writer.store;
+        match store.append(TOPIC, LEAD, &value, Some(newest.end)).await? {
+            Append::Done(offset) => {
+                writer.end = offset + 1;
+                self.won(epoch_of(offset), sent, owners);
                 Ok(())
             }
             Append::Conflict => Err(Error::Refused(412)),
@@ -305,7 +364,6 @@
             now + medlarreel_core::time::longest(RIGHT) + CALL_LIMIT + ledger::longest(hold);
         tracing::info!(epoch, predecessor = owners.epoch, "leader now");
         ledger.adopt(&owners, now, until);
-        self.end = epoch + 1;
         self.appended = now;
         self.gathering.clear();
         *self.state.ledger.borrow_mut() = Some(ledger);
@@ -327,7 +385,7 @@
             self.order(now);
         }
         self.show(now).await;
-        self.keep_record(now).await;
+        self.keep_record(now);
     }
 
     fn rearrange(&mut self, now: Time) {
@@ -398,7 +456,9 @@
                 found.is_some_and(|(_, record)| record.entry.born > owner.born)
             };
             let mut ledger = self.state.ledger.borrow_mut();
-            ledger.as_mut().map(|ledger| ledger.tick(now, reborn))
+            ledger
+                .as_mut()
+                .map(|ledger| ledger.tick(now, ORDERS_PER_TICK, reborn))
         };
         for order in orders.into_iter().flatten() {
             let state = Rc::clone(&self.state);
@@ -418,8 +478,11 @@
             return;
         };
         let able = !self.state.store.get().failing;
-        if order != self.shown {
+        // The map grows with the fleet, and so do its receivers.
+        let pause = SHOW_PAUSE * self.state.members.borrow().len() as u32;
+        if order != self.shown && now.since(self.shown_at) >= pause {
             self.shown = order;
+            self.shown_at = now;
             let view = {
                 let ledger = self.state.ledger.borrow();
                 ledger.as_ref().map(|ledger| ledger.view(now, able))
@@ -437,8 +500,14 @@
     }
 
     /// Writes the record of owners if it lacks one, and renews the lead.
-    async fn keep_record(&mut self, now: Time) {
-        let (epoch, pending) = {
+    ///
+    /// The write runs beside the other duties, since the store may be slow.
+    fn keep_record(&mut self, now: Time) {
+        if let Some((writer, written)) = self.written.take() {
+            self.writer = Some(writer);
+            self.note(written);
+        }
+        let due = {
             let ledger = self.state.ledger.borrow();
             let Some(ledger) = ledger.as_ref() else {
                 return;
@@ -446,27 +515,45 @@
             let record = ledger
                 .needs_record()
                 .then(|| (ledger.version(), ledger.record()));
-            (ledger.epoch(), record)
+            let pause = match (&record, self.state.store.get().failing) {
+                (Some(_), false) => Duration::ZERO,
+                (Some(_), true) => STAND_PAUSE,
+                (None, _) => lead::RENEWAL,
+            };
+            (now.since(self.appended) >= pause).then(|| (ledger.epoch(), record))
         };
-        if pending.is_none() && now.since(self.appended) < lead::RENEWAL {
+        let Some((epoch, record)) = due else {
             return;
-        }
-        if self.state.store.get().failing && now.since(self.appended) < STAND_PAUSE {
+        };
+        let Some(mut writer) = self.writer.take() else {
+            return;
+        };
+        self.appended = now;
+        let (state, slot) = (Rc::clone(&self.state), Rc::clone(&self.written));
+        tokio::task::spawn_local(async move {
+            let (version, owners) = record.unzip();
+            let result = writer.write(&state.name(), epoch, owners.as_ref()).await;
+            let written = Written {
+                epoch,
+                sent: now,
+                version,
+                result,
+            };
+            slot.replace(Some((writer, written)));
+        });
+    }
+
+    fn note(&self, written: Written) {
+        if self.state.lead.borrow().epoch() != Some(written.epoch) {
             return;
         }
-        let sent = self.state.clock.now();
-        self.appended = sent;
-        match self
-            .write(epoch, pending.as_ref().map(|(_, map)| map))
-            .await
-        {
+        match written.result {
             Ok(true) => {
                 self.state.store_answered(true);
                 self.state.metrics.call("lead", "done");
-                self.state.lead.borrow_mut().confirm(sent);
-                if let (Some((version, _)), Some(ledger)) =
-                    (pending, self.state.ledger.borrow_mut().as_mut())
-                {
+                self.state.lead.borrow_mut().confirm(written.sent);
+                let mut ledger = self.state.ledger.borrow_mut();
+                if let (Some(version), Some(ledger)) = (written.version, ledger.as_mut()) {
                     ledger.recorded(version);
                 }
             }
@@ -480,14 +567,16 @@
             }
         }
     }
+}
 
+impl Writer {
     /// Appends a record; false if another instance leads.
-    async fn write(&mut self, epoch: u64, owners: Option<&Map>) -> Result<bool, Error> {
+    async fn write(&mut self, name: &str, epoch: u64, owners: Option<&Map>) -> Result<bool, Error> {
         let (key, value) = match owners {
             Some(map) => (OWNERS, encode(map)?),
             None => {
                 let record = Record {
-                    name: self.state.name(),
+                    name: name.to_owned(),
                     nonce: self.nonce,
                     epoch,
                 };
@@ -521,6 +610,11 @@
     }
 }
 
+/// Epoch of the lead that the record at `offset` won. 0 stands for no leader.
+fn epoch_of(offset: u64) -> u64 {
+    offset + 1
+}
+
 fn unreadable(error: postcard::Error) -> Error {
     Error::Malformed(error.to_string())
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,6 +35,8 @@
         name: String,
         /// Start of its process, in wall-clock milliseconds.
         started: u64,
+        /// Share of a core that it may use, in percent.
+        strength: u32,
     },
     /// The leader lives.
     Beat {
@@ -113,10 +115,15 @@
 async fn handle(state: &Rc<State>, socket: &UdpSocket, from: SocketAddr, message: Message) {
     let now = state.clock.now();
     match message {
-        Message::Hello { name, started } => {
+        Message::Hello {
+            name,
+            started,
+            strength,
+        } => {
             let member = Member {
                 address: from,
                 started,
+                strength,
             };
             let known = state.members.borrow_mut().insert(name.clone(), member);
             tracing::info!(name, %from, replaced = known.is_some(), "instance joined");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -21,7 +21,7 @@
     Shape {
         kind: "instance",
         named: false,
-        keys: &["name", "domain"],
+        keys: &["name", "domain", "processor"],
     },
     Shape {
         kind: "listen",
@@ -47,6 +47,8 @@
     pub name: String,
     /// Failure domain of the instance.
     pub domain: String,
+    /// Share of a core that the instance may use, in percent.
+    pub strength: u32,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the platform asks whether the instance is ready.
@@ -105,13 +107,14 @@
     let grace = bound("grace", Duration::from_secs(6));
     let hold_max = bound("hold_max", Duration::from_secs(10));
     let drain = bound("drain", Duration::from_secs(2));
-    let ratio = bounds.map_or(Some(0.2), |bounds| bounds.or("retry_ratio", ratio, 0.2));
+    let retry_ratio = bounds.map_or(Some(0.2), |bounds| bounds.or("retry_ratio", ratio, 0.2));
     let address = |key| listen.and_then(|section| section.require(key, value::address));
     let (callers, readiness) = (address("callers"), address("readiness"));
     let (peers, metrics) = (address("peers"), address("metrics"));
     let instance = instance.map(|section| {
         let name = section.require("name", text);
-        (name, section.require("domain", text))
+        let domain = section.require("domain", text);
+        (name, domain, section.or("processor", ratio, 1.0))
     });
     let platform = platform.map(|section| {
         let store = section.require("store", value::address);
@@ -120,10 +123,11 @@
             section.or("heartbeat", seconds, Duration::from_secs(1)),
         )
     });
-    let ((name, domain), (store, heartbeat)) = (instance?, platform?);
+    let ((name, domain, processor), (store, heartbeat)) = (instance?, platform?);
     Some(Settings {
         name: name?,
         domain: domain?,
+        strength: (processor? * 100.0) as u32,
         callers: callers?,
         readiness: readiness?,
         peers: peers?,
@@ -133,7 +137,7 @@
         grace: grace?.saturating_sub(GRACE_RESERVE),
         hold: hold_max?.min(HOLD),
         drain: drain?,
-        retry_ratio: ratio?,
+        retry_ratio: retry_ratio?,
     })
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -47,6 +47,8 @@
     pub address: SocketAddr,
     /// Start of its process, in wall-clock milliseconds.
     pub started: u64,
+    /// Share of a core that it may use, in percent.
+    pub strength: u32,
 }
 
 /// Belief about the store.
--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -103,6 +103,21 @@
     assert!(site.instance.ended().await);
 }
 
+/// Guards against a first leader that the others do not recognise, because
+/// its epoch looks like none.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_leader_is_known_to_the_others() {
+    let site = site().await;
+    let second = instance(site.store.address()).await;
+    let metrics = request("GET", "/metrics", "m", "");
+
+    until("the second instance knows the first leader", async || {
+        let text = exchange(second.metrics, &metrics).await;
+        text.contains("medlarreel_epoch 1\n") && text.contains("medlarreel_leads 0\n")
+    })
+    .await;
+}
+
 /// Guards against keys out of service after the loss of the leader.
 #[tokio::test(flavor = "multi_thread")]
 async fn another_instance_takes_the_lead() {
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -26,6 +26,7 @@
     folder: PathBuf,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 impl Instance {
@@ -91,6 +92,7 @@
         folder,
         callers: SocketAddr::from(([127, 0, 0, 1], ports[0])),
         readiness: SocketAddr::from(([127, 0, 0, 1], ports[1])),
+        metrics: SocketAddr::from(([127, 0, 0, 1], ports[3])),
     }
 }
 
