Place keys by the measured speed of the upstreams

Cause: upstreams of one service differ by 2.3 times in speed (0.6 to 1.4 in the site files), and ranges were cut by slots alone, so the slow ones queued. Instances report the run times they saw, relative to their routes' average, and ranges follow slots over that.

--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -66,6 +66,13 @@
 /// Pause after a failed attempt to take the lead.
 const STAND_PAUSE: Duration = Duration::from_millis(500);
 
+/// Weight of one run in an upstream's average; runs vary by half their time.
+const RUN_WEIGHT: f64 = 0.02;
+
+/// Range of relative run times that counts in the placement. Upstreams of one
+/// service differ by up to 2.5 times.
+const PACES: (f64, f64) = (0.6, 2.5);
+
 /// Part of a key's count that is kept from one second to the next.
 const COUNT_FADE: f64 = 0.8;
 
@@ -127,6 +134,8 @@
     looked: Time,
     gathering: HashMap<String, Time>,
     counts: HashMap<String, BTreeMap<u16, f64>>,
+    /// Run time at each upstream relative to the others, by id.
+    paces: HashMap<String, f64>,
     shown: (u64, u64),
     shown_at: Time,
 }
@@ -226,6 +235,7 @@
             looked: Time(0),
             gathering: HashMap::new(),
             counts: HashMap::new(),
+            paces: HashMap::new(),
             shown: (0, 0),
             shown_at: Time(0),
         }
@@ -416,7 +426,7 @@
                             born: entry.born,
                             address: entry.address,
                         },
-                        capacity: f64::from(entry.slots.max(1)),
+                        capacity: f64::from(entry.slots.max(1)) / self.pace(&entry.id),
                     });
             }
         }
@@ -432,8 +442,20 @@
         }
     }
 
-    /// Adds the requests by key since the last look to the faded counts.
+    /// Run time at an upstream relative to the others.
+    fn pace(&self, id: &str) -> f64 {
+        let pace = self.paces.get(id).copied().unwrap_or(1.0);
+        pace.clamp(PACES.0, PACES.1)
+    }
+
+    /// Adds what was reported since the last look.
     fn count(&mut self) {
+        for (id, runs, sum) in self.state.take_paces() {
+            let mean = sum as f64 / 1_000.0 / f64::from(runs.max(1));
+            let weight = (f64::from(runs) * RUN_WEIGHT).min(1.0);
+            let pace = self.paces.entry(id).or_insert(1.0);
+            *pace += (mean - *pace) * weight;
+        }
         let fade = COUNT_FADE.powf(REARRANGE.as_secs_f64());
         for keys in self.counts.values_mut() {
             keys.values_mut().for_each(|count| *count *= fade);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,7 +1,8 @@
 //! Messages between instances, over UDP.
 //!
 //! The leader tells all others that it lives and which keys have which owner;
-//! they tell it which keys are busy. Messages may be lost, and each is sent
+//! they tell it which keys are busy and
+//! how fast the upstreams are. Messages may be lost, and each is sent
 //! again or superseded.
 
 use std::collections::BTreeMap;
@@ -64,8 +65,14 @@
         /// Whether leaders before it can't act any more either.
         settled: bool,
     },
-    /// Requests by service and key since the last report.
-    Busy(BTreeMap<String, Vec<(u16, u32)>>),
+    /// What an instance saw since its last report.
+    Report {
+        /// Requests by service and key.
+        keys: BTreeMap<String, Vec<(u16, u32)>>,
+        /// Runs by upstream: their number and the sum of their relative times, in
+        /// thousandths.
+        paces: Vec<(String, u32, u64)>,
+    },
 }
 
 /// Sends a message; a failure is logged, since every message is repeated.
@@ -180,9 +187,17 @@
                 ledger.predecessor_stopped(epoch, now);
             }
         }
-        Message::Busy(counts) => {
+        Message::Report { keys, paces } => {
+            for (id, runs, sum) in paces {
+                let upstream = state.directory.borrow().find(&id).map(|found| found.0);
+                if let Some(upstream) = upstream {
+                    let mut total = state.paces.borrow_mut();
+                    let pace = total.entry(upstream).or_default();
+                    *pace = (pace.0 + runs, pace.1 + sum);
+                }
+            }
             let mut busy = state.busy.borrow_mut();
-            for (service, keys) in counts {
+            for (service, keys) in keys {
                 let total = busy.entry(service).or_default();
                 for (key, count) in keys {
                     *total.entry(key).or_default() += count;
@@ -212,7 +227,7 @@
     }
 }
 
-/// Reports busy keys to the leader until the process ends.
+/// Reports to the leader until the process ends.
 pub async fn report(state: Rc<State>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
@@ -232,7 +247,9 @@
                 keys.truncate(REPORT_KEYS);
                 (service, keys)
             });
-            send(&socket, address, &Message::Busy(counts.collect())).await;
+            let keys = counts.collect();
+            let paces = state.take_paces();
+            send(&socket, address, &Message::Report { keys, paces }).await;
         }
     }
 }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -321,6 +321,10 @@
             load: self.load,
             took: now.since(self.started),
         };
+        let expected = self.state.queue.borrow().expected(run.route);
+        if self.ending == Ending::Ran && self.exchange.key.is_some() {
+            self.state.ran(self.upstream, run.took, expected);
+        }
         self.state.queue.borrow_mut().finish(now, &run);
         self.state.pump();
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -107,6 +107,9 @@
     pub stopping: Cell<bool>,
     /// Requests by service and key since the last report.
     pub busy: RefCell<HashMap<String, HashMap<u16, u32>>>,
+    /// Runs of keyed requests since the last report, by upstream: their number, and
+    /// the sum of their run times relative to their routes' average, in thousandths.
+    pub paces: RefCell<HashMap<Upstream, (u32, u64)>>,
     /// Ranges that an upstream doesn't hold although the map says so, by their
     /// first key, and until when this is believed.
     pub not_held: RefCell<HashMap<(Upstream, u16), Time>>,
@@ -144,6 +147,7 @@
             store: Cell::default(),
             stopping: Cell::new(false),
             busy: RefCell::default(),
+            paces: RefCell::default(),
             not_held: RefCell::default(),
             next_ticket: Cell::new(0),
         })
@@ -221,6 +225,27 @@
         self.pump();
     }
 
+    /// Notes the run of a keyed request that was expected to take `expected`.
+    pub fn ran(&self, upstream: Upstream, took: Duration, expected: Duration) {
+        let relative = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        let mut paces = self.paces.borrow_mut();
+        let pace = paces.entry(upstream).or_default();
+        *pace = (pace.0 + 1, pace.1 + (relative * 1_000.0) as u64);
+    }
+
+    /// Takes the runs since the last report, by id of the upstream.
+    pub fn take_paces(&self) -> Vec<(String, u32, u64)> {
+        let directory = self.directory.borrow();
+        let paces = std::mem::take(&mut *self.paces.borrow_mut());
+        paces
+            .into_iter()
+            .filter_map(|(upstream, (runs, sum))| {
+                let record = directory.get(upstream)?;
+                Some((record.entry.id.clone(), runs, sum))
+            })
+            .collect()
+    }
+
     /// Notes that an upstream doesn't hold a key that the map gives it.
     pub fn not_held(&self, service: &str, key: u16, upstream: Upstream) {
         let view = self.view.borrow();
