Pass the lead on at a stop, and move keys only while writes succeed

A leader that stops passes its account, mark and epoch to another instance, which goes on in its place; it has stopped before.

Found by its test: the heir released keys in order to move them, and could not grant them without a record. Keys move only while the leader has written the store within 2 s.

--- a/crates/core/src/entry/lead.rs
+++ b/crates/core/src/entry/lead.rs
@@ -149,6 +149,10 @@
                 self.role = Role::Follower;
             }
         }
+        if epoch > 0 && self.leader.as_deref() != Some(leader) {
+            // A leader that stops may pass its epoch on.
+            self.leader = Some(leader.to_owned());
+        }
         if able || news {
             self.heard = now;
         }
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -70,6 +70,15 @@
     pub kind: Kind,
 }
 
+/// Account of a leader that has stopped, for the one that goes on.
+#[data(value)]
+pub struct Bequest {
+    /// Possible holder of each key, with the leader's epoch.
+    pub owners: Map,
+    /// Highest fence that was used.
+    pub fences: u64,
+}
+
 /// Kind of an order.
 #[data(plain)]
 pub enum Kind {
@@ -261,6 +270,32 @@
         self.views += 1;
     }
 
+    /// What a successor under the same epoch needs, after this leader has stopped.
+    /// Owners that the store's record lacks were not granted anything yet.
+    pub fn bequest(&self) -> Bequest {
+        let recorded = self.recorded;
+        let owners = self.map(self.views, |state| match state {
+            State::Granting { version, .. } if *version > recorded => (None, 0),
+            state => (owner(state).cloned(), 0),
+        });
+        Bequest {
+            owners,
+            fences: self.fences,
+        }
+    }
+
+    /// Account of a leader that goes on under the epoch of one that has stopped
+    /// before `now`.
+    pub fn inherit(bequest: &Bequest, hold: Duration, now: Time) -> Ledger {
+        let owners = &bequest.owners;
+        let mut ledger = Ledger::new(owners.epoch, hold);
+        ledger.fences = ledger.fences.max(bequest.fences);
+        // Calls of the predecessor may still be under way.
+        ledger.adopt(owners, now, now + CALL_LIMIT + longest(hold));
+        ledger.views = owners.version + 1;
+        ledger
+    }
+
     /// Shortens the time for which grants of the leader of `epoch` may last,
     /// because it has stopped before `now`. A call of it may still be under way.
     pub fn predecessor_stopped(&mut self, epoch: u64, now: Time) {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -145,12 +145,7 @@
     let grace = state.settings.borrow().grace;
     tracing::info!(connections = connections.open(), "shutdown started");
     state.stopping.set(true);
-    let epoch = state.lead.borrow().epoch();
-    let settled = leader::depose(state);
-    if let Some(epoch) = epoch {
-        let resigned = peers::Message::Resigned { epoch, settled };
-        peers::broadcast(state, socket, &resigned).await;
-    }
+    leader::hand_over(state, socket).await;
     let drained = async {
         tokio::time::sleep(READINESS_LEAD).await;
         stop.send_replace(true);
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -23,7 +23,7 @@
 use crate::peers::{self, Message};
 use crate::platform::grants;
 use crate::platform::store::{Append, Store};
-use crate::state::{Member, State};
+use crate::state::{Inheritance, Member, State};
 
 /// Topic of the leader's records.
 const TOPIC: &str = "keyed.medlarreel";
@@ -44,6 +44,15 @@
 /// a core a hundred connections at once would delay its signs of life.
 const ORDERS_PER_TICK: usize = 16;
 
+/// Age of its newest message up to which an instance counts as alive; reports
+/// come every second.
+const ALIVE: Duration = Duration::from_millis(2_500);
+
+/// Times that the lead is sent to its heir, since messages may be lost, and the
+/// pause between them.
+const HEIR_SENDS: u32 = 3;
+const HEIR_PAUSE: Duration = Duration::from_millis(40);
+
 /// Time between the leader's signs of life.
 const BEAT: Duration = Duration::from_millis(250);
 
@@ -53,6 +62,10 @@
 /// Time between looks at whether keys should move.
 const REARRANGE: Duration = Duration::from_millis(500);
 
+/// Age of the leader's newest write up to which keys are moved; it writes about
+/// once a second.
+const WRITES: Duration = Duration::from_millis(2_000);
+
 /// Time between looks at the leader's record by an instance that hears no leader.
 const LOOK: Duration = Duration::from_millis(600);
 
@@ -129,6 +142,8 @@
     /// Outcome of the newest write.
     written: Rc<RefCell<Option<(Writer, Written)>>>,
     appended: Time,
+    /// Newest successful write as the present leader.
+    wrote: Time,
     beaten: Time,
     arranged: Time,
     looked: Time,
@@ -171,6 +186,7 @@
                         address: presence.address,
                         started: presence.started,
                         strength: presence.strength,
+                        heard: None,
                     };
                     if name != settings.name {
                         known.entry(name).or_insert(member);
@@ -216,6 +232,49 @@
     postcard::to_allocvec(value).map_err(|error| Error::Malformed(error.to_string()))
 }
 
+/// Message that passes the lead of this instance on, and its receiver.
+fn testament(state: &State) -> Option<(SocketAddr, Message)> {
+    let now = state.clock.now();
+    let (nonce, end) = state.topic.get()?;
+    let confirmed = state.lead.borrow().confirmed()?;
+    let bequest = state.ledger.borrow().as_ref()?.bequest();
+    let members = state.members.borrow();
+    let alive = members.values().filter(|member| {
+        let heard = member.heard;
+        heard.is_some_and(|heard| now.since(heard) < ALIVE)
+    });
+    let heir = alive.max_by_key(|member| (member.strength, member.heard))?;
+    let message = Message::Heir {
+        bequest,
+        nonce,
+        end,
+        age_ms: now.since(confirmed).as_millis() as u64,
+    };
+    Some((heir.address, message))
+}
+
+/// Passes the lead on, or gives it up where there is nobody to go on.
+pub async fn hand_over(state: &State, socket: &UdpSocket) {
+    let Some(epoch) = state.lead.borrow().epoch() else {
+        return;
+    };
+    let testament = testament(state);
+    let settled = depose(state);
+    match testament {
+        Some((heir, message)) => {
+            tracing::info!(%heir, epoch, "lead passed on");
+            for _ in 0..HEIR_SENDS {
+                peers::send(socket, heir, &message).await;
+                tokio::time::sleep(HEIR_PAUSE).await;
+            }
+        }
+        None => {
+            let resigned = Message::Resigned { epoch, settled };
+            peers::broadcast(state, socket, &resigned).await;
+        }
+    }
+}
+
 impl Leader {
     /// Tasks of an instance that doesn't lead yet.
     pub fn new(state: Rc<State>, socket: Rc<UdpSocket>) -> Leader {
@@ -230,6 +289,7 @@
             }),
             written: Rc::default(),
             appended: Time(0),
+            wrote: Time(0),
             beaten: Time(0),
             arranged: Time(0),
             looked: Time(0),
@@ -258,10 +318,48 @@
         }
     }
 
+    /// Goes on in the place of a leader that has stopped.
+    fn inherit(&mut self, now: Time, inheritance: &Inheritance) {
+        let Some(writer) = self.writer.as_mut() else {
+            return;
+        };
+        writer.nonce = inheritance.nonce;
+        writer.end = inheritance.end;
+        let hold = self.state.settings.borrow().hold;
+        let ledger = Ledger::inherit(&inheritance.bequest, hold, now);
+        self.wrote = Time(0);
+        let epoch = ledger.epoch();
+        tracing::info!(epoch, "leader now, in the place of one that stops");
+        *self.state.ledger.borrow_mut() = Some(ledger);
+        let name = self.state.name();
+        let mut lead = self.state.lead.borrow_mut();
+        lead.won(&name, epoch, inheritance.confirmed);
+        drop(lead);
+        self.begin();
+    }
+
+    /// Starts the duties of a leader.
+    fn begin(&mut self) {
+        let epoch = self.state.lead.borrow().highest();
+        self.state.metrics.leads.set(1);
+        self.state.metrics.epoch.set(epoch as i64);
+        self.gathering.clear();
+        // Beats of this epoch make the predecessor stop and answer.
+        self.beaten = Time(0);
+        self.arranged = Time(0);
+    }
+
     async fn follow(&mut self, now: Time) {
         if self.state.stopping.get() {
             return;
         }
+        if let Some((writer, _)) = self.written.take() {
+            self.writer = Some(writer);
+        }
+        if let Some(inheritance) = self.state.inheritance.take() {
+            self.inherit(now, &inheritance);
+            return;
+        }
         let place = self.place();
         let reachable = !self.state.store.get().failing && self.state.is_listed();
         if !self.state.lead.borrow().stands(now, place, reachable) {
@@ -271,12 +369,11 @@
             return;
         }
         self.looked = now;
-        if let Some((writer, _)) = self.written.take() {
-            self.writer = Some(writer);
-        }
         let Some(mut writer) = self.writer.take() else {
             return;
         };
+        // An earlier lead may have been inherited with its owner's mark.
+        writer.nonce = rand::rng().random();
         let stood = self.stand(now, &mut writer).await;
         self.writer = Some(writer);
         match stood {
@@ -374,21 +471,18 @@
             now + medlarreel_core::time::longest(RIGHT) + CALL_LIMIT + ledger::longest(hold);
         tracing::info!(epoch, predecessor = owners.epoch, "leader now");
         ledger.adopt(&owners, now, until);
-        self.appended = now;
-        self.gathering.clear();
+        (self.appended, self.wrote) = (now, now);
         *self.state.ledger.borrow_mut() = Some(ledger);
         let name = self.state.name();
         self.state.lead.borrow_mut().won(&name, epoch, sent);
-        self.state.metrics.leads.set(1);
-        self.state.metrics.epoch.set(epoch as i64);
-        // Beats of this epoch make the predecessor stop and answer.
-        self.beaten = Time(0);
-        self.arranged = Time(0);
+        self.begin();
     }
 
     async fn lead(&mut self, now: Time) {
         if self.state.lead.borrow().acting(now).is_some() {
-            if now.since(self.arranged) >= REARRANGE {
+            // Keys that are released can't be granted again without a record.
+            let writes = now.since(self.wrote) < WRITES;
+            if writes && now.since(self.arranged) >= REARRANGE {
                 self.arranged = now;
                 self.rearrange(now);
             }
@@ -526,6 +620,7 @@
     /// The write runs beside the other duties, since the store may be slow.
     fn keep_record(&mut self, now: Time) {
         if let Some((writer, written)) = self.written.take() {
+            self.state.topic.set(Some((writer.nonce, writer.end)));
             self.writer = Some(writer);
             self.note(written);
         }
@@ -565,7 +660,7 @@
         });
     }
 
-    fn note(&self, written: Written) {
+    fn note(&mut self, written: Written) {
         if self.state.lead.borrow().epoch() != Some(written.epoch) {
             return;
         }
@@ -573,6 +668,7 @@
             Ok(true) => {
                 self.state.store_answered(true);
                 self.state.metrics.call("lead", "done");
+                self.wrote = written.sent;
                 self.state.lead.borrow_mut().confirm(written.sent);
                 let mut ledger = self.state.ledger.borrow_mut();
                 if let (Some(version), Some(ledger)) = (written.version, ledger.as_mut()) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,13 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::ledger::Bequest;
 use medlarreel_core::entry::map::Map;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
 use crate::reader::{News, Progress, Topic};
-use crate::state::{Member, State};
+use crate::state::{Inheritance, Member, State};
 
 /// Largest message, in bytes.
 const MAX_MESSAGE: usize = 60_000;
@@ -65,6 +66,17 @@
         /// Whether leaders before it can't act any more either.
         settled: bool,
     },
+    /// The leader stops and passes its lead on to the receiver.
+    Heir {
+        /// Its account.
+        bequest: Bequest,
+        /// Mark of its records in the store.
+        nonce: u64,
+        /// End of its topic, as far as it knows.
+        end: u64,
+        /// Time since its last successful write, in milliseconds.
+        age_ms: u64,
+    },
     /// What an instance saw since its last report.
     Report {
         /// Requests by service and key.
@@ -121,6 +133,13 @@
 
 async fn handle(state: &Rc<State>, socket: &UdpSocket, from: SocketAddr, message: Message) {
     let now = state.clock.now();
+    {
+        let mut members = state.members.borrow_mut();
+        let sender = members.values_mut().find(|member| member.address == from);
+        if let Some(sender) = sender {
+            sender.heard = Some(now);
+        }
+    }
     match message {
         Message::Hello {
             name,
@@ -131,6 +150,7 @@
                 address: from,
                 started,
                 strength,
+                heard: Some(now),
             };
             let known = state.members.borrow_mut().insert(name.clone(), member);
             tracing::info!(name, %from, replaced = known.is_some(), "instance joined");
@@ -187,6 +207,23 @@
                 ledger.predecessor_stopped(epoch, now);
             }
         }
+        Message::Heir {
+            bequest,
+            nonce,
+            end,
+            age_ms,
+        } => {
+            let newer = bequest.owners.epoch >= state.lead.borrow().highest();
+            if newer && state.lead.borrow().epoch().is_none() && !state.stopping.get() {
+                let confirmed = now - Duration::from_millis(age_ms);
+                state.inheritance.replace(Some(Inheritance {
+                    bequest,
+                    nonce,
+                    end,
+                    confirmed,
+                }));
+            }
+        }
         Message::Report { keys, paces } => {
             for (id, runs, sum) in paces {
                 let upstream = state.directory.borrow().find(&id).map(|found| found.0);
@@ -240,7 +277,8 @@
             members.get(&leader).map(|member| member.address)
         });
         let counts = std::mem::take(&mut *state.busy.borrow_mut());
-        if let (Some(address), false) = (address, counts.is_empty()) {
+        // An empty report still shows that this instance lives.
+        if let Some(address) = address {
             let counts = counts.into_iter().map(|(service, keys)| {
                 let mut keys: Vec<(u16, u32)> = keys.into_iter().collect();
                 keys.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use medlarreel_core::entry::directory::{Directory, Record};
 use medlarreel_core::entry::lead::Lead;
-use medlarreel_core::entry::ledger::Ledger;
+use medlarreel_core::entry::ledger::{Bequest, Ledger};
 use medlarreel_core::entry::map::Map;
 use medlarreel_core::entry::queue::{Choice, Decision, Outlook, Queue, Ticket, View};
 use medlarreel_core::entry::routes::{Split, Table};
@@ -49,6 +49,21 @@
     pub started: u64,
     /// Share of a core that it may use, in percent.
     pub strength: u32,
+    /// Newest message from it.
+    pub heard: Option<Time>,
+}
+
+/// A lead that another instance has passed on.
+#[derive(Debug)]
+pub struct Inheritance {
+    /// Account of the leader that has stopped.
+    pub bequest: Bequest,
+    /// Mark of its records in the store.
+    pub nonce: u64,
+    /// End of its topic, as far as it knew.
+    pub end: u64,
+    /// Time of its last successful write.
+    pub confirmed: Time,
 }
 
 /// Belief about the store.
@@ -99,6 +114,10 @@
     pub lead: RefCell<Lead>,
     /// The leader's account.
     pub ledger: RefCell<Option<Ledger>>,
+    /// Mark of the own records in the leader's topic, and the end of the topic.
+    pub topic: Cell<Option<(u64, u64)>>,
+    /// A lead that was passed on to this instance and is not taken up yet.
+    pub inheritance: RefCell<Option<Inheritance>>,
     /// Other instances, by name.
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Belief about the store.
@@ -143,6 +162,8 @@
             metrics: Metrics::default(),
             lead: RefCell::new(Lead::new(now)),
             ledger: RefCell::default(),
+            topic: Cell::default(),
+            inheritance: RefCell::default(),
             members: RefCell::default(),
             store: Cell::default(),
             stopping: Cell::new(false),
--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -140,3 +140,29 @@
     assert_eq!(held, 1 << 16);
     assert!(served.starts_with("HTTP/1.1 200"), "{served}");
 }
+
+/// Guards against keys out of service when the leader is stopped while the store
+/// is down and nobody can take the lead.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_leader_passes_its_lead_on_without_the_store() {
+    let mut site = site().await;
+    let second = instance(site.store.address()).await;
+    let probe = request("GET", "/status/x", "probe", "");
+    until("the second instance serves", async || {
+        exchange(second.callers, &probe)
+            .await
+            .starts_with("HTTP/1.1 200")
+    })
+    .await;
+    // Reports show the leader that the second instance lives.
+    sleep(Duration::from_secs(2)).await;
+
+    site.store.service().set_down(true);
+    site.instance.signal("-TERM");
+    assert!(site.instance.ended().await);
+    // Longer than a lease, so that only renewals by the second one keep the keys.
+    sleep(Duration::from_secs(5)).await;
+    let held: usize = site.keyed.iter().map(|one| one.service().held()).sum();
+
+    assert_eq!(held, 1 << 16);
+}
