--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -6,11 +6,15 @@
 //! Fences start from the leader's epoch, so upstreams refuse what earlier
 //! leaders send as soon as they have heard the present one.
 
+mod part;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use medlarreel_macros::data;
 
+use part::{Lease, Part, State};
+
 use super::map::{Map, Owner, Slice};
 use super::plan::{self, Candidate, Range, Weights};
 use crate::time::Time;
@@ -109,105 +113,6 @@
     Unknown,
 }
 
-/// Latest end of the grants that an upstream may have received.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Lease {
-    /// End of the own grants whose outcome is known. It never moves back, since
-    /// an unanswered grant may arrive after a later one with the same fence.
-    known: Time,
-    /// End of an own grant that is on its way.
-    pending: Option<Time>,
-    /// End of the grants of earlier leaders, until the upstream has heard this one.
-    inherited: Time,
-}
-
-impl Lease {
-    fn until(known: Time) -> Lease {
-        Lease {
-            known,
-            pending: None,
-            inherited: Time(0),
-        }
-    }
-
-    fn inherited(until: Time) -> Lease {
-        Lease {
-            known: Time(0),
-            pending: None,
-            inherited: until,
-        }
-    }
-
-    fn end(self) -> Time {
-        let own = self.pending.unwrap_or(self.known).max(self.known);
-        own.max(self.inherited)
-    }
-
-    /// Whether a grant may follow the one sent at `sent`: after `span`, and with
-    /// one call on its way at a time.
-    fn allows(self, sent: Option<Time>, now: Time, span: Duration) -> bool {
-        let span = if self.pending.is_some() {
-            span.max(CALL_LIMIT)
-        } else {
-            span
-        };
-        due(sent, now, span)
-    }
-
-    /// Notes a grant that is sent now and ends at `end` at the latest.
-    fn send(&mut self, end: Time) {
-        self.pending = Some(self.pending.unwrap_or(end).max(end));
-    }
-
-    /// Notes how the grant on its way ended; `longest` is the length of a lease.
-    fn settle(&mut self, reply: &Reply, now: Time, longest: Duration) {
-        match reply {
-            Reply::Done { .. } => {
-                self.known = self.known.max(now + longest);
-                self.inherited = Time(0);
-            }
-            Reply::Unknown => self.known = self.pending.unwrap_or(self.known).max(self.known),
-            Reply::NotSent | Reply::Fenced => {}
-        }
-        self.pending = None;
-    }
-}
-
-#[derive(Clone, Debug, PartialEq)]
-enum State {
-    Free {
-        handover: Option<String>,
-    },
-    Granting {
-        owner: Owner,
-        fence: u64,
-        handover: Option<String>,
-        /// Version of the record that names the owner.
-        version: u64,
-        sent: Option<Time>,
-        lease: Lease,
-    },
-    Held {
-        owner: Owner,
-        fence: u64,
-        sent: Time,
-        lease: Lease,
-    },
-    Releasing {
-        owner: Owner,
-        fence: u64,
-        sent: Option<Time>,
-        until: Time,
-    },
-}
-
-#[derive(Clone, Debug, PartialEq)]
-struct Part {
-    first: u16,
-    last: u16,
-    state: State,
-}
-
 /// Account of all keyed services.
 #[derive(Debug)]
 pub struct Ledger {
@@ -252,7 +157,7 @@
                 let state = match &slice.owner {
                     Some(owner) => State::Held {
                         owner: owner.clone(),
-                        fence: next(&mut self.fences),
+                        fence: part::next(&mut self.fences),
                         // Due at once, so that the upstream hears the new fence.
                         sent: now - self.hold,
                         lease: Lease::inherited(until),
@@ -276,7 +181,7 @@
         let recorded = self.recorded;
         let owners = self.map(self.views, |state| match state {
             State::Granting { version, .. } if *version > recorded => (None, 0),
-            state => (owner(state).cloned(), 0),
+            state => (part::owner(state).cloned(), 0),
         });
         Bequest {
             owners,
@@ -334,7 +239,7 @@
 
     /// The only possible holder of each key, for the store.
     pub fn record(&self) -> Map {
-        self.map(self.version, |state| (owner(state).cloned(), 0))
+        self.map(self.version, |state| (part::owner(state).cloned(), 0))
     }
 
     /// The upstream that serves each key now, for the instances. `able` tells
@@ -347,7 +252,7 @@
             }
             State::Releasing { until, sent, .. } => {
                 // An upstream that is alive answers once its requests have ended.
-                let silent = sent.is_some() && self.is_silent(owner(state));
+                let silent = sent.is_some() && self.is_silent(part::owner(state));
                 let wait = if silent {
                     until.since(now)
                 } else {
@@ -371,7 +276,7 @@
     pub fn holders(&self, service: &str) -> Vec<Owner> {
         let parts = self.services.get(service).into_iter().flatten();
         let mut owners: Vec<Owner> = parts
-            .filter_map(|part| owner(&part.state).cloned())
+            .filter_map(|part| part::owner(&part.state).cloned())
             .collect();
         owners.sort();
         owners.dedup();
@@ -418,23 +323,23 @@
             .services
             .entry(service.to_owned())
             .or_insert_with(whole);
-        let current: Vec<Range> = parts.iter().map(range).collect();
+        let current: Vec<Range> = parts.iter().map(part::range).collect();
         let planned = plan::place(&current, &usable, weights);
         let wanted = |key: u16| {
             let index = planned.partition_point(|range| range.last < key);
             planned.get(index).and_then(|range| range.owner.clone())
         };
         let cuts: Vec<u16> = planned.iter().map(|range| range.first).collect();
-        split(parts, &cuts);
+        part::split(parts, &cuts);
         for part in parts.iter_mut() {
             let target = wanted(part.first);
-            let next_state = step(part, target, &mut self.fences, &mut self.version, now);
+            let next_state = part::step(part, target, &mut self.fences, &mut self.version, now);
             if let Some(state) = next_state {
                 part.state = state;
                 self.views += 1;
             }
         }
-        merge(parts, &mut self.fences, now, self.hold);
+        part::merge(parts, &mut self.fences, now, self.hold);
     }
 
     /// Drops services that are no longer keyed or no longer exist.
@@ -456,7 +361,7 @@
         for (service, parts) in &mut self.services {
             for part in parts.iter_mut() {
                 // A process that has started anew holds nothing.
-                if owner(&part.state).is_some_and(&reborn) {
+                if part::owner(&part.state).is_some_and(&reborn) {
                     part.state = State::Free { handover: None };
                     self.views += 1;
                     continue;
@@ -502,7 +407,7 @@
                     }
                     State::Releasing {
                         owner, fence, sent, ..
-                    } if due(
+                    } if part::due(
                         *sent,
                         now,
                         if silent(owner) { RESEND_SILENT } else { RESEND },
@@ -536,7 +441,9 @@
         };
         let covered = |part: &&mut Part| order.first <= part.first && part.last <= order.last;
         for part in parts.iter_mut().filter(covered) {
-            if owner(&part.state) != Some(&order.owner) || fence(&part.state) != order.fence {
+            if part::owner(&part.state) != Some(&order.owner)
+                || part::fence(&part.state) != order.fence
+            {
                 continue;
             }
             match &mut part.state {
@@ -546,7 +453,7 @@
                 State::Free { .. } | State::Releasing { .. } => {}
             }
             match (&part.state, reply) {
-                (_, Reply::Fenced) => refence(&mut part.state, &mut self.fences),
+                (_, Reply::Fenced) => part::refence(&mut part.state, &mut self.fences),
                 (
                     State::Granting {
                         owner,
@@ -616,169 +523,3 @@
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
-
-fn next(fences: &mut u64) -> u64 {
-    *fences += 1;
-    *fences
-}
-
-fn owner(state: &State) -> Option<&Owner> {
-    match state {
-        State::Free { .. } => None,
-        State::Granting { owner, .. }
-        | State::Held { owner, .. }
-        | State::Releasing { owner, .. } => Some(owner),
-    }
-}
-
-fn fence(state: &State) -> u64 {
-    match state {
-        State::Free { .. } => 0,
-        State::Granting { fence, .. }
-        | State::Held { fence, .. }
-        | State::Releasing { fence, .. } => *fence,
-    }
-}
-
-fn due(sent: Option<Time>, now: Time, span: Duration) -> bool {
-    sent.is_none_or(|sent| now.since(sent) >= span)
-}
-
-fn refence(state: &mut State, fences: &mut u64) {
-    match state {
-        State::Free { .. } => {}
-        State::Granting { fence, .. }
-        | State::Held { fence, .. }
-        | State::Releasing { fence, .. } => *fence = next(fences),
-    }
-}
-
-/// Owner that a part has or is getting, for the planner.
-fn range(part: &Part) -> Range {
-    let owner = match &part.state {
-        State::Held { owner, .. } | State::Granting { owner, .. } => Some(owner.clone()),
-        State::Free { .. } | State::Releasing { .. } => None,
-    };
-    Range {
-        first: part.first,
-        last: part.last,
-        owner,
-    }
-}
-
-/// State that brings a part closer to its target; `None` if nothing changes.
-fn step(
-    part: &Part,
-    target: Option<Owner>,
-    fences: &mut u64,
-    version: &mut u64,
-    now: Time,
-) -> Option<State> {
-    match &part.state {
-        State::Free { handover } => {
-            let owner = target?;
-            *version += 1;
-            Some(State::Granting {
-                owner,
-                fence: next(fences),
-                handover: handover.clone(),
-                version: *version,
-                sent: None,
-                lease: Lease::until(now),
-            })
-        }
-        State::Held { owner, lease, .. } if target.as_ref() != Some(owner) => {
-            Some(State::Releasing {
-                owner: owner.clone(),
-                fence: next(fences),
-                sent: None,
-                until: lease.end(),
-            })
-        }
-        State::Granting {
-            owner,
-            sent,
-            lease,
-            handover,
-            ..
-        } if target.as_ref() != Some(owner) => Some(match sent {
-            None => State::Free {
-                handover: handover.clone(),
-            },
-            Some(_) => State::Releasing {
-                owner: owner.clone(),
-                fence: next(fences),
-                sent: None,
-                until: lease.end(),
-            },
-        }),
-        _ => None,
-    }
-}
-
-/// Splits parts so that none reaches over the beginning of a planned range.
-fn split(parts: &mut Vec<Part>, cuts: &[u16]) {
-    for cut in cuts {
-        let index = parts.partition_point(|part| part.last < *cut);
-        let Some(part) = parts.get_mut(index).filter(|part| part.first < *cut) else {
-            continue;
-        };
-        let mut upper = part.clone();
-        part.last = *cut - 1;
-        upper.first = *cut;
-        parts.insert(index + 1, upper);
-    }
-}
-
-/// Joins neighbours that one upstream holds, under a fence not below both.
-fn merge(parts: &mut Vec<Part>, fences: &mut u64, now: Time, hold: Duration) {
-    let mut index = 1;
-    while index < parts.len() {
-        let joined = join(
-            &parts[index - 1].state,
-            &parts[index].state,
-            fences,
-            now - hold,
-        );
-        match joined {
-            Some(state) => {
-                parts[index - 1].last = parts[index].last;
-                parts[index - 1].state = state;
-                parts.remove(index);
-            }
-            None => index += 1,
-        }
-    }
-}
-
-/// State of two neighbours as one; `overdue` is a time of sending long past.
-fn join(left: &State, right: &State, fences: &mut u64, overdue: Time) -> Option<State> {
-    let State::Held {
-        owner,
-        fence,
-        sent,
-        lease,
-    } = left
-    else {
-        return None;
-    };
-    let State::Held {
-        owner: other,
-        fence: second,
-        sent: also,
-        lease: more,
-    } = right
-    else {
-        return None;
-    };
-    if owner != other {
-        return None;
-    }
-    let same = fence == second;
-    Some(State::Held {
-        owner: owner.clone(),
-        fence: if same { *fence } else { next(fences) },
-        sent: if same { *sent.min(also) } else { overdue },
-        lease: Lease::until(lease.end().max(more.end())),
-    })
-}
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -163,10 +163,7 @@
     let serving = pin!(proxy::serve(state, request));
     tokio::select! {
         response = serving => Ok(response),
-        () = socket.closed() => {
-            tracing::debug!("a caller left before its answer");
-            Err(left())
-        }
+        () = socket.closed() => Err(left()),
     }
 }
 
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -1,41 +1,31 @@
 //! The leader's duties: its record in the store, grants, and the map of owners.
 
+mod handover;
+mod order;
+mod record;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, header};
-use http_body_util::Full;
 use medlarreel_core::entry::lead::{self, RIGHT};
-use medlarreel_core::entry::ledger::{self, CALL_LIMIT, Kind, Ledger, Order, Reply};
+use medlarreel_core::entry::ledger::{self, CALL_LIMIT, Ledger};
 use medlarreel_core::entry::map::{Map, Owner};
 use medlarreel_core::entry::plan::{Candidate, Weights};
 use medlarreel_core::time::Time;
-use medlarreel_macros::data;
 use rand::Rng;
 use tokio::net::UdpSocket;
 
+pub use handover::{depose, hand_over};
+use order::carry_out;
+pub use record::join;
+use record::{LEAD, OWNERS, Record, TOPIC, Writer, Written, encode, epoch_of, unreadable};
+
 use crate::error::Error;
-use crate::link::Link;
 use crate::peers::{self, Message};
-use crate::platform::grants;
 use crate::platform::store::{Append, Store};
-use crate::state::{Inheritance, Member, State};
-
-/// Topic of the leader's records.
-const TOPIC: &str = "keyed.medlarreel";
-
-/// Topic of the instances.
-const MEMBERS: &str = "keyed.medlarreel-instances";
-
-/// Key of the record that names the leader.
-const LEAD: &str = "lead";
-
-/// Key of the record that names the possible holder of each key.
-const OWNERS: &str = "owners";
+use crate::state::{Inheritance, State};
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -44,15 +34,6 @@
 /// a core a hundred connections at once would delay its signs of life.
 const ORDERS_PER_TICK: usize = 16;
 
-/// Age of its newest message up to which an instance counts as alive; reports
-/// come every second.
-const ALIVE: Duration = Duration::from_millis(2_500);
-
-/// Times that the lead is sent to its heir, since messages may be lost, and the
-/// pause between them.
-const HEIR_SENDS: u32 = 3;
-const HEIR_PAUSE: Duration = Duration::from_millis(40);
-
 /// Time between the leader's signs of life.
 const BEAT: Duration = Duration::from_millis(250);
 
@@ -89,49 +70,6 @@
 /// Part of a key's count that is kept from one second to the next.
 const COUNT_FADE: f64 = 0.8;
 
-/// Release of a holder waits for running requests, for at most this long.
-const RELEASE_LIMIT: Duration = Duration::from_secs(5);
-
-/// The leader's record.
-#[data(value)]
-struct Record {
-    name: String,
-    /// Distinguishes the records of two processes with one name.
-    nonce: u64,
-    /// Epoch of the lead; 0 in the record by which it was won.
-    epoch: u64,
-}
-
-/// An instance's record.
-#[data(value)]
-struct Presence {
-    address: SocketAddr,
-    started: u64,
-    /// Share of a core that the instance may use, in percent.
-    strength: u32,
-}
-
-/// Access to the leader's topic.
-#[derive(Debug)]
-struct Writer {
-    store: Store,
-    /// Distinguishes this process's records from those of others.
-    nonce: u64,
-    /// End of the topic after the newest own record.
-    end: u64,
-}
-
-/// Outcome of a write of the leader.
-#[derive(Debug)]
-struct Written {
-    epoch: u64,
-    sent: Time,
-    /// Version of the record of owners, if it was written.
-    version: Option<u64>,
-    /// Whether this instance still leads.
-    result: Result<bool, Error>,
-}
-
 /// Tasks of an instance that may lead.
 #[derive(Debug)]
 pub struct Leader {
@@ -155,126 +93,6 @@
     shown_at: Time,
 }
 
-/// Gives up the lead; true if no earlier leader can act any more either.
-pub fn depose(state: &State) -> bool {
-    let now = state.clock.now();
-    state.lead.borrow_mut().resign(now);
-    let Some(ledger) = state.ledger.borrow_mut().take() else {
-        return false;
-    };
-    state.metrics.leads.set(0);
-    tracing::info!(epoch = ledger.epoch(), "no longer the leader");
-    !ledger.inherits(now)
-}
-
-/// Announces this instance and learns of the others.
-pub async fn join(state: &Rc<State>, socket: &UdpSocket) {
-    let settings = state.settings.borrow().clone();
-    let mut store = Store::new(settings.store);
-    let presence = Presence {
-        address: settings.peers,
-        started: state.started,
-        strength: settings.strength,
-    };
-    loop {
-        match announce(&mut store, &settings.name, &presence).await {
-            Ok(members) => {
-                state.store_answered(true);
-                let mut known = state.members.borrow_mut();
-                for (name, presence) in members {
-                    let member = Member {
-                        address: presence.address,
-                        started: presence.started,
-                        strength: presence.strength,
-                        heard: None,
-                    };
-                    if name != settings.name {
-                        known.entry(name).or_insert(member);
-                    }
-                }
-                tracing::info!(members = known.len(), "instances known");
-                break;
-            }
-            Err(error) => {
-                state.store_answered(false);
-                tracing::debug!(%error, "presence not announced");
-                tokio::time::sleep(STAND_PAUSE).await;
-            }
-        }
-    }
-    let hello = Message::Hello {
-        name: settings.name,
-        started: state.started,
-        strength: settings.strength,
-    };
-    peers::broadcast(state, socket, &hello).await;
-    *state.lead.borrow_mut() = lead::Lead::new(state.clock.now());
-}
-
-async fn announce(
-    store: &mut Store,
-    name: &str,
-    presence: &Presence,
-) -> Result<Vec<(String, Presence)>, Error> {
-    let value = encode(presence)?;
-    store.append(MEMBERS, name, &value, None).await?;
-    let newest = store.newest(MEMBERS).await?;
-    let items = newest.items.into_iter();
-    Ok(items
-        .filter_map(|item| {
-            let presence = postcard::from_bytes(&item.value?).ok()?;
-            Some((item.key, presence))
-        })
-        .collect())
-}
-
-fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
-    postcard::to_allocvec(value).map_err(|error| Error::Malformed(error.to_string()))
-}
-
-/// Message that passes the lead of this instance on, and its receiver.
-fn testament(state: &State) -> Option<(SocketAddr, Message)> {
-    let now = state.clock.now();
-    let (nonce, end) = state.topic.get()?;
-    let confirmed = state.lead.borrow().confirmed()?;
-    let bequest = state.ledger.borrow().as_ref()?.bequest();
-    let members = state.members.borrow();
-    let alive = members.values().filter(|member| {
-        let heard = member.heard;
-        heard.is_some_and(|heard| now.since(heard) < ALIVE)
-    });
-    let heir = alive.max_by_key(|member| (member.strength, member.heard))?;
-    let message = Message::Heir {
-        bequest,
-        nonce,
-        end,
-        age_ms: now.since(confirmed).as_millis() as u64,
-    };
-    Some((heir.address, message))
-}
-
-/// Passes the lead on, or gives it up where there is nobody to go on.
-pub async fn hand_over(state: &State, socket: &UdpSocket) {
-    let Some(epoch) = state.lead.borrow().epoch() else {
-        return;
-    };
-    let testament = testament(state);
-    let settled = depose(state);
-    match testament {
-        Some((heir, message)) => {
-            tracing::info!(%heir, epoch, "lead passed on");
-            for _ in 0..HEIR_SENDS {
-                peers::send(socket, heir, &message).await;
-                tokio::time::sleep(HEIR_PAUSE).await;
-            }
-        }
-        None => {
-            let resigned = Message::Resigned { epoch, settled };
-            peers::broadcast(state, socket, &resigned).await;
-        }
-    }
-}
-
 impl Leader {
     /// Tasks of an instance that doesn't lead yet.
     pub fn new(state: Rc<State>, socket: Rc<UdpSocket>) -> Leader {
@@ -686,124 +504,3 @@
         }
     }
 }
-
-impl Writer {
-    /// Appends a record; false if another instance leads.
-    async fn write(&mut self, name: &str, epoch: u64, owners: Option<&Map>) -> Result<bool, Error> {
-        let (key, value) = match owners {
-            Some(map) => (OWNERS, encode(map)?),
-            None => {
-                let record = Record {
-                    name: name.to_owned(),
-                    nonce: self.nonce,
-                    epoch,
-                };
-                (LEAD, encode(&record)?)
-            }
-        };
-        let appended = self
-            .store
-            .append(TOPIC, key, &value, Some(self.end))
-            .await?;
-        if let Append::Done(offset) = appended {
-            self.end = offset + 1;
-            return Ok(true);
-        }
-        // The topic ends elsewhere: an own append whose answer was lost, or
-        // another leader.
-        let newest = self.store.newest(TOPIC).await?;
-        let item = newest.items.iter().find(|item| item.key == LEAD);
-        let value = item.and_then(|item| item.value.clone());
-        let record: Option<Record> = match value {
-            Some(bytes) => Some(postcard::from_bytes(&bytes).map_err(unreadable)?),
-            None => None,
-        };
-        match record {
-            Some(record) if record.nonce == self.nonce => {
-                self.end = newest.end;
-                Err(Error::Refused(412))
-            }
-            _ => Ok(false),
-        }
-    }
-}
-
-/// Epoch of the lead that the record at `offset` won. 0 stands for no leader.
-fn epoch_of(offset: u64) -> u64 {
-    offset + 1
-}
-
-fn unreadable(error: postcard::Error) -> Error {
-    Error::Malformed(error.to_string())
-}
-
-/// Sends an order to an upstream and notes its answer.
-async fn carry_out(state: &Rc<State>, order: Order) {
-    let sent = state.clock.now();
-    let reply = match call(state, &order).await {
-        Ok(reply) => reply,
-        Err(Error::NotSent(_)) => Reply::NotSent,
-        Err(_) => Reply::Unknown,
-    };
-    let outcome = match &reply {
-        Reply::Done { .. } => "done",
-        Reply::Fenced => "fenced",
-        Reply::NotSent => "not_sent",
-        Reply::Unknown => "unknown",
-    };
-    let kind = match order.kind {
-        Kind::Grant { .. } => "grant",
-        Kind::Release => "release",
-    };
-    state.metrics.call(kind, outcome);
-    let now = state.clock.now();
-    if outcome != "done" || kind == "release" {
-        tracing::info!(
-            kind,
-            outcome,
-            service = order.service,
-            first = order.first,
-            last = order.last,
-            upstream = order.owner.id,
-            fence = order.fence,
-            took_ms = now.since(sent).as_millis() as u64,
-            "order answered"
-        );
-    }
-    if let Some(ledger) = state.ledger.borrow_mut().as_mut() {
-        ledger.answered(now, sent, &order, &reply);
-    }
-}
-
-async fn call(state: &State, order: &Order) -> Result<Reply, Error> {
-    let (path, body) = grants::encode(order).map_err(|error| Error::NotSent(error.to_string()))?;
-    let limit = match order.kind {
-        Kind::Grant { .. } => CALL_LIMIT / 2,
-        Kind::Release => RELEASE_LIMIT,
-    };
-    let upstream = {
-        let directory = state.directory.borrow();
-        let found = directory.find(&order.owner.id);
-        found
-            .filter(|(_, record)| record.entry.born == order.owner.born)
-            .map(|(upstream, _)| upstream)
-    };
-    let now = state.clock.now();
-    let kept = upstream.and_then(|upstream| state.pool.take(now, upstream, false));
-    let mut link = match kept {
-        Some(link) => link,
-        None => Link::connect(order.owner.address, CALL_LIMIT / 2).await?,
-    };
-    let request = Request::post(path)
-        .header(header::HOST, order.owner.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .header(header::CONTENT_LENGTH, body.len())
-        .body(Full::new(Bytes::clone(&body)))
-        .map_err(|error| Error::NotSent(error.to_string()))?;
-    let answer = link.exchange(request, limit).await?;
-    if let Some(upstream) = upstream {
-        let now = state.clock.now();
-        state.keep(now, upstream, link, &answer.headers);
-    }
-    Ok(grants::decode(answer.status, &answer.headers))
-}
--- /dev/null
+++ b/crates/entry/src/leader/order.rs
@@ -0,0 +1,88 @@
+//! Orders to upstreams: grants and releases of keys.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Full;
+use medlarreel_core::entry::ledger::{CALL_LIMIT, Kind, Order, Reply};
+
+use crate::error::Error;
+use crate::link::Link;
+use crate::platform::grants;
+use crate::state::State;
+
+/// Release of a holder waits for running requests, for at most this long.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Sends an order to an upstream and notes its answer.
+pub(super) async fn carry_out(state: &Rc<State>, order: Order) {
+    let sent = state.clock.now();
+    let reply = match call(state, &order).await {
+        Ok(reply) => reply,
+        Err(Error::NotSent(_)) => Reply::NotSent,
+        Err(_) => Reply::Unknown,
+    };
+    let outcome = match &reply {
+        Reply::Done { .. } => "done",
+        Reply::Fenced => "fenced",
+        Reply::NotSent => "not_sent",
+        Reply::Unknown => "unknown",
+    };
+    let kind = match order.kind {
+        Kind::Grant { .. } => "grant",
+        Kind::Release => "release",
+    };
+    state.metrics.call(kind, outcome);
+    let now = state.clock.now();
+    if outcome != "done" || kind == "release" {
+        tracing::info!(
+            kind,
+            outcome,
+            service = order.service,
+            first = order.first,
+            last = order.last,
+            upstream = order.owner.id,
+            fence = order.fence,
+            took_ms = now.since(sent).as_millis() as u64,
+            "order answered"
+        );
+    }
+    if let Some(ledger) = state.ledger.borrow_mut().as_mut() {
+        ledger.answered(now, sent, &order, &reply);
+    }
+}
+
+async fn call(state: &State, order: &Order) -> Result<Reply, Error> {
+    let (path, body) = grants::encode(order).map_err(|error| Error::NotSent(error.to_string()))?;
+    let limit = match order.kind {
+        Kind::Grant { .. } => CALL_LIMIT / 2,
+        Kind::Release => RELEASE_LIMIT,
+    };
+    let upstream = {
+        let directory = state.directory.borrow();
+        let found = directory.find(&order.owner.id);
+        found
+            .filter(|(_, record)| record.entry.born == order.owner.born)
+            .map(|(upstream, _)| upstream)
+    };
+    let now = state.clock.now();
+    let kept = upstream.and_then(|upstream| state.pool.take(now, upstream, false));
+    let mut link = match kept {
+        Some(link) => link,
+        None => Link::connect(order.owner.address, CALL_LIMIT / 2).await?,
+    };
+    let request = Request::post(path)
+        .header(header::HOST, order.owner.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::CONTENT_LENGTH, body.len())
+        .body(Full::new(Bytes::clone(&body)))
+        .map_err(|error| Error::NotSent(error.to_string()))?;
+    let answer = link.exchange(request, limit).await?;
+    if let Some(upstream) = upstream {
+        let now = state.clock.now();
+        state.keep(now, upstream, link, &answer.headers);
+    }
+    Ok(grants::decode(answer.status, &answer.headers))
+}
--- /dev/null
+++ b/crates/entry/src/leader/record.rs
@@ -0,0 +1,188 @@
+//! Records in the store: the leader's, the owners', and the instances'.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use medlarreel_core::entry::lead;
+use medlarreel_core::entry::map::Map;
+use medlarreel_core::time::Time;
+use medlarreel_macros::data;
+use tokio::net::UdpSocket;
+
+use super::STAND_PAUSE;
+use crate::error::Error;
+use crate::peers::{self, Message};
+use crate::platform::store::{Append, Store};
+use crate::state::{Member, State};
+
+/// Topic of the leader's records.
+pub(super) const TOPIC: &str = "keyed.medlarreel";
+
+/// Topic of the instances.
+const MEMBERS: &str = "keyed.medlarreel-instances";
+
+/// Key of the record that names the leader.
+pub(super) const LEAD: &str = "lead";
+
+/// Key of the record that names the possible holder of each key.
+pub(super) const OWNERS: &str = "owners";
+
+/// The leader's record.
+#[data(value)]
+pub(super) struct Record {
+    pub(super) name: String,
+    /// Distinguishes the records of two processes with one name.
+    pub(super) nonce: u64,
+    /// Epoch of the lead; 0 in the record by which it was won.
+    pub(super) epoch: u64,
+}
+
+/// An instance's record.
+#[data(value)]
+struct Presence {
+    pub(super) address: SocketAddr,
+    pub(super) started: u64,
+    /// Share of a core that the instance may use, in percent.
+    pub(super) strength: u32,
+}
+
+/// Access to the leader's topic.
+#[derive(Debug)]
+pub(super) struct Writer {
+    pub(super) store: Store,
+    /// Distinguishes this process's records from those of others.
+    pub(super) nonce: u64,
+    /// End of the topic after the newest own record.
+    pub(super) end: u64,
+}
+
+/// Outcome of a write of the leader.
+#[derive(Debug)]
+pub(super) struct Written {
+    pub(super) epoch: u64,
+    pub(super) sent: Time,
+    /// Version of the record of owners, if it was written.
+    pub(super) version: Option<u64>,
+    /// Whether this instance still leads.
+    pub(super) result: Result<bool, Error>,
+}
+
+/// Announces this instance and learns of the others.
+pub async fn join(state: &Rc<State>, socket: &UdpSocket) {
+    let settings = state.settings.borrow().clone();
+    let mut store = Store::new(settings.store);
+    let presence = Presence {
+        address: settings.peers,
+        started: state.started,
+        strength: settings.strength,
+    };
+    loop {
+        match announce(&mut store, &settings.name, &presence).await {
+            Ok(members) => {
+                state.store_answered(true);
+                let mut known = state.members.borrow_mut();
+                for (name, presence) in members {
+                    let member = Member {
+                        address: presence.address,
+                        started: presence.started,
+                        strength: presence.strength,
+                        heard: None,
+                    };
+                    if name != settings.name {
+                        known.entry(name).or_insert(member);
+                    }
+                }
+                tracing::info!(members = known.len(), "instances known");
+                break;
+            }
+            Err(error) => {
+                state.store_answered(false);
+                tracing::debug!(%error, "presence not announced");
+                tokio::time::sleep(STAND_PAUSE).await;
+            }
+        }
+    }
+    let hello = Message::Hello {
+        name: settings.name,
+        started: state.started,
+        strength: settings.strength,
+    };
+    peers::broadcast(state, socket, &hello).await;
+    *state.lead.borrow_mut() = lead::Lead::new(state.clock.now());
+}
+
+async fn announce(
+    store: &mut Store,
+    name: &str,
+    presence: &Presence,
+) -> Result<Vec<(String, Presence)>, Error> {
+    let value = encode(presence)?;
+    store.append(MEMBERS, name, &value, None).await?;
+    let newest = store.newest(MEMBERS).await?;
+    let items = newest.items.into_iter();
+    Ok(items
+        .filter_map(|item| {
+            let presence = postcard::from_bytes(&item.value?).ok()?;
+            Some((item.key, presence))
+        })
+        .collect())
+}
+
+pub(super) fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    postcard::to_allocvec(value).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+impl Writer {
+    /// Appends a record; false if another instance leads.
+    pub(super) async fn write(
+        &mut self,
+        name: &str,
+        epoch: u64,
+        owners: Option<&Map>,
+    ) -> Result<bool, Error> {
+        let (key, value) = match owners {
+            Some(map) => (OWNERS, encode(map)?),
+            None => {
+                let record = Record {
+                    name: name.to_owned(),
+                    nonce: self.nonce,
+                    epoch,
+                };
+                (LEAD, encode(&record)?)
+            }
+        };
+        let appended = self
+            .store
+            .append(TOPIC, key, &value, Some(self.end))
+            .await?;
+        if let Append::Done(offset) = appended {
+            self.end = offset + 1;
+            return Ok(true);
+        }
+        // The topic ends elsewhere: an own append whose answer was lost, or
+        // another leader.
+        let newest = self.store.newest(TOPIC).await?;
+        let item = newest.items.iter().find(|item| item.key == LEAD);
+        let value = item.and_then(|item| item.value.clone());
+        let record: Option<Record> = match value {
+            Some(bytes) => Some(postcard::from_bytes(&bytes).map_err(unreadable)?),
+            None => None,
+        };
+        match record {
+            Some(record) if record.nonce == self.nonce => {
+                self.end = newest.end;
+                Err(Error::Refused(412))
+            }
+            _ => Ok(false),
+        }
+    }
+}
+
+/// Epoch of the lead that the record at `offset` won. 0 stands for no leader.
+pub(super) fn epoch_of(offset: u64) -> u64 {
+    offset + 1
+}
+
+pub(super) fn unreadable(error: postcard::Error) -> Error {
+    Error::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/proxy/request.rs
@@ -0,0 +1,115 @@
+//! A caller's request, read whole and matched to its route.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use medlarreel_core::entry::routes::Route;
+use medlarreel_core::time::Time;
+
+use super::answer::{closing, plain, refusal};
+use crate::platform::headers;
+use crate::state::State;
+
+/// Time kept back from a caller's deadline for the answer's way.
+const RETURN_RESERVE: Duration = Duration::from_millis(5);
+
+/// A request read whole, with all that decides about it.
+pub(super) struct Exchange {
+    pub(super) id: String,
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: Route,
+    pub(super) service: String,
+    pub(super) key: Option<u16>,
+    pub(super) arrived: Time,
+    /// Time by which the caller gets an answer.
+    pub(super) deadline: Time,
+}
+
+pub(super) async fn read(
+    state: &State,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> Result<Exchange, Box<Response<Full<Bytes>>>> {
+    let (parts, body) = request.into_parts();
+    let id = parts.headers.get(&headers::ATTEMPT);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
+    let table = Rc::clone(&state.table.borrow());
+    if !table.is_known() {
+        tracing::info!(id, reason = "no configuration", "request refused");
+        state.metrics.request("-", "no_configuration");
+        return Err(Box::new(refusal(Some(Duration::from_millis(300)))));
+    }
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let Some(route) = table.find(host, parts.uri.path()) else {
+        let version = table.config().version;
+        tracing::info!(id, host, path = parts.uri.path(), version, "no route");
+        state.metrics.request("-", "no_route");
+        return Err(Box::new(plain(StatusCode::NOT_FOUND)));
+    };
+    let service = state.split.borrow_mut().next(route).map(ToOwned::to_owned);
+    let service = service.unwrap_or_default();
+    let keyed = table.service(&service).is_some_and(|service| service.keyed);
+    let key = headers::number(&parts.headers, &headers::KEY);
+    let key = key.and_then(|key| u16::try_from(key).ok());
+    if keyed && key.is_none() {
+        tracing::info!(
+            id,
+            route = route.name,
+            reason = "no key",
+            "request rejected"
+        );
+        state.metrics.request(&route.name, "no_key");
+        return Err(Box::new(plain(StatusCode::BAD_REQUEST)));
+    }
+    let patience = headers::number(&parts.headers, &headers::DEADLINE);
+    let patience = patience.map(Duration::from_millis);
+    let patience = patience.map(|time| time.saturating_sub(RETURN_RESERVE));
+    let patience = patience.map_or(route.timeout, |time| time.min(route.timeout));
+    let limit = table.config().limits.body_bytes;
+    let reading = Limited::new(body, limit).collect();
+    let body = match tokio::time::timeout(patience, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            tracing::info!(id, route = route.name, %error, "request body not read");
+            let response = match error.is::<http_body_util::LengthLimitError>() {
+                true => plain(StatusCode::PAYLOAD_TOO_LARGE),
+                false => plain(StatusCode::BAD_REQUEST),
+            };
+            return Err(Box::new(closing(response)));
+        }
+        Err(_) => {
+            tracing::info!(id, route = route.name, "request body too slow");
+            return Err(Box::new(closing(plain(StatusCode::REQUEST_TIMEOUT))));
+        }
+    };
+    let path = parts.uri.path_and_query();
+    Ok(Exchange {
+        id,
+        method: parts.method,
+        path: path.map_or("/", |path| path.as_str()).to_owned(),
+        headers: parts.headers,
+        body,
+        route: route.clone(),
+        service,
+        key: key.filter(|_| keyed),
+        arrived,
+        deadline: arrived + patience,
+    })
+}
+
+pub(super) fn count_key(state: &State, exchange: &Exchange) {
+    if let Some(key) = exchange.key {
+        let mut busy = state.busy.borrow_mut();
+        let keys = busy.entry(exchange.service.clone()).or_default();
+        *keys.entry(key).or_default() += 1;
+    }
+}
