--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -6,13 +6,13 @@
 //! Fences start from the leader's epoch, so upstreams refuse what earlier
 //! leaders send as soon as they have heard the present one.
 
+mod order;
 mod part;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use medlarreel_macros::data;
-
+pub use order::{Bequest, Kind, Order, Reply};
 use part::{Lease, Part, State};
 
 use super::map::{Map, Owner, Slice};
@@ -57,62 +57,6 @@
 /// last for seconds.
 const OUTAGE_TIME: Duration = Duration::from_secs(3);
 
-/// What is to be sent to an upstream.
-#[data(plain)]
-pub struct Order {
-    /// Service that the keys belong to.
-    pub service: String,
-    /// Lowest key.
-    pub first: u16,
-    /// Highest key.
-    pub last: u16,
-    /// Receiver.
-    pub owner: Owner,
-    /// Fencing token.
-    pub fence: u64,
-    /// Grant or release.
-    pub kind: Kind,
-}
-
-/// Account of a leader that has stopped, for the one that goes on.
-#[data(value)]
-pub struct Bequest {
-    /// Possible holder of each key, with the leader's epoch.
-    pub owners: Map,
-    /// Highest fence that was used.
-    pub fences: u64,
-}
-
-/// Kind of an order.
-#[data(plain)]
-pub enum Kind {
-    /// The upstream may hold the keys for `hold` from arrival.
-    Grant {
-        /// Length of the lease.
-        hold: Duration,
-        /// State of the last holder, by the token that its release returned.
-        handover: Option<String>,
-    },
-    /// The upstream must start no new work on the keys.
-    Release,
-}
-
-/// Answer to an order.
-#[data(plain)]
-pub enum Reply {
-    /// Carried out; a release returns the token for the next holder.
-    Done {
-        /// Token for the next holder.
-        handover: Option<String>,
-    },
-    /// A higher fence was seen.
-    Fenced,
-    /// The order certainly did not arrive.
-    NotSent,
-    /// The order may have arrived.
-    Unknown,
-}
-
 /// Account of all keyed services.
 #[derive(Debug)]
 pub struct Ledger {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::callers::{self, Connections};
 use crate::leader::{self, Leader};
@@ -27,7 +28,7 @@
 /// Time between looks at whether all connections have ended.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
 
-/// Time between closes of idle connections to upstreams.
+/// Time between closes of idle connections and counts of dropped log lines.
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Runs the program with its command line.
@@ -53,15 +54,15 @@
     if matches.opt_present("check") {
         return Ok(ExitCode::SUCCESS);
     }
-    let _guard = crate::log::start();
+    let (_guard, dropped) = crate::log::start();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, run(settings, &path))?;
+    LocalSet::new().block_on(&runtime, run(settings, &path, dropped))?;
     Ok(ExitCode::SUCCESS)
 }
 
-async fn run(settings: Settings, path: &Path) -> Result<()> {
+async fn run(settings: Settings, path: &Path, dropped: ErrorCounter) -> Result<()> {
     let listen =
         |address| callers::bind(address).wrap_err_with(|| format!("listening on {address}"));
     let front = listen(settings.callers)?;
@@ -89,7 +90,7 @@
     }
     spawn_local(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(peers::report(Rc::clone(&state), Rc::clone(&socket)));
-    spawn_local(sweep(Rc::clone(&state)));
+    spawn_local(sweep(Rc::clone(&state), dropped));
     spawn_local({
         let (state, socket) = (Rc::clone(&state), Rc::clone(&socket));
         async move {
@@ -121,10 +122,14 @@
     }
 }
 
-/// Closes idle connections that are too old.
-async fn sweep(state: Rc<State>) {
+/// Closes idle connections that are too old, and counts dropped log lines.
+async fn sweep(state: Rc<State>, dropped: ErrorCounter) {
+    let mut counted = 0;
     loop {
         tokio::time::sleep(SWEEP).await;
+        let lines = dropped.dropped_lines();
+        state.metrics.lines_dropped.inc_by((lines - counted) as u64);
+        counted = lines;
         let now = state.clock.now();
         let usable = |upstream| {
             let directory = state.directory.borrow();
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -1,5 +1,6 @@
 //! The leader's duties: its record in the store, grants, and the map of owners.
 
+mod demand;
 mod handover;
 mod order;
 mod record;
@@ -12,11 +13,12 @@
 use medlarreel_core::entry::lead::{self, RIGHT};
 use medlarreel_core::entry::ledger::{self, CALL_LIMIT, Ledger};
 use medlarreel_core::entry::map::{Map, Owner};
-use medlarreel_core::entry::plan::{Candidate, Weights};
+use medlarreel_core::entry::plan::Candidate;
 use medlarreel_core::time::Time;
 use rand::Rng;
 use tokio::net::UdpSocket;
 
+use demand::Demand;
 pub use handover::{depose, hand_over};
 use order::carry_out;
 pub use record::join;
@@ -60,16 +62,6 @@
 /// Pause after a failed attempt to take the lead.
 const STAND_PAUSE: Duration = Duration::from_millis(500);
 
-/// Weight of one run in an upstream's average; runs vary by half their time.
-const RUN_WEIGHT: f64 = 0.02;
-
-/// Range of relative run times that counts in the placement. Upstreams of one
-/// service differ by up to 2.5 times.
-const PACES: (f64, f64) = (0.6, 2.5);
-
-/// Part of a key's count that is kept from one second to the next.
-const COUNT_FADE: f64 = 0.8;
-
 /// Tasks of an instance that may lead.
 #[derive(Debug)]
 pub struct Leader {
@@ -86,9 +78,7 @@
     arranged: Time,
     looked: Time,
     gathering: HashMap<String, Time>,
-    counts: HashMap<String, BTreeMap<u16, f64>>,
-    /// Run time at each upstream relative to the others, by id.
-    paces: HashMap<String, f64>,
+    demand: Demand,
     shown: (u64, u64),
     shown_at: Time,
 }
@@ -112,8 +102,7 @@
             arranged: Time(0),
             looked: Time(0),
             gathering: HashMap::new(),
-            counts: HashMap::new(),
-            paces: HashMap::new(),
+            demand: Demand::default(),
             shown: (0, 0),
             shown_at: Time(0),
         }
@@ -311,7 +300,7 @@
     }
 
     fn rearrange(&mut self, now: Time) {
-        self.count();
+        self.demand.count(&self.state);
         let state = Rc::clone(&self.state);
         let mut ledger = state.ledger.borrow_mut();
         let Some(ledger) = ledger.as_mut() else {
@@ -338,7 +327,7 @@
                             born: entry.born,
                             address: entry.address,
                         },
-                        capacity: f64::from(entry.slots.max(1)) / self.pace(&entry.id),
+                        capacity: f64::from(entry.slots.max(1)) / self.demand.pace(&entry.id),
                     });
             }
         }
@@ -349,38 +338,11 @@
                 continue;
             }
             found.sort_by(|a, b| a.owner.cmp(&b.owner));
-            let weights = Weights::new(self.counts.get(service).cloned().unwrap_or_default());
+            let weights = self.demand.weights(service);
             ledger.rearrange(now, service, &found, &weights);
         }
     }
 
-    /// Run time at an upstream relative to the others.
-    fn pace(&self, id: &str) -> f64 {
-        let pace = self.paces.get(id).copied().unwrap_or(1.0);
-        pace.clamp(PACES.0, PACES.1)
-    }
-
-    /// Adds what was reported since the last look.
-    fn count(&mut self) {
-        for (id, runs, sum) in self.state.take_paces() {
-            let mean = sum as f64 / 1_000.0 / f64::from(runs.max(1));
-            let weight = (f64::from(runs) * RUN_WEIGHT).min(1.0);
-            let pace = self.paces.entry(id).or_insert(1.0);
-            *pace += (mean - *pace) * weight;
-        }
-        let fade = COUNT_FADE.powf(REARRANGE.as_secs_f64());
-        for keys in self.counts.values_mut() {
-            keys.values_mut().for_each(|count| *count *= fade);
-            keys.retain(|_, count| *count > 0.1);
-        }
-        for (service, keys) in std::mem::take(&mut *self.state.busy.borrow_mut()) {
-            let counts = self.counts.entry(service).or_default();
-            for (key, count) in keys {
-                *counts.entry(key).or_default() += f64::from(count);
-            }
-        }
-    }
-
     /// Sends the orders that are due.
     fn order(&self, now: Time) {
         let orders = {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -96,7 +96,7 @@
         );
         registry.register(
             "log_lines_dropped",
-            "Log lines",
+            "Log lines that were dropped",
             metrics.lines_dropped.clone(),
         );
         Metrics {
