Refuse requests at once while their key's owner can't be reached

After two connections in a row that were not made, requests that would not outlast the pause are refused at once.

--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -223,8 +223,9 @@
         let left = request.deadline.since(now);
         let needed = self.needed(&request);
         let outlook = view.outlook(&request.service, request.key);
-        if outlook.choices.is_empty() {
-            let back = outlook.back.unwrap_or(now + REPLACEMENT);
+        let cut = self.unreachable_owner(now, &request, &outlook);
+        if outlook.choices.is_empty() || cut.is_some() {
+            let back = cut.or(outlook.back).unwrap_or(now + REPLACEMENT);
             if back + needed > request.deadline {
                 return refuse(Reason::NoUpstream, back.since(now));
             }
@@ -309,6 +310,9 @@
             let after = RETURN_MIN;
             return Some(Decision::Refuse { reason, after });
         }
+        if self.unreachable_owner(now, request, &outlook).is_some() {
+            return None;
+        }
         let outranked = self.is_outranked(now, request);
         let keyed = request.key.is_some();
         let mut best: Option<(f64, Choice)> = None;
@@ -336,6 +340,13 @@
         })
     }
 
+    /// Until when the owner of a request's key can't be reached from here.
+    fn unreachable_owner(&self, now: Time, request: &Waiting, outlook: &Outlook) -> Option<Time> {
+        request.key?;
+        let owner = outlook.choices.first()?;
+        self.rooms.get(&owner.upstream)?.unreachable_until(now)
+    }
+
     fn needed(&self, request: &Waiting) -> Duration {
         self.expected(&request.route).mul_f64(NEEDED)
     }
--- a/crates/core/src/entry/room.rs
+++ b/crates/core/src/entry/room.rs
@@ -29,6 +29,9 @@
 /// instances have requests for it.
 const RIVALS: f64 = 2.0;
 
+/// Connections in a row that must fail for an upstream to count as unreachable.
+const UNREACHED: u32 = 2;
+
 /// Load that an upstream reports with an answer.
 #[data(key)]
 pub struct Load {
@@ -49,6 +52,8 @@
     Refused,
     /// There was no usable answer.
     Failed,
+    /// No connection to the upstream was made.
+    Unreached,
     /// The caller left.
     Left,
 }
@@ -64,6 +69,8 @@
     pace: f64,
     failures: u32,
     penalized_until: Time,
+    /// Connections in a row that were not made.
+    unreached: u32,
 }
 
 impl Room {
@@ -77,6 +84,7 @@
             pace: 1.0,
             failures: 0,
             penalized_until: Time(0),
+            unreached: 0,
         }
     }
 
@@ -123,6 +131,13 @@
         now < self.penalized_until
     }
 
+    /// Until when no connection is tried, after several that were not made in a row.
+    /// A single one may have failed for a lost packet.
+    pub fn unreachable_until(&self, now: Time) -> Option<Time> {
+        let until = self.penalized_until;
+        (self.unreached >= UNREACHED && until > now).then_some(until)
+    }
+
     /// Counts a request that is sent.
     pub fn start(&mut self) {
         self.mine += 1;
@@ -145,6 +160,11 @@
             self.others = (all - f64::from(self.mine) - 1.0).max(0.0);
             self.reported = now;
         }
+        match ending {
+            Ending::Unreached => self.unreached += 1,
+            Ending::Left => {}
+            Ending::Ran | Ending::Refused | Ending::Failed => self.unreached = 0,
+        }
         match ending {
             Ending::Ran => {
                 self.failures = 0;
@@ -158,7 +178,7 @@
                     self.reported = now;
                 }
             }
-            Ending::Failed => {
+            Ending::Failed | Ending::Unreached => {
                 self.failures += 1;
                 let doubled = PENALTY * 2u32.pow(self.failures.min(4) - 1);
                 self.penalized_until = now + doubled.min(PENALTY_MAX);
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -166,6 +166,44 @@
     assert_eq!(long, Ok(()));
 }
 
+/// Guards against requests that are held while their key's owner can't be reached,
+/// and against giving an owner up for one lost packet.
+#[test]
+fn unreachable_owner_refuses_short_requests() {
+    let (mut queue, fleet, now) = (Queue::default(), fleet(1), at(0));
+    let keyed = |ticket| Waiting {
+        key: Some(7),
+        ..request(ticket, 1, now, ms(700))
+    };
+    let mut offers = Vec::new();
+    for ticket in 0..3 {
+        offers.push(queue.offer(now, keyed(ticket), &fleet).is_ok());
+        for _ in queue.decide(now, &fleet) {
+            let run = Run {
+                upstream: Upstream(0),
+                route: "rank-1",
+                service: "workshop",
+                ending: Ending::Unreached,
+                load: None,
+                took: ms(500),
+            };
+            queue.finish(now, &run);
+        }
+    }
+
+    let later = queue.offer(
+        at(900),
+        Waiting {
+            deadline: at(1_600),
+            ..keyed(9)
+        },
+        &fleet,
+    );
+
+    assert_eq!(offers, [true, true, false]);
+    assert_eq!(later, Ok(()));
+}
+
 /// Guards against sending to an upstream that others have filled.
 #[test]
 fn reported_load_of_others_counts() {
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -98,7 +98,7 @@
     let mut link = match link {
         Ok(link) => link,
         Err(error) => {
-            flight.ending = Ending::Failed;
+            flight.ending = Ending::Unreached;
             progress.connects += 1;
             return Sent::Unreached(error.to_string());
         }
