--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-pub use order::{Bequest, Kind, Order, Reply};
+pub use order::{Kind, Order, Reply, Transfer};
 use part::{Lease, Part, State};
 
 use super::map::{Map, Owner, Slice};
@@ -121,13 +121,13 @@
 
     /// What a successor under the same epoch needs, after this leader has stopped.
     /// Owners that the store's record lacks were not granted anything yet.
-    pub fn bequest(&self) -> Bequest {
+    pub fn transfer(&self) -> Transfer {
         let recorded = self.recorded;
         let owners = self.map(self.views, |state| match state {
             State::Granting { version, .. } if *version > recorded => (None, 0),
             state => (part::owner(state).cloned(), 0),
         });
-        Bequest {
+        Transfer {
             owners,
             fences: self.fences,
         }
@@ -135,10 +135,10 @@
 
     /// Account of a leader that goes on under the epoch of one that has stopped
     /// before `now`.
-    pub fn inherit(bequest: &Bequest, hold: Duration, now: Time) -> Ledger {
-        let owners = &bequest.owners;
+    pub fn resume(transfer: &Transfer, hold: Duration, now: Time) -> Ledger {
+        let owners = &transfer.owners;
         let mut ledger = Ledger::new(owners.epoch, hold);
-        ledger.fences = ledger.fences.max(bequest.fences);
+        ledger.fences = ledger.fences.max(transfer.fences);
         // Calls of the predecessor may still be under way.
         ledger.adopt(owners, now, now + CALL_LIMIT + longest(hold));
         ledger.views = owners.version + 1;
--- a/crates/core/src/entry/ledger/order.rs
+++ b/crates/core/src/entry/ledger/order.rs
@@ -1,4 +1,4 @@
-//! What a leader sends and hears: orders, their answers, and its account for an heir.
+//! What a leader sends and hears: orders, their answers, and its account for a successor.
 
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 
 /// Account of a leader that has stopped, for the one that goes on.
 #[data(value)]
-pub struct Bequest {
+pub struct Transfer {
     /// Possible holder of each key, with the leader's epoch.
     pub owners: Map,
     /// Highest fence that was used.
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -206,31 +206,31 @@
 /// Guards against fences that upstreams refuse, and against keys out of service,
 /// when a leader that stops passes its epoch on.
 #[test]
-fn heir_renews_under_the_same_epoch() {
+fn successor_resumes_under_the_same_epoch() {
     let mut first = held(at(0));
     let old = first.tick(at(2_000), usize::MAX, |_| false);
 
-    let mut heir = Ledger::inherit(&first.bequest(), HOLD, at(2_100));
-    let orders = heir.tick(at(2_100), usize::MAX, |_| false);
+    let mut successor = Ledger::resume(&first.transfer(), HOLD, at(2_100));
+    let orders = successor.tick(at(2_100), usize::MAX, |_| false);
 
-    assert_eq!(heir.epoch(), first.epoch());
+    assert_eq!(successor.epoch(), first.epoch());
     assert_eq!(orders.len(), 2);
     assert!(orders.iter().all(|order| order.fence > old[1].fence));
-    assert!(heir.views() > first.views());
-    assert!(heir.is_settled(SERVICE));
+    assert!(successor.views() > first.views());
+    assert!(successor.is_settled(SERVICE));
 }
 
-/// Guards against an heir that grants keys to an owner that no record names.
+/// Guards against an successor that grants keys to an owner that no record names.
 #[test]
 fn unrecorded_owner_is_not_passed_on() {
     let mut first = Ledger::new(5, HOLD);
     first.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
 
-    let mut heir = Ledger::inherit(&first.bequest(), HOLD, at(0));
-    heir.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
-    let before = heir.tick(at(0), usize::MAX, |_| false);
-    heir.recorded(heir.version());
-    let after = heir.tick(at(0), usize::MAX, |_| false);
+    let mut successor = Ledger::resume(&first.transfer(), HOLD, at(0));
+    successor.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
+    let before = successor.tick(at(0), usize::MAX, |_| false);
+    successor.recorded(successor.version());
+    let after = successor.tick(at(0), usize::MAX, |_| false);
 
     assert!(before.is_empty());
     assert_eq!(after.len(), 2);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -15,8 +15,9 @@
 use crate::callers::{self, Connections};
 use crate::leader::{self, Leader};
 use crate::peers;
+use crate::platform::SETTINGS_VARIABLE;
 use crate::reader::{self, Topic};
-use crate::settings::{PATH_VARIABLE, Settings};
+use crate::settings::Settings;
 use crate::state::State;
 
 const USAGE: &str = "usage: medlarreel-entry [--settings FILE] [--check]";
@@ -47,9 +48,9 @@
         return Ok(ExitCode::SUCCESS);
     }
     let given = matches.opt_str("settings").map(PathBuf::from);
-    let path = given.or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from));
+    let path = given.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
     let path =
-        path.ok_or_else(|| eyre::eyre!("no settings: give --settings or {PATH_VARIABLE}"))?;
+        path.ok_or_else(|| eyre::eyre!("no settings: give --settings or {SETTINGS_VARIABLE}"))?;
     let settings = Settings::load(&path)?;
     if matches.opt_present("check") {
         return Ok(ExitCode::SUCCESS);
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -27,7 +27,7 @@
 use crate::error::Error;
 use crate::peers::{self, Message};
 use crate::platform::store::{Append, Store};
-use crate::state::{Inheritance, State};
+use crate::state::{Pending, State};
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -126,21 +126,21 @@
     }
 
     /// Goes on in the place of a leader that has stopped.
-    fn inherit(&mut self, now: Time, inheritance: &Inheritance) {
+    fn resume(&mut self, now: Time, transferred: &Pending) {
         let Some(writer) = self.writer.as_mut() else {
             return;
         };
-        writer.nonce = inheritance.nonce;
-        writer.end = inheritance.end;
+        writer.nonce = transferred.nonce;
+        writer.end = transferred.end;
         let hold = self.state.settings.borrow().hold;
-        let ledger = Ledger::inherit(&inheritance.bequest, hold, now);
+        let ledger = Ledger::resume(&transferred.transfer, hold, now);
         self.wrote = Time(0);
         let epoch = ledger.epoch();
         tracing::info!(epoch, "leader now, in the place of one that stops");
         *self.state.ledger.borrow_mut() = Some(ledger);
         let name = self.state.name();
         let mut lead = self.state.lead.borrow_mut();
-        lead.won(&name, epoch, inheritance.confirmed);
+        lead.won(&name, epoch, transferred.confirmed);
         drop(lead);
         self.begin();
     }
@@ -163,8 +163,8 @@
         if let Some((writer, _)) = self.written.take() {
             self.writer = Some(writer);
         }
-        if let Some(inheritance) = self.state.inheritance.take() {
-            self.inherit(now, &inheritance);
+        if let Some(transferred) = self.state.transferred.take() {
+            self.resume(now, &transferred);
             return;
         }
         let place = self.place();
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -12,11 +12,11 @@
 /// come every second.
 const ALIVE: Duration = Duration::from_millis(2_500);
 
-/// Times that the lead is sent to its heir, since messages may be lost, and the
+/// Times that the lead is sent to its successor, since messages may be lost, and the
 /// pause between them.
-const HEIR_SENDS: u32 = 3;
+const TRANSFER_SENDS: u32 = 3;
 
-const HEIR_PAUSE: Duration = Duration::from_millis(40);
+const TRANSFER_PAUSE: Duration = Duration::from_millis(40);
 
 /// Gives up the lead; true if no earlier leader can act any more either.
 pub fn depose(state: &State) -> bool {
@@ -31,24 +31,24 @@
 }
 
 /// Message that passes the lead of this instance on, and its receiver.
-fn testament(state: &State) -> Option<(SocketAddr, Message)> {
+fn transfer_to(state: &State) -> Option<(SocketAddr, Message)> {
     let now = state.clock.now();
     let (nonce, end) = state.topic.get()?;
     let confirmed = state.lead.borrow().confirmed()?;
-    let bequest = state.ledger.borrow().as_ref()?.bequest();
+    let transfer = state.ledger.borrow().as_ref()?.transfer();
     let members = state.members.borrow();
     let alive = members.values().filter(|member| {
         let heard = member.heard;
         heard.is_some_and(|heard| now.since(heard) < ALIVE)
     });
-    let heir = alive.max_by_key(|member| (member.strength, member.heard))?;
-    let message = Message::Heir {
-        bequest,
+    let successor = alive.max_by_key(|member| (member.strength, member.heard))?;
+    let message = Message::Transfer {
+        transfer,
         nonce,
         end,
         age_ms: now.since(confirmed).as_millis() as u64,
     };
-    Some((heir.address, message))
+    Some((successor.address, message))
 }
 
 /// Passes the lead on, or gives it up where there is nobody to go on.
@@ -56,14 +56,14 @@
     let Some(epoch) = state.lead.borrow().epoch() else {
         return;
     };
-    let testament = testament(state);
+    let transfer_to = transfer_to(state);
     let settled = depose(state);
-    match testament {
-        Some((heir, message)) => {
-            tracing::info!(%heir, epoch, "lead passed on");
-            for _ in 0..HEIR_SENDS {
-                peers::send(socket, heir, &message).await;
-                tokio::time::sleep(HEIR_PAUSE).await;
+    match transfer_to {
+        Some((successor, message)) => {
+            tracing::info!(%successor, epoch, "lead passed on");
+            for _ in 0..TRANSFER_SENDS {
+                peers::send(socket, successor, &message).await;
+                tokio::time::sleep(TRANSFER_PAUSE).await;
             }
         }
         None => {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,14 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::ledger::Bequest;
+use medlarreel_core::entry::ledger::Transfer;
 use medlarreel_core::entry::map::Map;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
 use crate::reader::{News, Progress, Topic};
-use crate::state::{Inheritance, Member, State};
+use crate::state::{Member, Pending, State};
 
 /// Largest message, in bytes.
 const MAX_MESSAGE: usize = 60_000;
@@ -67,9 +67,9 @@
         settled: bool,
     },
     /// The leader stops and passes its lead on to the receiver.
-    Heir {
+    Transfer {
         /// Its account.
-        bequest: Bequest,
+        transfer: Transfer,
         /// Mark of its records in the store.
         nonce: u64,
         /// End of its topic, as far as it knows.
@@ -207,17 +207,17 @@
                 ledger.predecessor_stopped(epoch, now);
             }
         }
-        Message::Heir {
-            bequest,
+        Message::Transfer {
+            transfer,
             nonce,
             end,
             age_ms,
         } => {
-            let newer = bequest.owners.epoch >= state.lead.borrow().highest();
+            let newer = transfer.owners.epoch >= state.lead.borrow().highest();
             if newer && state.lead.borrow().epoch().is_none() && !state.stopping.get() {
                 let confirmed = now - Duration::from_millis(age_ms);
-                state.inheritance.replace(Some(Inheritance {
-                    bequest,
+                state.transferred.replace(Some(Pending {
+                    transfer,
                     nonce,
                     end,
                     confirmed,
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -8,3 +8,6 @@
 pub mod headers;
 pub mod registry;
 pub mod store;
+
+/// Variable that holds the path of the settings file.
+pub const SETTINGS_VARIABLE: &str = "MEDLARREEL_BOOT";
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -42,16 +42,16 @@
     };
     state.budget.borrow_mut().earn(arrived);
     count_key(state, &exchange);
-    let mut visit = Visit {
+    let mut open = Open {
         state,
         exchange: &exchange,
         progress: Progress::default(),
         answered: false,
     };
     let left = exchange.deadline.since(arrived);
-    let ran = tokio::time::timeout(left, run(state, &exchange, &mut visit.progress)).await;
-    let mut response = ran.unwrap_or_else(|_| late(state, &exchange, &visit.progress));
-    visit.answered = true;
+    let ran = tokio::time::timeout(left, run(state, &exchange, &mut open.progress)).await;
+    let mut response = ran.unwrap_or_else(|_| late(state, &exchange, &open.progress));
+    open.answered = true;
     let took = state.clock.now().since(arrived);
     state.metrics.latency.observe(took.as_secs_f64());
     if state.stopping.get() {
@@ -74,14 +74,14 @@
 }
 
 /// A request from its arrival to its answer; dropped early if the caller leaves.
-struct Visit<'a> {
+struct Open<'a> {
     state: &'a State,
     exchange: &'a Exchange,
     progress: Progress,
     answered: bool,
 }
 
-impl Drop for Visit<'_> {
+impl Drop for Open<'_> {
     fn drop(&mut self) {
         if self.answered {
             return;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,9 +7,6 @@
 use medlarreel_core::config::value::{self, Flaw};
 use medlarreel_core::config::{Document, Section, Shape};
 
-/// Variable that holds the path of the settings file.
-pub const PATH_VARIABLE: &str = "MEDLARREEL_BOOT";
-
 /// Longest hold that is asked for. Keys of a lost upstream are out of service
 /// for about this time, and renewals take place three times as often.
 const HOLD: Duration = Duration::from_secs(4);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use medlarreel_core::entry::directory::{Directory, Record};
 use medlarreel_core::entry::lead::Lead;
-use medlarreel_core::entry::ledger::{Bequest, Ledger};
+use medlarreel_core::entry::ledger::{Ledger, Transfer};
 use medlarreel_core::entry::map::Map;
 use medlarreel_core::entry::queue::{Choice, Decision, Outlook, Queue, Ticket, View};
 use medlarreel_core::entry::routes::{Split, Table};
@@ -55,9 +55,9 @@
 
 /// A lead that another instance has passed on.
 #[derive(Debug)]
-pub struct Inheritance {
+pub struct Pending {
     /// Account of the leader that has stopped.
-    pub bequest: Bequest,
+    pub transfer: Transfer,
     /// Mark of its records in the store.
     pub nonce: u64,
     /// End of its topic, as far as it knew.
@@ -117,7 +117,7 @@
     /// Mark of the own records in the leader's topic, and the end of the topic.
     pub topic: Cell<Option<(u64, u64)>>,
     /// A lead that was passed on to this instance and is not taken up yet.
-    pub inheritance: RefCell<Option<Inheritance>>,
+    pub transferred: RefCell<Option<Pending>>,
     /// Other instances, by name.
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Belief about the store.
@@ -163,7 +163,7 @@
             lead: RefCell::new(Lead::new(now)),
             ledger: RefCell::default(),
             topic: Cell::default(),
-            inheritance: RefCell::default(),
+            transferred: RefCell::default(),
             members: RefCell::default(),
             store: Cell::default(),
             stopping: Cell::new(false),
