--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -220,7 +220,7 @@
     assert!(successor.is_settled(SERVICE));
 }
 
-/// Guards against an successor that grants keys to an owner that no record names.
+/// Guards against a successor that grants keys to an owner that no record names.
 #[test]
 fn unrecorded_owner_is_not_passed_on() {
     let mut first = Ledger::new(5, HOLD);
