Keep fractions of slots free for urgent requests, not whole ones

Cause: with 0.3 of the slots rounded up, an upstream with two slots ran one less urgent request at a time, and one with six ran four.

Change: the part of a slot that 0.3 leaves over is used.

--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -21,7 +21,8 @@
 
 /// Part of an upstream's slots that is kept free for urgent requests where a
 /// service has requests of several ranks. An upstream runs requests in the
-/// order in which they came, so an urgent one must find a slot free.
+/// order in which they came, so an urgent one must find a slot free. Parts of a
+/// slot are not kept free: half of an upstream with two slots would stay idle.
 const RESERVE: f64 = 0.3;
 
 /// Time for which a rank counts as present after its last request.
@@ -321,7 +322,7 @@
             let room = self.rooms.get(&choice.upstream).unwrap_or(&fresh);
             let depth = match (request.rank, outranked) {
                 (0, _) => DEPTH_URGENT,
-                (_, true) => -(f64::from(room.slots()) * RESERVE).ceil(),
+                (_, true) => -f64::from(room.slots()) * RESERVE,
                 (_, false) => DEPTH,
             };
             if !room.fits(now, depth) || (!keyed && request.tried.contains(&choice.upstream)) {
