Pass on only registrations that change beliefs

Cause: the leader passed each record of the directory on to all others, and an upstream repeats its registration about once a second.

Change: it passes on records that change an entry, revive one or remove one. The time of the newest report is no longer kept, as nothing used it.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -49,8 +49,6 @@
     pub usable: bool,
     /// Time at which the registration's removal takes effect.
     pub removal: Option<Time>,
-    /// Time of the newest report.
-    pub seen: Time,
     /// Earliest time at which it may have said that it leaves.
     pub leaving_since: Option<Time>,
     /// Time at which the slow phase after its start ends.
@@ -89,6 +87,22 @@
             .filter(|(_, record)| record.usable)
     }
 
+    /// Whether a registration says more than that its upstream still lives. The
+    /// time that is left of its slow phase counts with the first report only.
+    pub fn is_news(&self, entry: &Entry) -> bool {
+        let Some((_, record)) = self.find(&entry.id) else {
+            return true;
+        };
+        let known = Entry {
+            warmup: entry.warmup,
+            sequence: entry.sequence,
+            ..record.entry.clone()
+        };
+        let outdated = record.entry.born == entry.born && entry.sequence < record.entry.sequence;
+        !outdated
+            && (known != *entry || record.removal.is_some() || record.usable == entry.draining)
+    }
+
     /// Applies a registration; true if the set of usable upstreams changed.
     /// `since` is the time of the reading before, so news are not older.
     pub fn apply(&mut self, now: Time, since: Time, entry: Entry) -> bool {
@@ -113,7 +127,6 @@
                     true => None,
                     false => record.leaving_since.or(leaving),
                 };
-                record.seen = now;
                 record.warm_at = warm_at;
                 self.version += u64::from(changed);
                 return changed;
@@ -126,7 +139,6 @@
             entry,
             usable,
             removal: None,
-            seen: now,
             leaving_since: leaving,
             warm_at,
         });
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -83,3 +83,43 @@
         .collect();
     assert_eq!(usable, ["u1"]);
 }
+
+/// Guards against a leader that keeps a change of a registration to itself, and
+/// against one that passes on every sign of life.
+#[test]
+fn only_changes_of_registrations_are_news() {
+    let mut directory = Directory::default();
+    let later = |sequence| Entry {
+        sequence,
+        ..entry(1)
+    };
+
+    assert!(directory.is_news(&entry(1)), "unknown before");
+    directory.apply(at(0), at(0), later(5));
+    assert!(!directory.is_news(&later(6)), "a sign of life");
+
+    let slots = Entry {
+        slots: 3,
+        ..later(6)
+    };
+    assert!(directory.is_news(&slots));
+    let draining = Entry {
+        draining: true,
+        ..later(6)
+    };
+    assert!(directory.is_news(&draining));
+    let outdated = Entry {
+        draining: true,
+        ..later(4)
+    };
+    assert!(!directory.is_news(&outdated), "a report that came late");
+    let reborn = Entry {
+        born: 2,
+        ..later(1)
+    };
+    assert!(directory.is_news(&reborn));
+    directory.remove("u1", at(10), at(20));
+    assert!(directory.is_news(&later(6)), "back before its removal");
+    directory.expire(at(20));
+    assert!(directory.is_news(&later(6)), "back after its removal");
+}
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -251,7 +251,7 @@
         // Records from the leader came first.
         return Ok(None);
     }
-    apply(state, topic, &items, false, Duration::ZERO);
+    let news = apply(state, topic, &items, false, Duration::ZERO);
     // An answer without records is as new as its end.
     let read_to = if items.is_empty() {
         now - DELIVERY
@@ -264,9 +264,9 @@
         topic,
         from,
         end,
-        records: items
+        records: news
             .into_iter()
-            .map(|item| (item.key, item.value.map(|value| value.to_vec())))
+            .map(|item| (item.key.clone(), item.value.as_deref().map(<[u8]>::to_vec)))
             .collect(),
         grace_ms: grace.as_millis() as u64,
     }))
@@ -285,6 +285,7 @@
             };
             let items: Vec<Item> = news.records.into_iter().map(item).collect();
             let grace = Duration::from_millis(news.grace_ms);
+            // The leader has passed on only what changes beliefs.
             apply(state, news.topic, &items, false, grace);
             let now = state.clock.now();
             advance(state, news.topic, news.end, now - DELIVERY);
@@ -301,12 +302,26 @@
     position.behind = false;
 }
 
-fn apply(state: &State, topic: Topic, items: &[Item], whole: bool, grace: Duration) {
-    match topic {
-        Topic::Config => apply_config(state, items),
+/// Applies records and returns those that change what the instances believe.
+/// Upstreams repeat their registrations about once a second, which would be most
+/// of the bytes between the instances of a large fleet.
+fn apply<'a>(
+    state: &State,
+    topic: Topic,
+    items: &'a [Item],
+    whole: bool,
+    grace: Duration,
+) -> Vec<&'a Item> {
+    let news = match topic {
+        Topic::Config => {
+            apply_config(state, items);
+            let configs = items.iter().filter(|item| item.key == config::KEY);
+            configs.collect()
+        }
         Topic::Directory => apply_entries(state, items, whole, grace),
-    }
+    };
     state.pump();
+    news
 }
 
 fn apply_config(state: &State, items: &[Item]) {
@@ -339,7 +354,12 @@
     own.max(now + grace)
 }
 
-fn apply_entries(state: &State, items: &[Item], whole: bool, grace: Duration) {
+fn apply_entries<'a>(
+    state: &State,
+    items: &'a [Item],
+    whole: bool,
+    grace: Duration,
+) -> Vec<&'a Item> {
     let now = state.clock.now();
     let since = state.feed(Topic::Directory).position.borrow().since;
     let at = removal(state, grace);
@@ -349,8 +369,10 @@
         let present: Vec<&str> = present.map(|item| item.key.as_str()).collect();
         directory.retain(&present, since, at);
     }
+    let mut news = Vec::new();
     for item in items {
         let Some(value) = &item.value else {
+            news.push(item);
             tracing::info!(upstream = item.key, "registration removed");
             directory.remove(&item.key, since, at);
             continue;
@@ -359,6 +381,9 @@
             tracing::debug!(upstream = item.key, "registration can't be read, ignored");
             continue;
         };
+        if directory.is_news(&entry) {
+            news.push(item);
+        }
         let (id, draining) = (entry.id.clone(), entry.draining);
         let (service, born) = (entry.service.clone(), entry.born);
         if directory.apply(now, since, entry) {
@@ -367,4 +392,5 @@
     }
     drop(directory);
     state.expire();
+    news
 }
