Send differences of the map of owners instead of whole maps

Change: the leader sends the slices that differ from the map it showed last; a receiver that lacks that map asks for the whole one. Signs of life name the map that was shown, so that nobody asks for one that is not shown yet.

Ruled out as the cause: records passed on (3.5 MB).

--- a/crates/core/src/entry/map.rs
+++ b/crates/core/src/entry/map.rs
@@ -42,7 +42,70 @@
     pub services: BTreeMap<String, Vec<Slice>>,
 }
 
+/// What differs between two maps of one leader. Most maps differ from their
+/// predecessor in a few slices, and whole ones grow with the fleet.
+#[data(value)]
+pub struct Change {
+    /// Order of the map that it applies to.
+    pub from: (u64, u64),
+    /// Order of the map that it leads to.
+    pub to: (u64, u64),
+    /// Slices by service that replace those of their keys.
+    pub slices: BTreeMap<String, Vec<Slice>>,
+    /// Services that are gone.
+    pub gone: Vec<String>,
+}
+
 impl Map {
+    /// What leads from this map to a newer one.
+    pub fn change(&self, newer: &Map) -> Change {
+        let mut slices = BTreeMap::new();
+        for (service, after) in &newer.services {
+            let before = self.services.get(service).map_or(&[][..], Vec::as_slice);
+            let same = |slice: &&Slice| {
+                let index = before.partition_point(|other| other.first < slice.first);
+                before.get(index) == Some(*slice)
+            };
+            let differs: Vec<Slice> = after.iter().filter(|s| !same(s)).cloned().collect();
+            if !differs.is_empty() {
+                slices.insert(service.clone(), differs);
+            }
+        }
+        let gone = self.services.keys();
+        let gone = gone.filter(|service| !newer.services.contains_key(*service));
+        Change {
+            from: self.order(),
+            to: newer.order(),
+            slices,
+            gone: gone.cloned().collect(),
+        }
+    }
+
+    /// The map after a change; `None` if the change applies to another one.
+    pub fn changed(&self, change: Change) -> Option<Map> {
+        if change.from != self.order() {
+            return None;
+        }
+        let mut services = self.services.clone();
+        for service in &change.gone {
+            services.remove(service);
+        }
+        for (service, replacements) in change.slices {
+            let slices = services.entry(service).or_default();
+            let overlaps =
+                |old: &Slice, new: &Slice| new.first <= old.last && old.first <= new.last;
+            slices.retain(|old| !replacements.iter().any(|new| overlaps(old, new)));
+            slices.extend(replacements);
+            slices.sort_by_key(|slice| slice.first);
+        }
+        let (epoch, version) = change.to;
+        Some(Map {
+            epoch,
+            version,
+            services,
+        })
+    }
+
     /// Order in which maps supersede each other.
     pub fn order(&self) -> (u64, u64) {
         (self.epoch, self.version)
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod lead;
 mod ledger;
+mod map;
 mod ownership;
 mod plan;
 mod queue;
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -384,13 +384,20 @@
                 ledger.as_ref().map(|ledger| ledger.view(now, able))
             };
             if let Some(view) = view {
-                self.state.adopt_view(view.clone());
-                peers::broadcast(&self.state, &self.socket, &Message::View(view)).await;
+                let message = {
+                    let before = self.state.view.borrow();
+                    match before.epoch == view.epoch {
+                        true => Message::Change(before.change(&view)),
+                        false => Message::View(view.clone()),
+                    }
+                };
+                self.state.adopt_view(view);
+                peers::broadcast(&self.state, &self.socket, &message).await;
             }
         }
         if now.since(self.beaten) >= BEAT {
             self.beaten = now;
-            let beat = peers::beat(&self.state, now, order);
+            let beat = peers::beat(&self.state, now, self.shown);
             peers::broadcast(&self.state, &self.socket, &beat).await;
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::ledger::Transfer;
-use medlarreel_core::entry::map::Map;
+use medlarreel_core::entry::map::{Change, Map};
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
@@ -59,6 +59,8 @@
     Ask,
     /// The leader's map of owners.
     View(Map),
+    /// What has changed in the leader's map of owners.
+    Change(Change),
     /// The leader of an epoch has given it up, and sends no more orders.
     Resigned {
         /// Its epoch.
@@ -201,6 +203,20 @@
                 state.adopt_view(map);
             }
         }
+        Message::Change(change) => {
+            let leads = change.to.0 >= state.lead.borrow().highest();
+            let known = state.view.borrow().order();
+            if leads && change.to > known {
+                let map = state.view.borrow().changed(change);
+                match map {
+                    Some(map) => {
+                        state.adopt_view(map);
+                    }
+                    // An earlier change was lost.
+                    None => send(socket, from, &Message::Ask).await,
+                }
+            }
+        }
         Message::Resigned { epoch, settled } => {
             state.lead.borrow_mut().resigned(now, epoch);
             if let Some(ledger) = state.ledger.borrow_mut().as_mut().filter(|_| settled) {
@@ -244,11 +260,11 @@
     }
 }
 
-/// Map of owners, if this instance leads.
+/// Map of owners that was shown last, if this instance leads. Changes apply to it.
 fn view(state: &State) -> Option<Map> {
-    let able = !state.store.get().failing;
-    let ledger = state.ledger.borrow();
-    Some(ledger.as_ref()?.view(state.clock.now(), able))
+    let epoch = state.lead.borrow().epoch()?;
+    let view = state.view.borrow();
+    (view.epoch == epoch).then(|| view.clone())
 }
 
 /// Sign of life of this instance as the leader.
