Bound the wait for a lost holder across changes of the leader

Each new leader waited 17 s for the rights of those before it, leaders changed every 13 s, and a leader that resigned shortened the wait only if its own predecessor's rights were over. Found on the way, each with a test or as a case of the randomized one: a leader that passed its lead on within 17 s of winning it let its successor grant keys that the leader before might still have renewed; joining ranges forgot that a wait was inherited; the predecessor was taken from the record of owners, though a later leader may not have written one.

Change: a stopped leader says how long the grants of each range may last, including those of earlier leaders; the record of owners says so for ranges in release, which get no further grant without a new record. A uniform wait after a transfer, as before, fails the new test of transfers.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -66,10 +66,8 @@
     version: u64,
     recorded: u64,
     views: u64,
-    /// Epoch of the record that was taken over.
+    /// Epoch of the leader before this one.
     predecessor: u64,
-    /// End of the rights of all earlier leaders.
-    inherited_until: Time,
     services: BTreeMap<String, Vec<Part>>,
     failures: HashMap<Owner, (u32, Time)>,
 }
@@ -85,47 +83,61 @@
             recorded: 0,
             views: 0,
             predecessor: 0,
-            inherited_until: Time(0),
             services: BTreeMap::new(),
             failures: HashMap::new(),
         }
     }
 
-    /// Takes over what the previous leader recorded. Its grants may last until `until`.
-    pub fn adopt(&mut self, map: &Map, now: Time, until: Time) {
-        self.predecessor = map.epoch;
-        self.inherited_until = until;
+    /// Takes over what earlier leaders recorded, the last of them being the leader of
+    /// the epoch `predecessor`. Their grants may last until `until`, but where a
+    /// release is recorded, no longer than the record says.
+    pub fn adopt(&mut self, map: &Map, predecessor: u64, now: Time, until: Time) {
+        self.predecessor = predecessor;
+        // Due at once, so that the upstream hears the new fence.
+        let overdue = now - self.hold;
+        self.inherit(map, |slice, owner, fence| match slice.wait_ms {
+            0 => State::Held {
+                owner,
+                fence,
+                sent: overdue,
+                lease: Lease::inherited(until),
+            },
+            wait_ms => State::Releasing {
+                owner,
+                fence,
+                sent: None,
+                lease: Lease::inherited(until.min(now + span(wait_ms))),
+            },
+        });
+    }
+
+    fn inherit(&mut self, map: &Map, state: impl Fn(&Slice, Owner, u64) -> State) {
+        let mut fences = self.fences;
+        let mut services = BTreeMap::new();
         for (service, slices) in &map.services {
-            let mut parts = Vec::new();
-            for slice in slices {
-                let state = match &slice.owner {
-                    Some(owner) => State::Held {
-                        owner: owner.clone(),
-                        fence: part::next(&mut self.fences),
-                        // Due at once, so that the upstream hears the new fence.
-                        sent: now - self.hold,
-                        lease: Lease::inherited(until),
-                    },
+            let part = |slice: &Slice| Part {
+                first: slice.first,
+                last: slice.last,
+                state: match slice.owner.clone() {
+                    Some(owner) => state(slice, owner, part::next(&mut fences)),
                     None => State::Free { handover: None },
-                };
-                parts.push(Part {
-                    first: slice.first,
-                    last: slice.last,
-                    state,
-                });
-            }
-            self.services.insert(service.clone(), parts);
+                },
+            };
+            services.insert(service.clone(), slices.iter().map(part).collect());
         }
+        self.services = services;
+        self.fences = fences;
         self.views += 1;
     }
 
-    /// What a successor under the same epoch needs, after this leader has stopped.
+    /// What a successor needs, after this leader has stopped: the possible holder of
+    /// each key, and how long the grants of this leader and of all before it may last.
     /// Owners that the store's record lacks were not granted anything yet.
-    pub fn transfer(&self) -> Transfer {
+    pub fn transfer(&self, now: Time) -> Transfer {
         let recorded = self.recorded;
         let owners = self.map(self.views, |state| match state {
             State::Granting { version, .. } if *version > recorded => (None, 0),
-            state => (part::owner(state).cloned(), 0),
+            state => (part::owner(state).cloned(), left(part::end(state), now)),
         });
         Transfer {
             owners,
@@ -139,24 +151,40 @@
         let owners = &transfer.owners;
         let mut ledger = Ledger::new(owners.epoch, hold);
         ledger.fences = ledger.fences.max(transfer.fences);
-        // Calls of the predecessor may still be under way.
-        ledger.adopt(owners, now, now + CALL_LIMIT + longest(hold));
+        ledger.inherit(owners, |slice, owner, fence| State::Held {
+            owner,
+            fence,
+            sent: now - hold,
+            lease: Lease::inherited(now + span(slice.wait_ms)),
+        });
         ledger.views = owners.version + 1;
         ledger
     }
 
-    /// Shortens the time for which grants of the leader of `epoch` may last,
-    /// because it has stopped before `now`. A call of it may still be under way.
-    pub fn predecessor_stopped(&mut self, epoch: u64, now: Time) {
+    /// Shortens the time for which grants of the leader of `epoch` and of those
+    /// before it may last, because it has stopped before `now` and said in `owners`
+    /// how long they may last.
+    pub fn predecessor_stopped(&mut self, epoch: u64, now: Time, owners: &Map) {
         if epoch != self.predecessor {
             return;
         }
-        let end = now + CALL_LIMIT + self.longest();
-        for part in self.services.values_mut().flatten() {
-            match &mut part.state {
-                State::Held { lease, .. } => lease.inherited = end.min(lease.inherited),
-                State::Releasing { until, .. } => *until = end.min(*until),
-                State::Free { .. } | State::Granting { .. } => {}
+        for (service, parts) in &mut self.services {
+            let Some(slices) = owners.services.get(service) else {
+                continue;
+            };
+            for part in parts {
+                let Some(holder) = part::owner(&part.state) else {
+                    continue;
+                };
+                let overlaps = |slice: &&Slice| {
+                    let same = slice.owner.as_ref() == Some(holder);
+                    same && slice.first <= part.last && part.first <= slice.last
+                };
+                let waits = slices.iter().filter(overlaps).map(|slice| slice.wait_ms);
+                let end = now + span(waits.max().unwrap_or(0));
+                if let Some(lease) = part::lease(&mut part.state) {
+                    lease.inherited = lease.inherited.min(end);
+                }
             }
         }
     }
@@ -166,11 +194,6 @@
         self.recorded < self.version
     }
 
-    /// Whether earlier leaders may still send grants.
-    pub fn inherits(&self, now: Time) -> bool {
-        now < self.inherited_until && !self.services.is_empty()
-    }
-
     /// Epoch of this leader.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -181,9 +204,15 @@
         self.version
     }
 
-    /// The only possible holder of each key, for the store.
-    pub fn record(&self) -> Map {
-        self.map(self.version, |state| (part::owner(state).cloned(), 0))
+    /// The only possible holder of each key, for the store. Where no grant follows
+    /// without a further record, it tells how long the last one may last.
+    pub fn record(&self, now: Time) -> Map {
+        self.map(self.version, |state| match state {
+            State::Releasing { owner, lease, .. } => {
+                (Some(owner.clone()), left(lease.end(), now).max(1))
+            }
+            state => (part::owner(state).cloned(), 0),
+        })
     }
 
     /// The upstream that serves each key now, for the instances. `able` tells
@@ -194,11 +223,11 @@
             State::Free { .. } | State::Granting { .. } => {
                 (None, millis(if able { GRANT_TIME } else { OUTAGE_TIME }))
             }
-            State::Releasing { until, sent, .. } => {
+            State::Releasing { lease, sent, .. } => {
                 // An upstream that is alive answers once its requests have ended.
                 let silent = sent.is_some() && self.is_silent(part::owner(state));
                 let wait = if silent {
-                    until.since(now)
+                    lease.end().since(now)
                 } else {
                     RELEASE_TIME
                 };
@@ -279,6 +308,8 @@
             let target = wanted(part.first);
             let next_state = part::step(part, target, &mut self.fences, &mut self.version, now);
             if let Some(state) = next_state {
+                // A later leader must know that no grant follows.
+                self.version += u64::from(matches!(state, State::Releasing { .. }));
                 part.state = state;
                 self.views += 1;
             }
@@ -325,7 +356,7 @@
             if part::owner(&part.state).is_some_and(&reborn) {
                 part.state = State::Free { handover: None };
                 self.views += 1;
-            } else if matches!(&part.state, State::Releasing { until, .. } if *until <= now) {
+            } else if matches!(&part.state, State::Releasing { lease, .. } if lease.end() <= now) {
                 part.state = State::Free { handover: None };
             }
         }
@@ -433,6 +464,15 @@
     hold + hold / 50 + HOLD_MARGIN
 }
 
+/// Time until `end`, in milliseconds and rounded up.
+fn left(end: Time, now: Time) -> u32 {
+    millis(end.since(now) + Duration::from_millis(1))
+}
+
+fn span(millis: u32) -> Duration {
+    Duration::from_millis(millis.into())
+}
+
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/entry/ledger/part.rs
+++ b/crates/core/src/entry/ledger/part.rs
@@ -38,8 +38,22 @@
     }
 
     pub(super) fn end(self) -> Time {
-        let own = self.pending.unwrap_or(self.known).max(self.known);
-        own.max(self.inherited)
+        self.own().max(self.inherited)
+    }
+
+    /// Latest end of the own grants.
+    fn own(self) -> Time {
+        self.pending.unwrap_or(self.known).max(self.known)
+    }
+
+    /// Lease of two ranges that become one under a new fence, so that the answers to
+    /// grants on their way don't settle it.
+    pub(super) fn joined(self, other: Lease) -> Lease {
+        Lease {
+            known: self.own().max(other.own()),
+            pending: None,
+            inherited: self.inherited.max(other.inherited),
+        }
     }
 
     /// Whether a grant may follow the one sent at `sent`: after `span`, and with
@@ -96,7 +110,7 @@
         owner: Owner,
         fence: u64,
         sent: Option<Time>,
-        until: Time,
+        lease: Lease,
     },
 }
 
@@ -206,6 +220,25 @@
     }
 }
 
+pub(super) fn lease(state: &mut State) -> Option<&mut Lease> {
+    match state {
+        State::Free { .. } => None,
+        State::Granting { lease, .. }
+        | State::Held { lease, .. }
+        | State::Releasing { lease, .. } => Some(lease),
+    }
+}
+
+/// Latest end of all grants.
+pub(super) fn end(state: &State) -> Time {
+    match state {
+        State::Free { .. } => Time(0),
+        State::Granting { lease, .. }
+        | State::Held { lease, .. }
+        | State::Releasing { lease, .. } => lease.end(),
+    }
+}
+
 pub(super) fn fence(state: &State) -> u64 {
     match state {
         State::Free { .. } => 0,
@@ -267,7 +300,7 @@
                 owner: owner.clone(),
                 fence: next(fences),
                 sent: None,
-                until: lease.end(),
+                lease: *lease,
             })
         }
         State::Granting {
@@ -284,7 +317,7 @@
                 owner: owner.clone(),
                 fence: next(fences),
                 sent: None,
-                until: lease.end(),
+                lease: *lease,
             },
         }),
         _ => None,
@@ -354,6 +387,6 @@
         owner: owner.clone(),
         fence: if same { *fence } else { next(fences) },
         sent: if same { *sent.min(also) } else { overdue },
-        lease: Lease::until(lease.end().max(more.end())),
+        lease: lease.joined(*more),
     })
 }
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -151,10 +151,10 @@
 fn successor_renews_in_place_with_higher_fences() {
     let mut first = held(at(0));
     let old = first.tick(at(2_000), usize::MAX, |_| false);
-    let record = first.record();
+    let record = first.record(at(0));
 
     let mut second = Ledger::new(6, HOLD);
-    second.adopt(&record, at(2_000), at(20_000));
+    second.adopt(&record, 5, at(2_000), at(20_000));
     let orders = second.tick(at(2_000), usize::MAX, |_| false);
     second.rearrange(at(2_000), SERVICE, &candidates(2)[1..], &Weights::default());
     second.recorded(second.version());
@@ -178,15 +178,16 @@
 /// Guards against shortening the wait while leaders before the last may still act.
 #[test]
 fn only_the_recorded_predecessor_shortens_the_wait() {
-    let record = held(at(0)).record();
+    let record = held(at(0)).record(at(0));
     let mut ledger = Ledger::new(9, HOLD);
-    ledger.adopt(&record, at(0), at(20_000));
+    ledger.adopt(&record, 5, at(0), at(20_000));
 
-    ledger.predecessor_stopped(8, at(0));
+    let stopped = held(at(0)).transfer(at(0)).owners;
+    ledger.predecessor_stopped(8, at(0), &stopped);
     ledger.rearrange(at(0), SERVICE, &candidates(2)[1..], &Weights::default());
     ledger.tick(at(10_000), usize::MAX, |_| false);
     let unchanged = ledger.is_settled(SERVICE);
-    ledger.predecessor_stopped(5, at(0));
+    ledger.predecessor_stopped(5, at(0), &stopped);
     ledger.tick(at(10_000), usize::MAX, |_| false);
     ledger.rearrange(
         at(10_000),
@@ -212,7 +213,7 @@
     let mut first = held(at(0));
     let old = first.tick(at(2_000), usize::MAX, |_| false);
 
-    let mut successor = Ledger::resume(&first.transfer(), HOLD, at(2_100));
+    let mut successor = Ledger::resume(&first.transfer(at(2_050)), HOLD, at(2_100));
     let orders = successor.tick(at(2_100), usize::MAX, |_| false);
 
     assert_eq!(successor.epoch(), first.epoch());
@@ -228,7 +229,7 @@
     let mut first = Ledger::new(5, HOLD);
     first.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
 
-    let mut successor = Ledger::resume(&first.transfer(), HOLD, at(0));
+    let mut successor = Ledger::resume(&first.transfer(at(0)), HOLD, at(0));
     successor.rearrange(at(0), SERVICE, &candidates(2), &Weights::default());
     let before = successor.tick(at(0), usize::MAX, |_| false);
     successor.recorded(successor.version());
@@ -260,7 +261,7 @@
         services,
     };
     let mut ledger = Ledger::new(5, HOLD);
-    ledger.adopt(&owners, at(0), at(0));
+    ledger.adopt(&owners, 4, at(0), at(0));
     let mut renewed = BTreeMap::new();
 
     // 320 orders a second renew 600 ranges every 1.9 s, not every 1.3 s.
@@ -278,3 +279,55 @@
     assert_eq!(renewed.len(), usize::from(count));
     assert!(renewed.values().all(|last| at(20_000).since(*last) <= HOLD));
 }
+
+/// Guards against two holders of a key: a leader that passes its lead on soon after
+/// it has won it may not shorten the rights of the leader before it.
+#[test]
+fn transferred_lead_respects_earlier_leaders() {
+    let record = held(at(0)).record(at(0));
+    let mut second = Ledger::new(9, HOLD);
+    second.adopt(&record, 5, at(0), at(20_000));
+
+    let mut third = Ledger::resume(&second.transfer(at(1_000)), HOLD, at(1_100));
+    let takes_over = |ledger: &mut Ledger, now| {
+        ledger.tick(now, usize::MAX, |_| false);
+        ledger.rearrange(now, SERVICE, &candidates(2)[1..], &Weights::default());
+        ledger.recorded(ledger.version());
+        let orders = ledger.tick(now, usize::MAX, |_| false);
+        let mut grants = orders.iter().filter(|order| order.kind != Kind::Release);
+        grants.any(|order| order.first == 0 && order.owner == owner(2))
+    };
+    takes_over(&mut third, at(1_100));
+
+    assert!(!takes_over(&mut third, at(19_900)));
+    assert!(takes_over(&mut third, at(20_200)));
+}
+
+/// Guards against keys that never get a new owner because each new leader waits anew
+/// for the leaders before it.
+#[test]
+fn wait_for_a_lost_holder_goes_on_under_later_leaders() {
+    let record = held(at(0)).record(at(0));
+    let mut second = Ledger::new(9, HOLD);
+    second.adopt(&record, 5, at(0), at(20_000));
+    second.rearrange(at(1_000), SERVICE, &candidates(2)[1..], &Weights::default());
+
+    assert!(second.needs_record(), "a release is recorded");
+    let mut third = Ledger::new(12, HOLD);
+    third.adopt(&second.record(at(13_000)), 9, at(13_100), at(33_000));
+    third.tick(at(20_200), usize::MAX, |_| false);
+    third.rearrange(
+        at(20_200),
+        SERVICE,
+        &candidates(2)[1..],
+        &Weights::default(),
+    );
+    third.recorded(third.version());
+    let orders = third.tick(at(20_200), usize::MAX, |_| false);
+
+    assert!(
+        orders
+            .iter()
+            .any(|order| order.first == 0 && order.owner == owner(2))
+    );
+}
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -56,6 +56,8 @@
     answers: Vec<(Time, Call, Reply)>,
     /// Upstreams that can't be reached, by leader's epoch.
     cut: Vec<(u64, Owner)>,
+    /// Accounts of leaders that have stopped, on their way to later ones.
+    accounts: Vec<(Time, u64, Map)>,
 }
 
 impl World {
@@ -69,14 +71,15 @@
             calls: Vec::new(),
             answers: Vec::new(),
             cut: Vec::new(),
+            accounts: Vec::new(),
         }
     }
 
     fn take_over(&mut self, now: Time) {
-        let epoch = self.store.0 + 3;
+        let (predecessor, epoch) = (self.store.0, self.store.0 + 3);
         let mut ledger = Ledger::new(epoch, HOLD);
         let until = now + RIGHT + CALL_LIMIT + longest(HOLD);
-        ledger.adopt(&self.store.1, now, until);
+        ledger.adopt(&self.store.1, predecessor, now, until);
         self.store.0 = epoch;
         let confirmed = now;
         self.leaders.push(Leader { ledger, confirmed });
@@ -151,8 +154,32 @@
         }
     }
 
+    /// Now and then a replaced leader stops and says so, or the newest one passes
+    /// its lead on.
+    fn stop_leaders(&mut self, now: Time) {
+        let replaced = self.leaders.len().saturating_sub(1);
+        if replaced > 0 && self.random.random_range(0..20) == 0 {
+            let index = self.random.random_range(0..replaced);
+            let stopped = self.leaders.remove(index).ledger;
+            let late = ms(self.random.random_range(0..2_000));
+            let account = stopped.transfer(now).owners;
+            self.accounts.push((now + late, stopped.epoch(), account));
+        }
+        for (_, epoch, owners) in self.accounts.extract_if(.., |(time, ..)| *time <= now) {
+            for leader in &mut self.leaders {
+                leader.ledger.predecessor_stopped(epoch, now, &owners);
+            }
+        }
+        if self.random.random_range(0..60) == 0
+            && let Some(newest) = self.leaders.last_mut()
+        {
+            newest.ledger = Ledger::resume(&newest.ledger.transfer(now), HOLD, now);
+        }
+    }
+
     fn step(&mut self, now: Time) {
         self.deliver(now);
+        self.stop_leaders(now);
         let usable: Vec<Candidate> = match self.random.random_range(0..40) {
             0 => self.all[1..].to_vec(),
             1 => self.all[..2].to_vec(),
@@ -164,7 +191,7 @@
             let epoch = leader.ledger.epoch();
             if reachable && epoch == self.store.0 {
                 leader.confirmed = now;
-                self.store.1 = leader.ledger.record();
+                self.store.1 = leader.ledger.record(now);
                 leader.ledger.recorded(leader.ledger.version());
             }
             if now >= leader.confirmed + RIGHT {
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -237,12 +237,13 @@
             Some((_, bytes)) => postcard::from_bytes(&bytes).map_err(unreadable)?,
             None => Map::default(),
         };
+        let mut predecessor = 0;
         if let Some((offset, record)) = &before {
-            let epoch = if record.epoch == 0 {
-                *offset
-            } else {
-                record.epoch
+            let epoch = match record.epoch {
+                0 => epoch_of(*offset),
+                epoch => epoch,
             };
+            predecessor = epoch;
             let mut lead = self.state.lead.borrow_mut();
             // What an own earlier process wrote can't be renewed by anybody.
             let own = record.name == self.state.name();
@@ -267,21 +268,21 @@
         match store.append(TOPIC, LEAD, &value, Some(newest.end)).await? {
             Append::Done(offset) => {
                 writer.end = offset + 1;
-                self.won(epoch_of(offset), sent, owners);
+                self.won(epoch_of(offset), predecessor, sent, &owners);
                 Ok(())
             }
             Append::Conflict => Err(Error::Refused(412)),
         }
     }
 
-    fn won(&mut self, epoch: u64, sent: Time, owners: Map) {
+    fn won(&mut self, epoch: u64, predecessor: u64, sent: Time, owners: &Map) {
         let now = self.state.clock.now();
         let hold = self.state.settings.borrow().hold;
         let mut ledger = Ledger::new(epoch, hold);
         let until =
             now + medlarreel_core::time::longest(RIGHT) + CALL_LIMIT + ledger::longest(hold);
-        tracing::info!(epoch, predecessor = owners.epoch, "leader now");
-        ledger.adopt(&owners, now, until);
+        tracing::info!(epoch, predecessor, recorded = owners.epoch, "leader now");
+        ledger.adopt(owners, predecessor, now, until);
         (self.appended, self.wrote) = (now, now);
         *self.state.ledger.borrow_mut() = Some(ledger);
         let name = self.state.name();
@@ -423,7 +424,7 @@
             };
             let record = ledger
                 .needs_record()
-                .then(|| (ledger.version(), ledger.record()));
+                .then(|| (ledger.version(), ledger.record(now)));
             let pause = match (&record, self.state.store.get().failing) {
                 (Some(_), false) => Duration::ZERO,
                 (Some(_), true) => STAND_PAUSE,
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarreel_core::entry::map::Map;
 use tokio::net::UdpSocket;
 
 use crate::peers::{self, Message};
@@ -18,16 +19,15 @@
 
 const TRANSFER_PAUSE: Duration = Duration::from_millis(40);
 
-/// Gives up the lead; true if no earlier leader can act any more either.
-pub fn depose(state: &State) -> bool {
+/// Gives up the lead; returns how long the grants of this leader and of those before
+/// it may last.
+pub fn depose(state: &State) -> Option<Map> {
     let now = state.clock.now();
     state.lead.borrow_mut().resign(now);
-    let Some(ledger) = state.ledger.borrow_mut().take() else {
-        return false;
-    };
+    let ledger = state.ledger.borrow_mut().take()?;
     state.metrics.leads.set(0);
     tracing::info!(epoch = ledger.epoch(), "no longer the leader");
-    !ledger.inherits(now)
+    Some(ledger.transfer(now).owners)
 }
 
 /// Message that passes the lead of this instance on, and its receiver.
@@ -35,7 +35,7 @@
     let now = state.clock.now();
     let (nonce, end) = state.topic.get()?;
     let confirmed = state.lead.borrow().confirmed()?;
-    let transfer = state.ledger.borrow().as_ref()?.transfer();
+    let transfer = state.ledger.borrow().as_ref()?.transfer(now);
     let members = state.members.borrow();
     let alive = members.values().filter(|member| {
         let heard = member.heard;
@@ -57,7 +57,7 @@
         return;
     };
     let transfer_to = transfer_to(state);
-    let settled = depose(state);
+    let owners = depose(state);
     match transfer_to {
         Some((successor, message)) => {
             tracing::info!(%successor, epoch, "lead passed on");
@@ -67,7 +67,7 @@
             }
         }
         None => {
-            let resigned = Message::Resigned { epoch, settled };
+            let resigned = Message::Resigned { epoch, owners };
             peers::broadcast(state, socket, &resigned).await;
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -65,8 +65,9 @@
     Resigned {
         /// Its epoch.
         epoch: u64,
-        /// Whether leaders before it can't act any more either.
-        settled: bool,
+        /// Possible holders, and how long grants of it and of the leaders before it may
+        /// last; absent if it has nothing to tell.
+        owners: Option<Map>,
     },
     /// The leader stops and passes its lead on to the receiver.
     Transfer {
@@ -173,11 +174,8 @@
                 tracing::info!(epoch, leader = name, "leader changed");
                 state.metrics.epoch.set(epoch as i64);
                 if let Some(was) = was {
-                    let settled = crate::leader::depose(state);
-                    let resigned = Message::Resigned {
-                        epoch: was,
-                        settled,
-                    };
+                    let owners = crate::leader::depose(state);
+                    let resigned = Message::Resigned { epoch: was, owners };
                     send(socket, from, &resigned).await;
                 }
             }
@@ -217,10 +215,10 @@
                 }
             }
         }
-        Message::Resigned { epoch, settled } => {
+        Message::Resigned { epoch, owners } => {
             state.lead.borrow_mut().resigned(now, epoch);
-            if let Some(ledger) = state.ledger.borrow_mut().as_mut().filter(|_| settled) {
-                ledger.predecessor_stopped(epoch, now);
+            if let (Some(ledger), Some(owners)) = (state.ledger.borrow_mut().as_mut(), owners) {
+                ledger.predecessor_stopped(epoch, now, &owners);
             }
         }
         Message::Transfer {
