Send messages longer than a datagram in pieces

Cause: with some 1,800 owners the whole map of owners takes more than a datagram of 60,000 bytes, and was not sent.

Change: such messages go in numbered pieces, which the receiver puts together; incomplete ones are given up after 2 s. A broadcast is encoded once instead of once for each receiver.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
 pub mod lead;
 pub mod ledger;
 pub mod map;
+pub mod pieces;
 pub mod plan;
 pub mod queue;
 pub mod room;
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod map;
 mod ownership;
+mod pieces;
 mod plan;
 mod queue;
 mod routes;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,6 +12,7 @@
 
 use medlarreel_core::entry::ledger::Transfer;
 use medlarreel_core::entry::map::{Change, Map};
+use medlarreel_core::entry::pieces::{self, Assembly, Piece};
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
@@ -19,8 +20,11 @@
 use crate::reader::{News, Progress, Topic};
 use crate::state::{Member, Pending, State};
 
-/// Largest message, in bytes.
-const MAX_MESSAGE: usize = 60_000;
+/// Largest datagram, in bytes; UDP carries at most 65,507.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// Most bytes of a message in one piece; the rest is for its place.
+const MAX_PIECE: usize = MAX_DATAGRAM - 32;
 
 /// Time between reports of busy keys to the leader.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -31,6 +35,8 @@
 /// A message.
 #[data(value)]
 pub enum Message {
+    /// Part of a message that is longer than a datagram.
+    Piece(Piece),
     /// An instance has started.
     Hello {
         /// Its name.
@@ -92,20 +98,37 @@
 
 /// Sends a message; a failure is logged, since every message is repeated.
 pub async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
-    let bytes = match postcard::to_allocvec(message) {
-        Ok(bytes) if bytes.len() <= MAX_MESSAGE => bytes,
-        Ok(bytes) => {
-            // Receivers read what they miss from the store.
-            tracing::info!(bytes = bytes.len(), "message too large, not sent");
-            return;
-        }
+    if let Some(datagrams) = encode(message) {
+        send_all(socket, to, &datagrams).await;
+    }
+}
+
+/// Datagrams of a message.
+fn encode(message: &Message) -> Option<Vec<Vec<u8>>> {
+    let encode = |message: &Message| match postcard::to_allocvec(message) {
+        Ok(bytes) => Some(bytes),
         Err(error) => {
             tracing::error!(%error, "message can't be encoded");
-            return;
+            None
         }
     };
-    if let Err(error) = socket.send_to(&bytes, to).await {
-        tracing::debug!(%to, %error, "message not sent");
+    let bytes = encode(message)?;
+    if bytes.len() <= MAX_DATAGRAM {
+        return Some(vec![bytes]);
+    }
+    let Some(pieces) = pieces::cut(rand::random(), &bytes, MAX_PIECE) else {
+        tracing::error!(bytes = bytes.len(), "message too large, not sent");
+        return None;
+    };
+    let pieces = pieces.into_iter();
+    pieces.map(|piece| encode(&Message::Piece(piece))).collect()
+}
+
+async fn send_all(socket: &UdpSocket, to: SocketAddr, datagrams: &[Vec<u8>]) {
+    for bytes in datagrams {
+        if let Err(error) = socket.send_to(bytes, to).await {
+            tracing::debug!(%to, %error, "message not sent");
+        }
     }
 }
 
@@ -115,21 +138,38 @@
         let members = state.members.borrow();
         members.values().map(|member| member.address).collect()
     };
-    for address in members {
-        send(socket, address, message).await;
+    if let Some(datagrams) = encode(message) {
+        for address in members {
+            send_all(socket, address, &datagrams).await;
+        }
     }
 }
 
 /// Receives messages until the process ends.
 pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_MESSAGE];
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut assembly = Assembly::default();
     loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok(message) => handle(&state, &socket, from, message).await,
-                Err(error) => tracing::debug!(%from, %error, "message can't be read"),
-            },
-            Err(error) => tracing::debug!(%error, "message not received"),
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::debug!(%error, "message not received");
+                continue;
+            }
+        };
+        let message = match postcard::from_bytes(&buffer[..length]) {
+            Ok(Message::Piece(piece)) => {
+                let now = state.clock.now();
+                let Some(whole) = assembly.add(now, from, piece) else {
+                    continue;
+                };
+                postcard::from_bytes(&whole)
+            }
+            message => message,
+        };
+        match message {
+            Ok(message) => handle(&state, &socket, from, message).await,
+            Err(error) => tracing::debug!(%from, %error, "message can't be read"),
         }
     }
 }
@@ -190,6 +230,8 @@
                 send(socket, from, &Message::Ask).await;
             }
         }
+        // Pieces are put together before, and don't hold further ones.
+        Message::Piece(_) => {}
         Message::News(news) => crate::reader::receive(state, news),
         Message::Ask => {
             if let Some(view) = view(state) {
