--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -149,12 +149,7 @@
             let now = state.clock.now();
             state.keep(now, upstream, link, &answer.headers);
             match answer.status {
-                StatusCode::MISDIRECTED_REQUEST => {
-                    if let Some(key) = exchange.key {
-                        state.not_held(&exchange.service, key, upstream);
-                    }
-                    Sent::NotRun(NOT_OWNER)
-                }
+                StatusCode::MISDIRECTED_REQUEST => Sent::NotRun(NOT_OWNER),
                 _ => Sent::NotRun("refused by the upstream"),
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -32,10 +32,6 @@
 /// Time without an answer of the store that counts as an outage.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
-/// Time for which a range is not sent to an upstream that has just refused one
-/// of its keys; a renewal or a newer map comes within it.
-const NOT_HELD: Duration = Duration::from_millis(500);
-
 /// Part of the allowed second sends that an instance uses. All instances share
 /// the allowance and see uneven parts of the requests.
 const BUDGET_PART: f64 = 0.5;
@@ -129,9 +125,6 @@
     /// Runs of keyed requests since the last report, by upstream: their number, and
     /// the sum of their run times relative to their routes' average, in thousandths.
     pub paces: RefCell<HashMap<Upstream, (u32, u64)>>,
-    /// Ranges that an upstream doesn't hold although the map says so, by their
-    /// first key, and until when this is believed.
-    pub not_held: RefCell<HashMap<(Upstream, u16), Time>>,
     next_ticket: Cell<u64>,
 }
 
@@ -169,7 +162,6 @@
             stopping: Cell::new(false),
             busy: RefCell::default(),
             paces: RefCell::default(),
-            not_held: RefCell::default(),
             next_ticket: Cell::new(0),
         })
     }
@@ -267,17 +259,6 @@
             .collect()
     }
 
-    /// Notes that an upstream doesn't hold a key that the map gives it.
-    pub fn not_held(&self, service: &str, key: u16, upstream: Upstream) {
-        let view = self.view.borrow();
-        if let Some(slice) = view.slice(service, key) {
-            let until = self.clock.now() + NOT_HELD;
-            self.not_held
-                .borrow_mut()
-                .insert((upstream, slice.first), until);
-        }
-    }
-
     /// Keeps an idle connection, within this instance's part of the upstream's
     /// limit. A fifth of the limit is left for connections in use beyond it.
     pub fn keep(&self, now: Time, upstream: Upstream, link: Link, answer: &HeaderMap) {
@@ -326,7 +307,6 @@
         tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
         *self.view.borrow_mut() = map;
         self.viewed.set(self.clock.now());
-        self.not_held.borrow_mut().clear();
         self.pump();
         true
     }
