Keep recorded releases as releases when the lead is passed on

Change: records and accounts mark ranges in release, and whoever takes them over goes on with the release. The new test fails before the change.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -95,23 +95,15 @@
         self.predecessor = predecessor;
         // Due at once, so that the upstream hears the new fence.
         let overdue = now - self.hold;
-        self.inherit(map, |slice, owner, fence| match slice.wait_ms {
-            0 => State::Held {
-                owner,
-                fence,
-                sent: overdue,
-                lease: Lease::inherited(until),
-            },
-            wait_ms => State::Releasing {
-                owner,
-                fence,
-                sent: None,
-                lease: Lease::inherited(until.min(now + span(wait_ms))),
-            },
+        self.inherit(map, overdue, |slice| match slice.releasing {
+            true => until.min(now + span(slice.wait_ms)),
+            false => until,
         });
     }
 
-    fn inherit(&mut self, map: &Map, state: impl Fn(&Slice, Owner, u64) -> State) {
+    /// Takes over ranges whose grants last until `until`, and renews those that are
+    /// not being released.
+    fn inherit(&mut self, map: &Map, overdue: Time, until: impl Fn(&Slice) -> Time) {
         let mut fences = self.fences;
         let mut services = BTreeMap::new();
         for (service, slices) in &map.services {
@@ -119,7 +111,18 @@
                 first: slice.first,
                 last: slice.last,
                 state: match slice.owner.clone() {
-                    Some(owner) => state(slice, owner, part::next(&mut fences)),
+                    Some(owner) if slice.releasing => State::Releasing {
+                        owner,
+                        fence: part::next(&mut fences),
+                        sent: None,
+                        lease: Lease::inherited(until(slice)),
+                    },
+                    Some(owner) => State::Held {
+                        owner,
+                        fence: part::next(&mut fences),
+                        sent: overdue,
+                        lease: Lease::inherited(until(slice)),
+                    },
                     None => State::Free { handover: None },
                 },
             };
@@ -135,7 +138,7 @@
     /// Owners that the store's record lacks were not granted anything yet.
     pub fn transfer(&self, now: Time) -> Transfer {
         let recorded = self.recorded;
-        let owners = self.map(self.views, |state| match state {
+        let owners = self.account(self.views, |state| match state {
             State::Granting { version, .. } if *version > recorded => (None, 0),
             state => (part::owner(state).cloned(), left(part::end(state), now)),
         });
@@ -151,12 +154,7 @@
         let owners = &transfer.owners;
         let mut ledger = Ledger::new(owners.epoch, hold);
         ledger.fences = ledger.fences.max(transfer.fences);
-        ledger.inherit(owners, |slice, owner, fence| State::Held {
-            owner,
-            fence,
-            sent: now - hold,
-            lease: Lease::inherited(now + span(slice.wait_ms)),
-        });
+        ledger.inherit(owners, now - hold, |slice| now + span(slice.wait_ms));
         ledger.views = owners.version + 1;
         ledger
     }
@@ -207,10 +205,8 @@
     /// The only possible holder of each key, for the store. Where no grant follows
     /// without a further record, it tells how long the last one may last.
     pub fn record(&self, now: Time) -> Map {
-        self.map(self.version, |state| match state {
-            State::Releasing { owner, lease, .. } => {
-                (Some(owner.clone()), left(lease.end(), now).max(1))
-            }
+        self.account(self.version, |state| match state {
+            State::Releasing { owner, lease, .. } => (Some(owner.clone()), left(lease.end(), now)),
             state => (part::owner(state).cloned(), 0),
         })
     }
@@ -429,21 +425,37 @@
         longest(self.hold)
     }
 
+    /// Map for the instances, from the owner that each state shows and the wait.
     fn map(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32)) -> Map {
+        self.slices(version, |state| {
+            let (owner, wait_ms) = shown(state);
+            (owner, wait_ms, false)
+        })
+    }
+
+    /// Map for later leaders, which also tells what is being released.
+    fn account(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32)) -> Map {
+        self.slices(version, |state| {
+            let (owner, wait_ms) = shown(state);
+            (owner, wait_ms, matches!(state, State::Releasing { .. }))
+        })
+    }
+
+    fn slices(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32, bool)) -> Map {
         let slices = |parts: &Vec<Part>| {
             let mut slices: Vec<Slice> = Vec::new();
             for part in parts {
-                let (owner, wait_ms) = shown(&part.state);
+                let (owner, wait_ms, releasing) = shown(&part.state);
+                let slice = Slice {
+                    first: part.first,
+                    last: part.last,
+                    owner,
+                    wait_ms,
+                    releasing,
+                };
                 match slices.last_mut() {
-                    Some(last) if last.owner == owner && last.wait_ms == wait_ms => {
-                        last.last = part.last;
-                    }
-                    _ => slices.push(Slice {
-                        first: part.first,
-                        last: part.last,
-                        owner,
-                        wait_ms,
-                    }),
+                    Some(last) if last.says_the_same(&slice) => last.last = slice.last,
+                    _ => slices.push(slice),
                 }
             }
             slices
--- a/crates/core/src/entry/map.rs
+++ b/crates/core/src/entry/map.rs
@@ -26,8 +26,20 @@
     pub last: u16,
     /// The only upstream that may hold the keys; `None` if nobody does.
     pub owner: Option<Owner>,
-    /// Where nobody serves the keys: milliseconds until somebody likely does.
+    /// Where nobody serves the keys: milliseconds until somebody likely does. In
+    /// records and accounts: milliseconds for which grants may last.
     pub wait_ms: u32,
+    /// In records and accounts: whether the keys are being released, so that no grant
+    /// follows without a further record.
+    pub releasing: bool,
+}
+
+impl Slice {
+    /// Whether another slice says the same of its keys.
+    pub(super) fn says_the_same(&self, other: &Slice) -> bool {
+        let all = |slice: &Slice| (slice.wait_ms, slice.releasing);
+        self.owner == other.owner && all(self) == all(other)
+    }
 }
 
 /// Owners of all keyed services.
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -253,6 +253,7 @@
         },
         owner: Some(owner(1 + (index % 2) as u8)),
         wait_ms: 0,
+        releasing: false,
     });
     let services = BTreeMap::from([(SERVICE.to_owned(), slices.collect())]);
     let owners = Map {
@@ -331,3 +332,29 @@
             .any(|order| order.first == 0 && order.owner == owner(2))
     );
 }
+
+/// Guards against two holders of a key: a leader has recorded that it releases keys,
+/// so the one that it passes its lead to may not renew their grants. A later leader
+/// would not wait for these.
+#[test]
+fn transferred_lead_renews_nothing_that_is_recorded_as_released() {
+    let mut first = held(at(0));
+    first.rearrange(at(1_000), SERVICE, &candidates(2)[1..], &Weights::default());
+    let record = first.record(at(1_000));
+    assert!(record.services[SERVICE][0].releasing);
+
+    let mut second = Ledger::resume(&first.transfer(at(1_100)), HOLD, at(1_200));
+    let mut orders = Vec::new();
+    for step in 0..50 {
+        orders.extend(second.tick(at(1_200 + step * 100), usize::MAX, |_| false));
+        second.rearrange(
+            at(1_200 + step * 100),
+            SERVICE,
+            &candidates(2),
+            &Weights::default(),
+        );
+    }
+
+    let mut released = orders.iter().filter(|order| order.first == 0);
+    assert!(released.all(|order| order.kind == Kind::Release));
+}
--- a/crates/core/tests/entry/map.rs
+++ b/crates/core/tests/entry/map.rs
@@ -19,6 +19,7 @@
             last,
             owner: (number > 0).then(|| owner(number)),
             wait_ms: if number > 0 { 0 } else { 400 },
+            releasing: false,
         };
         first = last.saturating_add(1);
         slice
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -58,6 +58,8 @@
     cut: Vec<(u64, Owner)>,
     /// Accounts of leaders that have stopped, on their way to later ones.
     accounts: Vec<(Time, u64, Map)>,
+    /// Whether the newest leader reaches the store.
+    reachable: bool,
 }
 
 impl World {
@@ -72,6 +74,7 @@
             answers: Vec::new(),
             cut: Vec::new(),
             accounts: Vec::new(),
+            reachable: true,
         }
     }
 
@@ -185,7 +188,13 @@
             1 => self.all[..2].to_vec(),
             _ => self.all.clone(),
         };
-        let reachable = self.random.random_bool(0.8);
+        // The store goes away and comes back, for about a second and for three.
+        self.reachable = match (self.reachable, self.random.random_range(0..30)) {
+            (true, 0) => false,
+            (false, 0..3) => true,
+            (same, _) => same,
+        };
+        let reachable = self.reachable;
         for index in 0..self.leaders.len() {
             let leader = &mut self.leaders[index];
             let epoch = leader.ledger.epoch();
