Move keys only for loads that chance does not explain

Cause: an owner's load is measured by the requests of a few seconds.

Change: a load must differ from the share by two standard deviations of the count as well. The new test fails before the change.

--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -21,6 +21,11 @@
 /// Load below its share at which an upstream is given ranges.
 const UNDERLOAD: f64 = 0.5;
 
+/// Standard deviations of its count of requests by which an owner's load must differ
+/// from its share before keys move. With thousands of owners each gets a few
+/// requests in the time that is counted, and chance alone exceeds the bounds above.
+const DEVIATIONS: f64 = 2.0;
+
 /// Part of an owner's share from which a single key counts as filling it.
 const DOMINANT: f64 = 0.8;
 
@@ -67,6 +72,15 @@
         Weights { busy, total }
     }
 
+    /// Part of all work by which the measured load of an owner with a share of
+    /// `share` differs from its true one by chance.
+    fn chance(&self, share: f64) -> f64 {
+        match self.total > 0.0 {
+            true => (share / self.total).sqrt() * (1.0 - EVEN) * DEVIATIONS,
+            false => 0.0,
+        }
+    }
+
     /// Part of all work that the keys from `first` to `last` cause.
     pub fn of(&self, first: u16, last: u16) -> f64 {
         let even = (f64::from(last) - f64::from(first) + 1.0) / KEYS;
@@ -137,14 +151,17 @@
             .sum()
     };
     let mut loads: Vec<f64> = kept.iter().map(|ranges| load(ranges)).collect();
-    let starved = (0..shares.len()).any(|owner| loads[owner] < shares[owner] * UNDERLOAD);
+    let starved = (0..shares.len()).any(|owner| {
+        let load = loads[owner] + weights.chance(shares[owner]);
+        kept[owner].is_empty() || load < shares[owner] * UNDERLOAD
+    });
     let limit = if starved && loose.is_empty() {
         1.0
     } else {
         OVERLOAD
     };
     for owner in 0..kept.len() {
-        if loads[owner] > shares[owner] * limit {
+        if loads[owner] > shares[owner] * limit + weights.chance(shares[owner]) {
             shed(&mut kept[owner], &mut loose, weights, shares[owner]);
             loads[owner] = load(&kept[owner]);
         }
--- a/crates/core/tests/entry/plan.rs
+++ b/crates/core/tests/entry/plan.rs
@@ -134,3 +134,21 @@
     assert_eq!(before, after);
     assert_eq!(after[0].owner, Some(owner(1)));
 }
+
+/// Guards against keys that move for chance alone where each of many owners gets a
+/// few requests in the time that is counted.
+#[test]
+fn few_requests_move_nothing() {
+    let candidates = candidates(200);
+    let current = place(&free(), &candidates, &Weights::default());
+    // Counts of 1 to 7 requests per owner, four on average.
+    let counts = current.iter().enumerate().map(|(index, range)| {
+        let count = 1.0 + (index * 37 % 7) as f64;
+        (range.first, count)
+    });
+    let weights = Weights::new(counts.collect());
+
+    let planned = place(&current, &candidates, &weights);
+
+    assert_eq!(planned, current);
+}
