--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -4,6 +4,7 @@
 //! its deadline leaves time, and if the budget allows it. The budget follows
 //! the recent requests, so that retries cannot multiply an overload.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use medlarreel_macros::data;
@@ -140,6 +141,32 @@
     }
 }
 
+/// Budgets of all services. Each is earned by requests for the service itself, since a
+/// service that fails must not be sent what requests for the others have earned.
+#[data(plain)]
+pub struct Budgets {
+    percent: u8,
+    services: HashMap<String, Budget>,
+}
+
+impl Budgets {
+    /// Budgets of `percent` of each service's requests of the last 5 to 10 s.
+    pub fn new(percent: u8) -> Budgets {
+        Budgets {
+            percent,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Budget of a service.
+    pub fn of(&mut self, now: Time, service: &str) -> &mut Budget {
+        let fresh = || Budget::new(now, self.percent, 0);
+        self.services
+            .entry(service.to_owned())
+            .or_insert_with(fresh)
+    }
+}
+
 /// Whether a request with this outcome may be sent again at all.
 pub fn repeatable(outcome: Outcome, idempotent: bool) -> bool {
     match outcome {
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarreel_core::code::Outcome;
-use medlarreel_core::retry::{Attempt, Budget, Verdict, repeatable, time_left};
+use medlarreel_core::retry::{Attempt, Budget, Budgets, Verdict, repeatable, time_left};
 use medlarreel_core::time::Time;
 use proptest::prelude::*;
 
@@ -115,3 +115,23 @@
         }
     }
 }
+
+/// Guards against a failing service that gets second sends for which the requests of
+/// another service have paid.
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budgets = Budgets::new(10);
+    let lost = attempt(Outcome::NotRun, true);
+    for _ in 0..100 {
+        budgets.of(Time(0), "workshop").earn(Time(0));
+    }
+    for _ in 0..10 {
+        budgets.of(Time(0), "intake").earn(Time(0));
+    }
+
+    let mut decide = |service: &str| budgets.of(Time(0), service).decide(Time(0), &lost);
+
+    assert_eq!(decide("intake"), Verdict::Send);
+    assert_eq!(decide("intake"), Verdict::Spent);
+    assert_eq!(decide("workshop"), Verdict::Send);
+}
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -40,7 +40,7 @@
         Ok(exchange) => exchange,
         Err(response) => return *response,
     };
-    state.budget.borrow_mut().earn(arrived);
+    state.earn(arrived, &exchange.service);
     count_key(state, &exchange);
     let mut open = Open {
         state,
@@ -232,7 +232,10 @@
         (true, true) if progress.connects <= MAX_CONNECTS => Verdict::Send,
         (true, true) => Verdict::Spent,
         (true, false) if progress.sends >= exchange.route.max_attempts => Verdict::Spent,
-        (true, false) => state.budget.borrow_mut().decide(now, &attempt),
+        (true, false) => {
+            let mut budgets = state.budgets.borrow_mut();
+            budgets.of(now, &exchange.service).decide(now, &attempt)
+        }
     };
     if verdict == Verdict::Send {
         state.metrics.resend(&exchange.route.name, why);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 use medlarreel_core::entry::queue::{Choice, Decision, Outlook, Queue, Ticket, View};
 use medlarreel_core::entry::routes::{Split, Table};
 use medlarreel_core::ids::Upstream;
-use medlarreel_core::retry::Budget;
+use medlarreel_core::retry::Budgets;
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
 
@@ -100,8 +100,8 @@
     pub queue: RefCell<Queue>,
     /// Tasks that wait for a decision.
     pub tickets: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
-    /// Budget of second sends.
-    pub budget: RefCell<Budget>,
+    /// Budgets of second sends.
+    pub budgets: RefCell<Budgets>,
     /// Idle connections.
     pub pool: Pool,
     /// Counters.
@@ -150,7 +150,7 @@
             viewed: Cell::default(),
             queue: RefCell::default(),
             tickets: RefCell::default(),
-            budget: RefCell::new(Budget::new(now, percent, 0)),
+            budgets: RefCell::new(Budgets::new(percent)),
             pool: Pool::default(),
             metrics: Metrics::default(),
             lead: RefCell::new(Lead::new(now)),
@@ -226,6 +226,11 @@
         self.store.set(health);
     }
 
+    /// Counts a request for a service towards its budget of second sends.
+    pub fn earn(&self, now: Time, service: &str) {
+        self.budgets.borrow_mut().of(now, service).earn(now);
+    }
+
     /// Carries out removals of registrations that are due.
     pub fn expire(&self) {
         let gone = self.directory.borrow_mut().expire(self.clock.now());
