--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -285,7 +285,7 @@
         f64::from(in_time) >= 0.99 * f64::from(urgent - 2),
         "{in_time} of {urgent}"
     );
-    // Two of six slots are kept free at each upstream: 30 a second for 10 s.
+    // One of six slots is kept free at each upstream: 37 a second for 10 s.
     assert!(others >= 250, "{others}");
 }
 
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -32,8 +32,8 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Ranges for each of which an order may go out in `RANGES_PER_ORDER` ticks, so that
-/// all are renewed in time: 20 ticks are a second, a third of a hold is longer.
+/// Ranges for each of which a tick may have one order. All can then be renewed within
+/// 20 ticks, which are a second; a third of a hold is longer.
 const RANGES_PER_ORDER: usize = 20;
 
 /// Most orders of one tick in a small fleet. A new leader orders everything anew, and on a tenth of
