Use one piece for the map of owners, metric labels and connections

The ledger builds its maps for instances and later leaders in one place, as keys in release show no owner to the instances. Labels of requests and second sends, and the choice between an idle connection and a new one, are one function each. Queue::in_flight was not called.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -138,7 +138,7 @@
     /// Owners that the store's record lacks were not granted anything yet.
     pub fn transfer(&self, now: Time) -> Transfer {
         let recorded = self.recorded;
-        let owners = self.account(self.views, |state| match state {
+        let owners = self.map(self.views, |state| match state {
             State::Granting { version, .. } if *version > recorded => (None, 0),
             state => (part::owner(state).cloned(), left(part::end(state), now)),
         });
@@ -205,7 +205,7 @@
     /// The only possible holder of each key, for the store. Where no grant follows
     /// without a further record, it tells how long the last one may last.
     pub fn record(&self, now: Time) -> Map {
-        self.account(self.version, |state| match state {
+        self.map(self.version, |state| match state {
             State::Releasing { owner, lease, .. } => (Some(owner.clone()), left(lease.end(), now)),
             state => (part::owner(state).cloned(), 0),
         })
@@ -425,33 +425,20 @@
         longest(self.hold)
     }
 
-    /// Map for the instances, from the owner that each state shows and the wait.
+    /// Map of the owner and the wait that each state shows.
     fn map(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32)) -> Map {
-        self.slices(version, |state| {
-            let (owner, wait_ms) = shown(state);
-            (owner, wait_ms, false)
-        })
-    }
-
-    /// Map for later leaders, which also tells what is being released.
-    fn account(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32)) -> Map {
-        self.slices(version, |state| {
-            let (owner, wait_ms) = shown(state);
-            (owner, wait_ms, matches!(state, State::Releasing { .. }))
-        })
-    }
-
-    fn slices(&self, version: u64, shown: impl Fn(&State) -> (Option<Owner>, u32, bool)) -> Map {
         let slices = |parts: &Vec<Part>| {
             let mut slices: Vec<Slice> = Vec::new();
             for part in parts {
-                let (owner, wait_ms, releasing) = shown(&part.state);
+                let (owner, wait_ms) = shown(&part.state);
+                let releasing = matches!(part.state, State::Releasing { .. });
                 let slice = Slice {
                     first: part.first,
                     last: part.last,
+                    // The instances are shown no owner for keys in release.
+                    releasing: releasing && owner.is_some(),
                     owner,
                     wait_ms,
-                    releasing,
                 };
                 match slices.last_mut() {
                     Some(last) if last.says_the_same(&slice) => last.last = slice.last,
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -208,11 +208,6 @@
         self.waiting.is_empty()
     }
 
-    /// Own requests at an upstream.
-    pub fn in_flight(&self, upstream: Upstream) -> u32 {
-        self.rooms.get(&upstream).map_or(0, Room::mine)
-    }
-
     /// Average run time of a route.
     pub fn expected(&self, route: &str) -> Duration {
         let run = self.runs.get(route).copied();
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -9,7 +9,6 @@
 use medlarreel_core::entry::ledger::{CALL_LIMIT, Kind, Order, Reply};
 
 use crate::error::Error;
-use crate::link::Link;
 use crate::platform::grants;
 use crate::state::State;
 
@@ -68,13 +67,13 @@
             .map(|(upstream, _)| upstream)
     };
     let now = state.clock.now();
-    let kept = upstream.and_then(|upstream| state.pool.take(now, upstream, false));
-    let mut link = match kept {
-        Some(link) => link,
-        None => Link::connect(order.owner.address, CALL_LIMIT / 2).await?,
-    };
+    let address = order.owner.address;
+    let link = state
+        .pool
+        .link(now, upstream, false, address, CALL_LIMIT / 2);
+    let mut link = link.await?;
     let request = Request::post(path)
-        .header(header::HOST, order.owner.address.to_string())
+        .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(header::CONTENT_LENGTH, body.len())
         .body(Full::new(Bytes::clone(&body)))
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -106,6 +106,15 @@
     }
 }
 
+impl Outcome {
+    fn new(route: &str, outcome: &str) -> Outcome {
+        Outcome {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        }
+    }
+}
+
 impl Metrics {
     /// Counts a call.
     pub fn call(&self, kind: &'static str, outcome: &'static str) {
@@ -114,20 +123,16 @@
 
     /// Counts the end of a request.
     pub fn request(&self, route: &str, outcome: &str) {
-        let labels = Outcome {
-            route: route.to_owned(),
-            outcome: outcome.to_owned(),
-        };
-        self.requests.get_or_create(&labels).inc();
+        self.requests
+            .get_or_create(&Outcome::new(route, outcome))
+            .inc();
     }
 
     /// Counts a second send.
     pub fn resend(&self, route: &str, outcome: &str) {
-        let labels = Outcome {
-            route: route.to_owned(),
-            outcome: outcome.to_owned(),
-        };
-        self.resends.get_or_create(&labels).inc();
+        self.resends
+            .get_or_create(&Outcome::new(route, outcome))
+            .inc();
     }
 
     /// All metrics as text.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -2,12 +2,14 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::{HeaderMap, header};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
+use crate::error::Error;
 use crate::link::Link;
 
 /// Idle time after which a connection is not used where the upstream names none.
@@ -36,8 +38,28 @@
 }
 
 impl Pool {
+    /// Connection that was used last, or a new one to `address` within `limit`. An
+    /// upstream that is not known has no connections.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` if there is no connection.
+    pub async fn link(
+        &self,
+        now: Time,
+        upstream: Option<Upstream>,
+        idempotent: bool,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Link, Error> {
+        match upstream.and_then(|upstream| self.take(now, upstream, idempotent)) {
+            Some(link) => Ok(link),
+            None => Link::connect(address, limit).await,
+        }
+    }
+
     /// Connection that was used last; none if all are too old.
-    pub fn take(&self, now: Time, upstream: Upstream, idempotent: bool) -> Option<Link> {
+    fn take(&self, now: Time, upstream: Upstream, idempotent: bool) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&upstream)?;
         let fits = |one: &Idle| {
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -15,7 +15,7 @@
 use super::answer::forwarded;
 use super::request::Exchange;
 use crate::error::Error;
-use crate::link::{Answer, Link};
+use crate::link::Answer;
 use crate::platform::headers;
 use crate::state::State;
 
@@ -91,11 +91,12 @@
         return Sent::NotRun("upstream unknown");
     };
     let now = state.clock.now();
-    let link = match state.pool.take(now, upstream, exchange.route.idempotent) {
-        Some(link) => Ok(link),
-        None => Link::connect(address, CONNECT_LIMIT.min(exchange.deadline.since(now))).await,
-    };
-    let mut link = match link {
+    let limit = CONNECT_LIMIT.min(exchange.deadline.since(now));
+    let idempotent = exchange.route.idempotent;
+    let link = state
+        .pool
+        .link(now, Some(upstream), idempotent, address, limit);
+    let mut link = match link.await {
         Ok(link) => link,
         Err(error) => {
             flight.ending = Ending::Unreached;
