Hold the ports of tested processes until the test ends

Change: reserve_ports binds a socket without listening, below the range from which the system assigns ports, and keeps it for as long as the process or, for killed instances, the cluster is in use. Starting an instance no longer retries: a start that fails is now an error.

Ruled out: binding port 0 and reporting it, since the settings of other processes name the ports before the start.

--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -8,7 +8,8 @@
 
 use medlarreel_standin::platform::store::{self, Store};
 use medlarreel_standin::platform::upstream::{self, Upstream};
-use medlarreel_standin::server::{Server, any_port, free_ports};
+use medlarreel_standin::ports::{ReservedPort, reserve_ports};
+use medlarreel_standin::server::{Server, any_port};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,6 +26,7 @@
 pub struct Instance {
     child: Child,
     directory: PathBuf,
+    _ports: Vec<ReservedPort>,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
@@ -75,9 +77,10 @@
     )
 }
 
-/// Starts an instance on free ports.
+/// Starts an instance on ports that stay reserved until it is dropped.
 pub async fn start_instance(store: SocketAddr) -> Instance {
-    let ports = free_ports(4).await.unwrap();
+    let reserved = reserve_ports(4).await.unwrap();
+    let ports: Vec<u16> = reserved.iter().map(ReservedPort::number).collect();
     let directory = std::env::temp_dir().join(format!("medlarreel-entry-{}", ports[0]));
     std::fs::create_dir_all(&directory).unwrap();
     let file = directory.join("entry.ini");
@@ -91,9 +94,10 @@
     Instance {
         child,
         directory,
-        callers: SocketAddr::from(([127, 0, 0, 1], ports[0])),
-        readiness: SocketAddr::from(([127, 0, 0, 1], ports[1])),
-        metrics: SocketAddr::from(([127, 0, 0, 1], ports[3])),
+        callers: reserved[0].address(),
+        readiness: reserved[1].address(),
+        metrics: reserved[3].address(),
+        _ports: reserved,
     }
 }
 
--- a/crates/medlarreel/tests/system/cluster.rs
+++ b/crates/medlarreel/tests/system/cluster.rs
@@ -11,7 +11,8 @@
 use medlarreel_standin::fault::Outage;
 use medlarreel_standin::list::{self, InstanceList};
 use medlarreel_standin::log::{self, Log};
-use medlarreel_standin::server::{Server, free_ports};
+use medlarreel_standin::ports::{ReservedPort, reserve_ports};
+use medlarreel_standin::server::Server;
 use medlarreel_standin::upstream::{self, Upstream};
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, SemaphorePermit};
@@ -128,6 +129,7 @@
     /// Killed upstreams, whose run records are still checked.
     pub killed_upstreams: Vec<Arc<Upstream>>,
     dir: PathBuf,
+    reserved_ports: Vec<ReservedPort>,
     started_instances: usize,
     _permit: SemaphorePermit<'static>,
 }
@@ -152,6 +154,7 @@
             upstreams: Vec::new(),
             killed_upstreams: Vec::new(),
             dir,
+            reserved_ports: Vec::new(),
             started_instances: 0,
             _permit: permit,
         };
@@ -169,54 +172,49 @@
         cluster
     }
 
-    /// Starts an instance on free ports. Retries if another process takes a port in the
-    /// meantime.
+    /// Starts an instance. Its ports stay reserved until the cluster is dropped, since
+    /// callers may still use the addresses of killed instances.
     pub async fn spawn_instance(&mut self, domain: &'static str) -> Instance {
-        for _ in 0..5 {
-            let ports = free_ports(3).await.expect("ports are free");
-            let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
-            self.started_instances += 1;
-            let name = format!("{domain}-{}", self.started_instances);
-            let settings = self.dir.join(format!("{name}.ini"));
-            let text = format!(
-                "[instance]\nclub = kashmir\ndomain = {domain}\n[listen]\ncallers = {}\npeers = {}\n\
-                 operators = {}\n[platform]\nlog = http://{}\nlist = http://{}\n[security]\n\
-                 cluster_secret = {CLUSTER_SECRET}\noperator_token = {OPERATOR_TOKEN}\n",
-                address(0),
-                address(1),
-                address(2),
-                self.log.address(),
-                self.list.address(),
-            );
-            fs::write(&settings, text).expect("settings can be written");
-            let output = File::create(self.dir.join(format!("{name}.log")));
-            let output = output.expect("log file can be created");
-            let child = Command::new(env!("CARGO_BIN_EXE_medlarreeld"))
-                .arg("--settings")
-                .arg(&settings)
-                .stdout(output.try_clone().expect("file can be shared"))
-                .stderr(output)
-                .spawn();
-            let mut instance = Instance {
-                domain,
-                callers: address(0),
-                operators: address(2),
-                child: child.expect("medlarreeld starts"),
-            };
-            let is_up = wait_for("start of an instance", async || {
-                let ended = instance.child.try_wait().expect("child can be waited for");
-                let healthy = ClientRequest::get("/healthz")
-                    .send(instance.operators, RESPONSE_TIMEOUT)
-                    .await;
-                let is_up = healthy.is_ok_and(|response| response.status == 200);
-                (ended.is_some() || is_up).then_some(ended.is_none())
-            })
-            .await;
-            if is_up {
-                return instance;
-            }
-        }
-        panic!("no instance could be started; see {}", self.dir.display());
+        let ports = reserve_ports(3).await.expect("ports are free");
+        let [callers, peers, operators] = [0, 1, 2].map(|index: usize| ports[index].address());
+        self.reserved_ports.extend(ports);
+        self.started_instances += 1;
+        let name = format!("{domain}-{}", self.started_instances);
+        let settings = self.dir.join(format!("{name}.ini"));
+        let text = format!(
+            "[instance]\nclub = kashmir\ndomain = {domain}\n[listen]\ncallers = {callers}\n\
+             peers = {peers}\noperators = {operators}\n[platform]\nlog = http://{}\n\
+             list = http://{}\n[security]\ncluster_secret = {CLUSTER_SECRET}\n\
+             operator_token = {OPERATOR_TOKEN}\n",
+            self.log.address(),
+            self.list.address(),
+        );
+        fs::write(&settings, text).expect("settings can be written");
+        let log_path = self.dir.join(format!("{name}.log"));
+        let output = File::create(&log_path).expect("log file can be created");
+        let child = Command::new(env!("CARGO_BIN_EXE_medlarreeld"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(output.try_clone().expect("file can be shared"))
+            .stderr(output)
+            .spawn();
+        let mut instance = Instance {
+            domain,
+            callers,
+            operators,
+            child: child.expect("medlarreeld starts"),
+        };
+        wait_for("start of an instance", async || {
+            let ended = instance.child.try_wait().expect("child can be waited for");
+            assert!(ended.is_none(), "it ended; see {}", log_path.display());
+            let healthy = ClientRequest::get("/healthz")
+                .send(instance.operators, RESPONSE_TIMEOUT)
+                .await;
+            let is_up = healthy.is_ok_and(|response| response.status == 200);
+            is_up.then_some(())
+        })
+        .await;
+        instance
     }
 
     async fn activate_preset(&self) {
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -13,7 +13,7 @@
 use crate::client::{ClientRequest, ClientResponse};
 use crate::error::Error;
 use crate::server::{self, Server};
-use crate::{list, log, upstream};
+use crate::{list, log, ports, upstream};
 
 /// Runs `standin-log`.
 ///
@@ -114,8 +114,8 @@
         return Ok(ExitCode::SUCCESS);
     };
     if let Some(count) = matches.opt_get("free-ports").wrap_err("--free-ports")? {
-        for port in server::free_ports(count).await? {
-            println!("{port}");
+        for port in ports::reserve_ports(count).await? {
+            println!("{}", port.number());
         }
         return Ok(ExitCode::SUCCESS);
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod list;
 pub mod log;
 pub mod platform;
+pub mod ports;
 pub mod server;
 pub mod upstream;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -194,26 +194,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Finds `count` loopback ports that are free for both TCP and UDP. They are bound at
-/// the same time, so that all are distinct, and released on return. Another process may
-/// take a port before the caller binds it.
-///
-/// # Errors
-///
-/// A socket cannot be bound.
-pub async fn free_ports(count: usize) -> Result<Vec<u16>, Error> {
-    let mut bound = Vec::new();
-    while bound.len() < count {
-        let listener = TcpListener::bind(any_port()).await?;
-        let address = listener.local_addr()?;
-        // The port may be in use for UDP only; then another one is tried.
-        if let Ok(socket) = tokio::net::UdpSocket::bind(address).await {
-            bound.push((listener, socket, address.port()));
-        }
-    }
-    Ok(bound.iter().map(|(_, _, port)| *port).collect())
-}
-
 /// Opens a connection with Nagle's algorithm disabled.
 pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, Error> {
     let stream = TcpStream::connect(address).await?;
--- a/crates/standin/tests/command.rs
+++ b/crates/standin/tests/command.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Output, Stdio};
 
-use medlarreel_standin::server::free_ports;
+use medlarreel_standin::ports::reserve_ports;
 
 const SERVERS: [&str; 3] = [
     env!("CARGO_BIN_EXE_standin-log"),
@@ -109,21 +109,10 @@
 /// Guards against a failed exchange that is reported like a response.
 #[tokio::test]
 async fn the_client_fails_without_an_answer() {
-    let port = free_ports(1).await.expect("a port is free")[0];
+    let ports = reserve_ports(1).await.expect("a port is free");
 
-    let output = run_client(&["--to", &format!("127.0.0.1:{port}"), "--path", "/x"]);
+    let output = run_client(&["--to", &ports[0].address().to_string(), "--path", "/x"]);
 
     assert!(stdout_text(&output).contains("outcome=no-answer"));
     assert!(!output.status.success());
 }
-
-/// Guards against a port that is returned twice, and so given to two instances.
-#[tokio::test]
-async fn free_ports_are_distinct() {
-    let mut ports = free_ports(18).await.expect("ports are free");
-
-    ports.sort_unstable();
-    ports.dedup();
-
-    assert_eq!(ports.len(), 18);
-}
