--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,11 +7,13 @@
 //! request directly to the owner of its key.
 
 pub mod directory;
+pub mod follow;
 pub mod fragments;
 pub mod leadership;
 pub mod ledger;
 pub mod map;
 pub mod plan;
 pub mod queue;
+pub mod relay;
 pub mod routes;
 pub mod upstream_state;
--- /dev/null
+++ b/crates/core/src/entry/follow.rs
@@ -0,0 +1,149 @@
+//! How an instance follows a topic of the store: when it reads the topic itself, and what
+//! it does with the records that others pass on.
+//!
+//! Normally only the leader reads. While the leader is silent or its reads are outdated,
+//! one instance of each failure domain reads for the others of its domain. Reads by all
+//! instances would exceed the store's call rate in a large fleet.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Age from which the reads of others count as outdated. A change must take effect
+/// everywhere within 2 s.
+pub const MAX_READ_AGE: Duration = Duration::from_millis(1_000);
+
+/// Difference between the times at which consecutive instances of a failure domain start
+/// to read for the others. Long enough for the records of the one before to arrive.
+const READER_STAGGER: Duration = Duration::from_millis(120);
+
+/// Position from which instances start to read at the same time, so that the last ones
+/// do not wait for too long.
+const MAX_READER_POSITION: u32 = 5;
+
+/// Time for which missed records are requested from other instances before they are read
+/// from the store.
+const CATCH_UP_TIME: Duration = Duration::from_millis(400);
+
+/// Minimum interval between two requests for missed records or for a missed owner map.
+pub const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
+
+/// How a batch of records fits the records that have been applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fit {
+    /// The batch continues them or overlaps with them.
+    Next,
+    /// All records of the batch have been applied.
+    Known,
+    /// Records before the batch are missing.
+    Gap,
+}
+
+/// Position of an instance in a topic.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Position {
+    next_offset: Option<u64>,
+    as_of: Time,
+    /// Time of the last message from a reader whose reads are not outdated.
+    reader_heard: Option<Time>,
+    /// Since when records are known to be missing.
+    behind_since: Option<Time>,
+    last_request: Option<Time>,
+}
+
+impl Position {
+    /// Offset of the next record; `None` if the latest record of each key must be read
+    /// first.
+    pub fn next_offset(&self) -> Option<u64> {
+        self.next_offset
+    }
+
+    /// All records written before this time have been applied.
+    pub fn as_of(&self) -> Time {
+        self.as_of
+    }
+
+    /// Whether records are known to be missing.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Records that all records before `end` that were written before `as_of` have been
+    /// applied.
+    pub fn advance(&mut self, end: u64, as_of: Time) {
+        if self.next_offset.is_none() {
+            // Others need time to send their first message.
+            self.reader_heard = self.reader_heard.max(Some(as_of));
+        }
+        self.next_offset = Some(end);
+        self.as_of = self.as_of.max(as_of);
+        self.behind_since = None;
+    }
+
+    /// Forgets the position after the store has dropped the records that follow it.
+    pub fn reset(&mut self) {
+        self.next_offset = None;
+    }
+
+    /// Records that records are missing.
+    pub fn mark_behind(&mut self, now: Time) {
+        self.behind_since = self.behind_since.or(Some(now));
+    }
+
+    /// How a batch of the records from offset `from` to before `end` fits.
+    ///
+    /// A batch that overlaps with applied records can be applied again as a whole: it
+    /// contains the latest change of each key within its offsets.
+    pub fn fit(&self, from: u64, end: u64) -> Fit {
+        match self.next_offset {
+            Some(next) if end <= next => Fit::Known,
+            Some(next) if from <= next => Fit::Next,
+            _ => Fit::Gap,
+        }
+    }
+
+    /// Records that another instance has read the topic up to `end`, and that its read is
+    /// `age` old. Returns false, and records nothing, if that is too old.
+    pub fn observe_reader(&mut self, now: Time, end: u64, age: Duration) -> bool {
+        if age > MAX_READ_AGE {
+            return false;
+        }
+        self.reader_heard = Some(now);
+        match self.next_offset {
+            Some(next) if end <= next => self.as_of = self.as_of.max(now - age),
+            _ => self.mark_behind(now),
+        }
+        true
+    }
+
+    /// Whether missed records should be requested from another instance now; records the
+    /// request.
+    pub fn take_request(&mut self, now: Time) -> bool {
+        let is_due = self
+            .last_request
+            .is_none_or(|last| now.since(last) >= REQUEST_INTERVAL);
+        let due = self.is_behind() && self.next_offset.is_some() && is_due;
+        if due {
+            self.last_request = Some(now);
+        }
+        due
+    }
+
+    /// Whether no other instance that reads the topic has been heard for `MAX_READ_AGE`.
+    pub fn is_silent(&self, now: Time) -> bool {
+        let heard = self.reader_heard;
+        heard.is_none_or(|heard| now.since(heard) >= MAX_READ_AGE)
+    }
+
+    /// Whether this instance should read the topic from the store now. `reader_position`
+    /// is the number of instances of its failure domain that read before it while the
+    /// leader is silent.
+    pub fn should_read(&self, now: Time, is_leader: bool, reader_position: u32) -> bool {
+        let stagger = READER_STAGGER * reader_position.min(MAX_READER_POSITION);
+        let is_silent = self.is_silent(now - stagger);
+        let is_overdue = self
+            .behind_since
+            .is_some_and(|since| now.since(since) >= CATCH_UP_TIME);
+        is_leader || self.next_offset.is_none() || is_silent || is_overdue
+    }
+}
--- a/crates/core/src/entry/leadership.rs
+++ b/crates/core/src/entry/leadership.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Whether the leader should have been heard by now and was not.
+    pub fn is_silent(&self, now: Time) -> bool {
+        now.since(self.last_heartbeat) >= HEARTBEAT_TIMEOUT
+    }
+
     /// Whether this instance should check the leader's record now and campaign if there
     /// is no active leader. `position` is the number of candidates that come before it.
     pub fn should_campaign(&self, now: Time, position: u32, store_reachable: bool) -> bool {
--- a/crates/core/src/entry/map.rs
+++ b/crates/core/src/entry/map.rs
@@ -1,10 +1,14 @@
 //! The map from keys of keyed services to their owners, published by the leader.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use medlarreel_macros::data;
 
+/// Number of recent changes that are kept for instances that have missed some. The leader
+/// publishes a few each second.
+const MAX_LOGGED_CHANGES: usize = 32;
+
 /// One incarnation of an upstream process.
 #[data(value)]
 #[derive(PartialOrd, Ord, Hash)]
@@ -102,30 +106,25 @@
         }
     }
 
-    /// Applies a change and returns the new map. Returns `None` if the change is based
-    /// on another revision.
-    pub fn apply(&self, change: OwnerMapChange) -> Option<OwnerMap> {
+    /// Applies a change. Returns false, and changes nothing, if the change is based on
+    /// another revision.
+    pub fn apply(&mut self, change: OwnerMapChange) -> bool {
         if change.from != self.revision() {
-            return None;
+            return false;
         }
-        let mut services = self.services.clone();
         for service in &change.removed_services {
-            services.remove(service);
+            self.services.remove(service);
         }
         for (service, replacements) in change.ranges {
-            let ranges = services.entry(service).or_default();
+            let ranges = self.services.entry(service).or_default();
             let overlaps =
                 |old: &KeyRange, new: &KeyRange| new.first <= old.last && old.first <= new.last;
             ranges.retain(|old| !replacements.iter().any(|new| overlaps(old, new)));
             ranges.extend(replacements);
             ranges.sort_by_key(|range| range.first);
         }
-        let (epoch, version) = change.to;
-        Some(OwnerMap {
-            epoch,
-            version,
-            services,
-        })
+        (self.epoch, self.version) = change.to;
+        true
     }
 
     /// Epoch and version; a map supersedes all maps with a lower revision.
@@ -140,3 +139,36 @@
         ranges.get(index)
     }
 }
+
+/// Recent changes of the owner map, for instances that have missed some of them.
+#[derive(Debug, Default)]
+pub struct ChangeLog {
+    changes: VecDeque<OwnerMapChange>,
+}
+
+impl ChangeLog {
+    /// Adds a change that was just applied.
+    pub fn record(&mut self, change: OwnerMapChange) {
+        if self
+            .changes
+            .back()
+            .is_some_and(|last| last.to != change.from)
+        {
+            self.changes.clear();
+        }
+        if self.changes.len() >= MAX_LOGGED_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
+
+    /// Changes that lead from `revision` to the latest one; `None` if some of them are no
+    /// longer known.
+    pub fn since(&self, revision: (u64, u64)) -> Option<Vec<OwnerMapChange>> {
+        let start = self
+            .changes
+            .iter()
+            .position(|change| change.from == revision)?;
+        Some(self.changes.iter().skip(start).cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/core/tests/entry/follow.rs
@@ -0,0 +1,93 @@
+//! Following a topic of the store through other instances.
+
+use medlarreel_core::entry::follow::{Fit, Position};
+
+use crate::fixture::{at, ms};
+
+/// Position of a follower that has loaded a topic up to offset 100 at time 0.
+fn loaded() -> Position {
+    let mut position = Position::default();
+    position.advance(100, at(0));
+    position
+}
+
+/// Guards against a store that every instance of a large fleet reads at once when the
+/// leader is lost: the limit on calls is exceeded, and all of them are refused.
+#[test]
+fn only_the_first_instance_of_a_domain_reads_while_the_leader_is_silent() {
+    let mut positions = vec![loaded(); 59];
+    for position in &mut positions {
+        position.observe_reader(at(10), 100, ms(0));
+    }
+    let mut reads = vec![0; positions.len()];
+
+    for time in (10..6_010).step_by(10) {
+        for reader in 0..positions.len() {
+            if !positions[reader].should_read(at(time), false, reader as u32) {
+                continue;
+            }
+            // Each read takes 10 ms and its result reaches the others 30 ms later.
+            reads[reader] += 1;
+            for (other, position) in positions.iter_mut().enumerate() {
+                if other != reader {
+                    position.observe_reader(at(time + 40), 100, ms(40));
+                }
+            }
+        }
+    }
+
+    assert!(reads[0] > 0);
+    assert_eq!(reads[1..].iter().sum::<u32>(), 0);
+}
+
+/// Guards against a domain without news if the instance that should read is lost too.
+#[test]
+fn another_instance_reads_if_the_first_does_not() {
+    let mut position = loaded();
+    position.observe_reader(at(0), 100, ms(0));
+
+    assert!(!position.should_read(at(1_100), false, 1));
+    assert!(position.should_read(at(1_200), false, 1));
+    assert!(position.should_read(at(1_700), false, 500));
+}
+
+/// Guards against a follower that never matches the leader's batches again once it has
+/// read the store itself, and so reads for itself from then on.
+#[test]
+fn batch_that_overlaps_with_applied_records_is_applied() {
+    let position = loaded();
+
+    assert_eq!(position.fit(90, 110), Fit::Next);
+    assert_eq!(position.fit(100, 110), Fit::Next);
+    assert_eq!(position.fit(80, 100), Fit::Known);
+    assert_eq!(position.fit(101, 110), Fit::Gap);
+    assert_eq!(Position::default().fit(0, 5), Fit::Gap);
+}
+
+/// Guards against missed records that are read from the store although another instance
+/// can send them, and against records that are never read if none does.
+#[test]
+fn missed_records_are_requested_before_they_are_read() {
+    let mut position = loaded();
+
+    position.observe_reader(at(100), 105, ms(0));
+    let requests = [at(100), at(150), at(250)].map(|now| position.take_request(now));
+
+    assert_eq!(requests, [true, false, true]);
+    assert!(!position.should_read(at(400), false, 0));
+    assert!(position.should_read(at(500), false, 0));
+    position.advance(105, at(510));
+    assert!(!position.should_read(at(520), false, 0));
+    assert!(!position.take_request(at(520)));
+}
+
+/// Guards against trusting a leader that itself gets no responses from the store.
+#[test]
+fn outdated_reads_do_not_count() {
+    let mut position = loaded();
+
+    assert!(!position.observe_reader(at(900), 100, ms(1_001)));
+
+    assert!(position.should_read(at(1_000), false, 0));
+    assert_eq!(position.as_of(), at(0));
+}
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod fixture;
+mod follow;
 mod fragments;
 mod leadership;
 mod ledger;
@@ -9,4 +10,5 @@
 mod ownership;
 mod plan;
 mod queue;
+mod relay;
 mod routes;
--- a/crates/core/tests/entry/map.rs
+++ b/crates/core/tests/entry/map.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use medlarreel_core::entry::map::{KeyRange, OwnerMap};
+use medlarreel_core::entry::map::{ChangeLog, KeyRange, OwnerMap, OwnerMapChange};
 use proptest::collection::{btree_set, vec};
 use proptest::prelude::*;
 
@@ -47,9 +47,11 @@
     fn applied_change_yields_the_newer_map(before in services(), after in services()) {
         let (before, after) = (owner_map(1, before), owner_map(2, after));
 
-        let changed = before.apply(before.change_to(&after));
+        let mut changed = before.clone();
+        let applied = changed.apply(before.change_to(&after));
 
-        prop_assert_eq!(changed, Some(after));
+        prop_assert!(applied);
+        prop_assert_eq!(changed, after);
     }
 }
 
@@ -60,9 +62,11 @@
     let first = owner_map(1, services(1));
     let (second, third) = (owner_map(2, services(2)), owner_map(3, services(3)));
 
-    let changed = first.apply(second.change_to(&third));
+    let mut changed = first.clone();
+    let applied = changed.apply(second.change_to(&third));
 
-    assert_eq!(changed, None);
+    assert!(!applied);
+    assert_eq!(changed, first);
 }
 
 /// Guards against a change whose size grows with the map instead of with the number of
@@ -88,3 +92,51 @@
         [after.services["intake"][40].clone()]
     );
 }
+
+/// Changes between maps with the versions 1 to `count`.
+fn changes(count: u64) -> Vec<OwnerMapChange> {
+    let map = |version: u64| {
+        let owners = [1 + (version % 2) as u8];
+        let services = BTreeMap::from([("intake".into(), ranges([], &owners))]);
+        owner_map(version, services)
+    };
+    (1..count)
+        .map(|version| map(version).change_to(&map(version + 1)))
+        .collect()
+}
+
+/// Guards against a full map, whose size grows with the fleet, for each instance that has
+/// missed a few changes.
+#[test]
+fn change_log_returns_the_missed_changes() {
+    let mut log = ChangeLog::default();
+    let changes = changes(10);
+
+    changes
+        .iter()
+        .cloned()
+        .for_each(|change| log.record(change));
+
+    assert_eq!(log.since((3, 8)), Some(changes[7..].to_vec()));
+    assert_eq!(log.since((3, 1)), Some(changes));
+    assert_eq!(log.since((2, 8)), None);
+}
+
+/// Guards against a log that grows without bound, and against changes that do not follow
+/// each other.
+#[test]
+fn change_log_forgets_old_and_unconnected_changes() {
+    let mut log = ChangeLog::default();
+    let changes = changes(200);
+
+    changes
+        .iter()
+        .cloned()
+        .for_each(|change| log.record(change));
+    assert_eq!(log.since((3, 1)), None);
+    assert!(log.since((3, 190)).is_some());
+
+    log.record(changes[0].clone());
+    assert_eq!(log.since((3, 190)), None);
+    assert_eq!(log.since((3, 1)), Some(changes[..1].to_vec()));
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -50,8 +50,9 @@
 /// Interval between the leader's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Minimum interval between two broadcasts of the owner map, per receiving instance.
-const BROADCAST_INTERVAL_PER_PEER: Duration = Duration::from_millis(4);
+/// Minimum interval between two broadcasts of the owner map, per message that the leader
+/// sends for one.
+const BROADCAST_INTERVAL_PER_MESSAGE: Duration = Duration::from_millis(4);
 
 /// Interval between rebalancing passes.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,6 +99,8 @@
     /// Epoch and version of the last owner map that was broadcast.
     broadcast_revision: (u64, u64),
     last_broadcast: Time,
+    /// Number of messages that the last broadcast of an owner map took.
+    broadcast_messages: u32,
 }
 
 impl LeaderTask {
@@ -122,6 +125,7 @@
             demand: Demand::default(),
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
+            broadcast_messages: 0,
         }
     }
 
@@ -422,8 +426,8 @@
             return;
         };
         let store_reachable = !self.state.store_health.get().failing;
-        // Both the map and the number of its receivers grow with the fleet.
-        let interval = BROADCAST_INTERVAL_PER_PEER * self.state.members.borrow().len() as u32;
+        // Both the map and the number of messages grow with the fleet.
+        let interval = BROADCAST_INTERVAL_PER_MESSAGE * self.broadcast_messages;
         if revision != self.broadcast_revision && now.since(self.last_broadcast) >= interval {
             self.broadcast_revision = revision;
             self.last_broadcast = now;
@@ -434,15 +438,22 @@
                     .map(|ledger| ledger.view(now, store_reachable))
             };
             if let Some(map) = map {
-                let message = {
+                let change = {
                     let before = self.state.owner_map.borrow();
-                    match before.epoch == map.epoch {
-                        true => Message::OwnersChange(before.change_to(&map)),
-                        false => Message::Owners(map.clone()),
+                    (before.epoch == map.epoch).then(|| before.change_to(&map))
+                };
+                let message = match change {
+                    Some(change) => {
+                        self.state.apply_owner_change(change.clone());
+                        Message::OwnersChange(change)
+                    }
+                    None => {
+                        self.state.adopt_owner_map(map.clone());
+                        Message::Owners(map)
                     }
                 };
-                self.state.adopt_owner_map(map);
-                peers::broadcast(&self.state, &self.socket, &message).await;
+                self.broadcast_messages =
+                    peers::broadcast(&self.state, &self.socket, &message).await;
             }
         }
         if now.since(self.last_heartbeat) >= HEARTBEAT_INTERVAL {
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -9,10 +9,6 @@
 use crate::peers::{self, Message};
 use crate::state::State;
 
-/// Time without a message after which an instance no longer counts as alive. Reports are
-/// sent every second.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Number of times that the transfer is sent to the successor, since messages may be
 /// lost.
 const TRANSFER_SENDS: u32 = 3;
@@ -41,10 +37,7 @@
     let confirmed_at = state.leadership.borrow().confirmed_at()?;
     let snapshot = state.ledger.borrow().as_ref()?.snapshot(now);
     let members = state.members.borrow();
-    let alive = members.values().filter(|member| {
-        let heard = member.last_heard;
-        heard.is_some_and(|heard| now.since(heard) < LIVENESS_TIMEOUT)
-    });
+    let alive = members.values().filter(|member| member.is_alive(now));
     let successor = alive.max_by_key(|member| (member.cpu_percent, member.last_heard))?;
     let message = Message::Transfer {
         snapshot,
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -11,7 +11,7 @@
 
 use super::RETRY_DELAY;
 use crate::error::Error;
-use crate::peers::{self, Message};
+use crate::peers;
 use crate::platform::store::{AppendOutcome, StoreClient};
 use crate::state::{Member, State};
 
@@ -45,6 +45,8 @@
     pub(super) started: u64,
     /// Processor time allotted to the instance in its settings, in percent of a core.
     pub(super) cpu_percent: u32,
+    /// Failure domain of the instance.
+    pub(super) domain: String,
 }
 
 /// Appends records to the leader's topic.
@@ -79,6 +81,7 @@
         address: settings.peers,
         started: state.started,
         cpu_percent: settings.cpu_percent,
+        domain: settings.domain.clone(),
     };
     loop {
         match announce(&mut store, &settings.name, &record).await {
@@ -90,6 +93,7 @@
                         address: record.address,
                         started: record.started,
                         cpu_percent: record.cpu_percent,
+                        domain: record.domain,
                         last_heard: None,
                     };
                     if name != settings.name {
@@ -106,12 +110,7 @@
             }
         }
     }
-    let hello = Message::Hello {
-        name: settings.name,
-        started: state.started,
-        cpu_percent: settings.cpu_percent,
-    };
-    peers::broadcast(state, socket, &hello).await;
+    peers::send_to_all(state, socket, &peers::hello(state)).await;
     // The leader may not send heartbeats to this instance before the `Hello`, so the time
     // to wait for one starts again.
     *state.leadership.borrow_mut() = leadership::Leadership::new(state.clock.now());
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,9 +3,15 @@
 //! The leader broadcasts heartbeats, the owner map and new store records. The other
 //! instances report request counts per key and run times per upstream.
 //!
+//! In a large fleet, relays pass the leader's messages on (core `relay`).
+//!
 //! Messages may be lost. From a heartbeat, a receiver notices which owner map or records
-//! it has missed, and requests or reads them. A transfer of leadership is sent several
-//! times; `Hello`, `Resigned` and reports are not sent again.
+//! it has missed, and requests them from the instance that it has the heartbeat from. A
+//! transfer of leadership is sent several times, and `Hello` until the leader is heard;
+//! `Resigned` and reports are not sent again.
+
+mod handler;
+mod missed;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,7 +26,7 @@
 use tokio::net::UdpSocket;
 
 use crate::reader::{Progress, RecordBatch, Topic};
-use crate::state::{Member, PendingTransfer, State};
+use crate::state::State;
 
 /// Maximum datagram size; UDP over IPv4 carries at most 65,507 bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -48,6 +54,8 @@
         started: u64,
         /// Processor time allotted to the instance in its settings, in percent of a core.
         cpu_percent: u32,
+        /// Failure domain of the instance.
+        domain: String,
     },
     /// Periodic heartbeat of the leader.
     Heartbeat {
@@ -64,8 +72,11 @@
     },
     /// New records that the leader has read from the store.
     Records(RecordBatch),
-    /// Request for the leader's full owner map.
-    OwnersRequest,
+    /// Request for an owner map that is newer than the sender's.
+    OwnersRequest {
+        /// Epoch and version of the sender's map.
+        revision: (u64, u64),
+    },
     /// The leader's full owner map.
     Owners(OwnerMap),
     /// Difference between two revisions of the leader's owner map.
@@ -97,6 +108,28 @@
         /// thousandths.
         run_times: Vec<(String, u32, u64)>,
     },
+    /// Message that the receiver handles and passes on to other instances.
+    Relay {
+        /// Instances to pass the message on to.
+        receivers: Vec<SocketAddr>,
+        /// The encoded message.
+        message: Vec<u8>,
+    },
+    /// Request for records of a topic that the sender has missed.
+    RecordsRequest {
+        /// Topic of the records.
+        topic: Topic,
+        /// Offset of the first missing record.
+        from: u64,
+    },
+    /// How far an instance has read a topic that reads it for its failure domain while
+    /// the leader is silent.
+    ReadProgress {
+        /// Topic that was read.
+        topic: Topic,
+        /// How far it was read.
+        progress: Progress,
+    },
 }
 
 /// Sends a message. Errors are only logged: a message that cannot be sent counts as lost.
@@ -106,15 +139,16 @@
     }
 }
 
+/// Encodes a message.
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    let encoded = postcard::to_allocvec(message);
+    encoded
+        .inspect_err(|error| tracing::error!(%error, "failed to encode message"))
+        .ok()
+}
+
 /// Encodes a message, split into fragments if it does not fit into one datagram.
 fn encode_datagrams(message: &Message) -> Option<Vec<Vec<u8>>> {
-    let encode = |message: &Message| match postcard::to_allocvec(message) {
-        Ok(bytes) => Some(bytes),
-        Err(error) => {
-            tracing::error!(%error, "failed to encode message");
-            None
-        }
-    };
     let bytes = encode(message)?;
     if bytes.len() <= MAX_DATAGRAM_BYTES {
         return Some(vec![bytes]);
@@ -138,15 +172,51 @@
     }
 }
 
-/// Sends a message to all other instances.
-pub async fn broadcast(state: &State, socket: &UdpSocket, message: &Message) {
+/// Sends a message to all other instances, in a large fleet through relays. Returns the
+/// number of messages that this instance has sent.
+pub async fn broadcast(state: &State, socket: &UdpSocket, message: &Message) -> u32 {
+    let Some(bytes) = encode(message) else {
+        return 0;
+    };
+    let branches = state.plan_broadcast();
+    let sent = branches.len() as u32;
+    for branch in branches {
+        if branch.receivers.is_empty() {
+            send(socket, branch.relay, message).await;
+            continue;
+        }
+        let relayed = Message::Relay {
+            receivers: branch.receivers,
+            message: bytes.clone(),
+        };
+        send(socket, branch.relay, &relayed).await;
+    }
+    sent
+}
+
+/// Sends a message to all other instances directly.
+pub async fn send_to_all(state: &State, socket: &UdpSocket, message: &Message) {
     let members: Vec<SocketAddr> = {
         let members = state.members.borrow();
         members.values().map(|member| member.address).collect()
     };
+    send_to_each(socket, &members, message).await;
+}
+
+/// Sends a message to the other instances of this instance's failure domain.
+pub async fn send_to_domain(state: &State, socket: &UdpSocket, message: &Message) {
+    let neighbours: Vec<SocketAddr> = state
+        .neighbours()
+        .iter()
+        .map(|(_, address)| *address)
+        .collect();
+    send_to_each(socket, &neighbours, message).await;
+}
+
+async fn send_to_each(socket: &UdpSocket, receivers: &[SocketAddr], message: &Message) {
     if let Some(datagrams) = encode_datagrams(message) {
-        for address in members {
-            send_datagrams(socket, address, &datagrams).await;
+        for address in receivers {
+            send_datagrams(socket, *address, &datagrams).await;
         }
     }
 }
@@ -174,160 +244,21 @@
             message => message,
         };
         match message {
-            Ok(message) => handle_message(&state, &socket, from, message).await,
+            Ok(message) => handler::handle_message(&state, &socket, from, message).await,
             Err(error) => tracing::debug!(%from, %error, "failed to decode message"),
         }
     }
 }
 
-async fn handle_message(state: &Rc<State>, socket: &UdpSocket, from: SocketAddr, message: Message) {
-    let now = state.clock.now();
-    {
-        let mut members = state.members.borrow_mut();
-        let sender = members.values_mut().find(|member| member.address == from);
-        if let Some(sender) = sender {
-            sender.last_heard = Some(now);
-        }
+/// Builds the message by which this instance introduces itself.
+pub fn hello(state: &State) -> Message {
+    let settings = state.settings.borrow();
+    Message::Hello {
+        name: settings.name.clone(),
+        started: state.started,
+        cpu_percent: settings.cpu_percent,
+        domain: settings.domain.clone(),
     }
-    match message {
-        Message::Hello {
-            name,
-            started,
-            cpu_percent,
-        } => {
-            let member = Member {
-                address: from,
-                started,
-                cpu_percent,
-                last_heard: Some(now),
-            };
-            let previous = state.members.borrow_mut().insert(name.clone(), member);
-            tracing::info!(name, %from, replaced = previous.is_some(), "instance joined");
-            if let Some(map) = current_owner_map(state) {
-                send(socket, from, &heartbeat(state, now, map.revision())).await;
-                send(socket, from, &Message::Owners(map)).await;
-            }
-        }
-        Message::Heartbeat {
-            epoch,
-            name,
-            store_reachable,
-            revision,
-            progress: topic_progress,
-        } => {
-            let previous_epoch = state.leadership.borrow().epoch();
-            if state
-                .leadership
-                .borrow_mut()
-                .observe_heartbeat(now, epoch, &name, store_reachable)
-            {
-                tracing::info!(epoch, leader = name, "leader changed");
-                state.metrics.epoch.set(epoch as i64);
-                if let Some(previous_epoch) = previous_epoch {
-                    let owners = crate::leader::step_down(state);
-                    let resigned = Message::Resigned {
-                        epoch: previous_epoch,
-                        owners,
-                    };
-                    send(socket, from, &resigned).await;
-                }
-            }
-            if epoch >= state.leadership.borrow().highest_epoch() {
-                for (topic, progress) in &topic_progress {
-                    if state.feed(*topic).observe_leader_progress(now, progress) {
-                        state.record_store_contact();
-                    }
-                }
-            }
-            if epoch >= state.leadership.borrow().highest_epoch()
-                && revision > state.owner_map.borrow().revision()
-            {
-                send(socket, from, &Message::OwnersRequest).await;
-            }
-        }
-        // Fragments are reassembled on receipt and are never nested.
-        Message::Fragment(_) => {}
-        Message::Records(batch) => crate::reader::receive_records(state, batch),
-        Message::OwnersRequest => {
-            if let Some(map) = current_owner_map(state) {
-                send(socket, from, &Message::Owners(map)).await;
-            }
-        }
-        Message::Owners(map) => {
-            if map.epoch >= state.leadership.borrow().highest_epoch() {
-                state.adopt_owner_map(map);
-            }
-        }
-        Message::OwnersChange(change) => {
-            let current = change.to.0 >= state.leadership.borrow().highest_epoch();
-            let known = state.owner_map.borrow().revision();
-            if current && change.to > known {
-                let map = state.owner_map.borrow().apply(change);
-                match map {
-                    Some(map) => {
-                        state.adopt_owner_map(map);
-                    }
-                    // An earlier change was lost, or this instance has no map yet, so the
-                    // full map is needed.
-                    None => send(socket, from, &Message::OwnersRequest).await,
-                }
-            }
-        }
-        Message::Resigned { epoch, owners } => {
-            state
-                .leadership
-                .borrow_mut()
-                .observe_resignation(now, epoch);
-            if let (Some(ledger), Some(owners)) = (state.ledger.borrow_mut().as_mut(), owners) {
-                ledger.handle_predecessor_stop(epoch, now, &owners);
-            }
-        }
-        Message::Transfer {
-            snapshot,
-            nonce,
-            end,
-            age_ms,
-        } => {
-            let current = snapshot.owners.epoch >= state.leadership.borrow().highest_epoch();
-            if current && state.leadership.borrow().epoch().is_none() && !state.stopping.get() {
-                let confirmed_at = now - Duration::from_millis(age_ms);
-                state.pending_transfer.replace(Some(PendingTransfer {
-                    snapshot,
-                    nonce,
-                    end,
-                    confirmed_at,
-                }));
-            }
-        }
-        Message::Report {
-            key_counts,
-            run_times,
-        } => {
-            for (id, runs, sum) in run_times {
-                let upstream = state.directory.borrow().find(&id).map(|found| found.0);
-                if let Some(upstream) = upstream {
-                    let mut run_totals = state.run_times.borrow_mut();
-                    let total = run_totals.entry(upstream).or_default();
-                    *total = (total.0 + runs, total.1 + sum);
-                }
-            }
-            let mut key_totals = state.key_counts.borrow_mut();
-            for (service, keys) in key_counts {
-                let totals = key_totals.entry(service).or_default();
-                for (key, count) in keys {
-                    *totals.entry(key).or_default() += count;
-                }
-            }
-        }
-    }
-}
-
-/// Returns the owner map that was last broadcast, if this instance leads. Changes that
-/// are sent later are relative to it.
-fn current_owner_map(state: &State) -> Option<OwnerMap> {
-    let epoch = state.leadership.borrow().epoch()?;
-    let map = state.owner_map.borrow();
-    (map.epoch == epoch).then(|| map.clone())
 }
 
 /// Builds the heartbeat of this instance as the leader. `revision` is the epoch and
@@ -352,11 +283,14 @@
         if state.leadership.borrow().epoch().is_some() {
             continue;
         }
-        let leader = state.leadership.borrow().leader().map(ToOwned::to_owned);
-        let address = leader.and_then(|leader| {
-            let members = state.members.borrow();
-            members.get(&leader).map(|member| member.address)
-        });
+        let address = state.leader_address();
+        if let Some(address) = address
+            && state.leadership.borrow().is_silent(state.clock.now())
+        {
+            // The leader may not know this instance, so that it sends no heartbeats.
+            send(&socket, address, &hello(&state)).await;
+            continue;
+        }
         let counts = std::mem::take(&mut *state.key_counts.borrow_mut());
         // Empty reports are sent as well: they show that this instance is alive.
         if let Some(address) = address {
--- /dev/null
+++ b/crates/entry/src/peers/handler.rs
@@ -0,0 +1,180 @@
+//! Handling of received messages.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::{Message, heartbeat, missed, send, send_datagrams};
+use crate::state::{Member, PendingTransfer, State};
+
+/// Handles a message that was received from `from`.
+pub(super) async fn handle_message(
+    state: &Rc<State>,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    message: Message,
+) {
+    let now = state.clock.now();
+    {
+        let mut members = state.members.borrow_mut();
+        let sender = members.values_mut().find(|member| member.address == from);
+        if let Some(sender) = sender {
+            sender.last_heard = Some(now);
+        }
+    }
+    let message = match message {
+        Message::Relay { receivers, message } => {
+            for receiver in receivers {
+                send_datagrams(socket, receiver, std::slice::from_ref(&message)).await;
+            }
+            match postcard::from_bytes(&message) {
+                Ok(message) => message,
+                Err(error) => {
+                    tracing::debug!(%from, %error, "failed to decode relayed message");
+                    return;
+                }
+            }
+        }
+        message => message,
+    };
+    match message {
+        Message::Hello {
+            name,
+            started,
+            cpu_percent,
+            domain,
+        } => {
+            let member = Member {
+                address: from,
+                started,
+                cpu_percent,
+                domain,
+                last_heard: Some(now),
+            };
+            let previous = state.members.borrow_mut().insert(name.clone(), member);
+            tracing::info!(name, %from, replaced = previous.is_some(), "instance joined");
+            // The new instance requests what the heartbeat shows that it has missed.
+            let published = state.published_revision();
+            if let Some(revision) = published {
+                send(socket, from, &heartbeat(state, now, revision)).await;
+            }
+        }
+        Message::Heartbeat {
+            epoch,
+            name,
+            store_reachable,
+            revision,
+            progress: topic_progress,
+        } => {
+            let previous_epoch = state.leadership.borrow().epoch();
+            if state
+                .leadership
+                .borrow_mut()
+                .observe_heartbeat(now, epoch, &name, store_reachable)
+            {
+                tracing::info!(epoch, leader = name, "leader changed");
+                state.metrics.epoch.set(epoch as i64);
+                if let Some(previous_epoch) = previous_epoch {
+                    let owners = crate::leader::step_down(state);
+                    let resigned = Message::Resigned {
+                        epoch: previous_epoch,
+                        owners,
+                    };
+                    let leader = state.leader_address().unwrap_or(from);
+                    send(socket, leader, &resigned).await;
+                }
+            }
+            if epoch >= state.leadership.borrow().highest_epoch() {
+                for (topic, progress) in &topic_progress {
+                    if state.feed(*topic).observe_reader(now, progress) {
+                        state.record_store_contact();
+                    }
+                }
+                missed::request_records(state, socket, from).await;
+                missed::request_owners(state, socket, from, revision).await;
+            }
+        }
+        // Fragments are reassembled on receipt and are never nested, nor are relayed
+        // messages.
+        Message::Fragment(_) | Message::Relay { .. } => {}
+        Message::Records(batch) => {
+            crate::reader::receive_records(state, batch);
+            missed::request_records(state, socket, from).await;
+        }
+        Message::RecordsRequest { topic, from: first } => {
+            for batch in state.feed(topic).batches_from(now, first) {
+                send(socket, from, &Message::Records(batch)).await;
+            }
+        }
+        Message::ReadProgress { topic, progress } => {
+            if state.feed(topic).observe_reader(now, &progress) {
+                state.record_store_contact();
+            }
+            missed::request_records(state, socket, from).await;
+        }
+        Message::OwnersRequest { revision } => {
+            missed::send_owners(state, socket, from, revision).await;
+        }
+        Message::Owners(map) => {
+            if map.epoch >= state.leadership.borrow().highest_epoch() {
+                state.adopt_owner_map(map);
+            }
+        }
+        Message::OwnersChange(change) => {
+            let current = change.to.0 >= state.leadership.borrow().highest_epoch();
+            let revision = change.to;
+            if current && !state.apply_owner_change(change) {
+                // An earlier change was lost, or this instance has no map yet.
+                missed::request_owners(state, socket, from, revision).await;
+            }
+        }
+        Message::Resigned { epoch, owners } => {
+            state
+                .leadership
+                .borrow_mut()
+                .observe_resignation(now, epoch);
+            if let (Some(ledger), Some(owners)) = (state.ledger.borrow_mut().as_mut(), owners) {
+                ledger.handle_predecessor_stop(epoch, now, &owners);
+            }
+        }
+        Message::Transfer {
+            snapshot,
+            nonce,
+            end,
+            age_ms,
+        } => {
+            let current = snapshot.owners.epoch >= state.leadership.borrow().highest_epoch();
+            if current && state.leadership.borrow().epoch().is_none() && !state.stopping.get() {
+                let confirmed_at = now - Duration::from_millis(age_ms);
+                state.pending_transfer.replace(Some(PendingTransfer {
+                    snapshot,
+                    nonce,
+                    end,
+                    confirmed_at,
+                }));
+            }
+        }
+        Message::Report {
+            key_counts,
+            run_times,
+        } => {
+            for (id, runs, sum) in run_times {
+                let upstream = state.directory.borrow().find(&id).map(|found| found.0);
+                if let Some(upstream) = upstream {
+                    let mut run_totals = state.run_times.borrow_mut();
+                    let total = run_totals.entry(upstream).or_default();
+                    *total = (total.0 + runs, total.1 + sum);
+                }
+            }
+            let mut key_totals = state.key_counts.borrow_mut();
+            for (service, keys) in key_counts {
+                let totals = key_totals.entry(service).or_default();
+                for (key, count) in keys {
+                    *totals.entry(key).or_default() += count;
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -1,19 +1,24 @@
 //! Readers of the platform's store: configuration and registrations.
 //!
 //! The leader reads continuously and forwards new records. The other instances read only
-//! at startup, when they have missed records that the leader has read, and while the
-//! leader itself gets no responses from the store.
+//! at startup, when they cannot get missed records from others, and, one in each failure
+//! domain, while the leader is silent or itself gets no responses from the store (core
+//! `follow`).
+
+pub mod history;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::REREGISTRATION_GRACE;
+use medlarreel_core::entry::follow::{Fit, Position};
 use medlarreel_core::entry::routes::RouteTable;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+
+use history::History;
 
 use crate::error::Error;
 use crate::peers::{self, Message};
@@ -25,21 +30,18 @@
 /// records are delayed by up to this time plus the call timeout.
 const LEADER_READ_WAIT: Duration = Duration::from_millis(600);
 
-/// Time for which a read by a follower waits for a record.
-const FOLLOWER_READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which a read by a follower waits for a record. The other instances of its
+/// failure domain hear of each read, and read themselves after `MAX_READ_AGE` without.
+const FOLLOWER_READ_WAIT: Duration = Duration::from_millis(500);
 
 /// Minimum interval between two reads, for topics that grow continuously.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Age from which the leader's reads are considered stale, so that followers read
-/// themselves. New records must take effect within 2 s.
-const STALE_AGE: Duration = Duration::from_millis(1_000);
-
 /// Time allowed for the delivery of records that the leader has sent.
 const DELIVERY_TIME: Duration = Duration::from_millis(30);
 
 /// Interval between checks whether a read is due.
-const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 
 /// Delay after a failed call, so that retries do not overload the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -100,100 +102,81 @@
 }
 
 /// Read state of one topic.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Feed {
     position: RefCell<Position>,
-    due: Notify,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Position {
-    /// Offset of the next record; `None` if the latest record of each key must be read
-    /// first.
-    next_offset: Option<u64>,
-    /// All records written before this time have been read.
-    as_of: Time,
-    /// Time of the last heartbeat from a leader whose reads are not stale.
-    leader_heard: Option<Time>,
-    /// Whether the store is known or assumed to have unread records.
-    behind: bool,
-}
-
-impl Default for Feed {
-    fn default() -> Feed {
-        Feed {
-            position: RefCell::default(),
-            due: Notify::new(),
-        }
-    }
+    history: RefCell<History>,
 }
 
 impl Feed {
     /// Whether the topic has been read at least once.
     pub fn is_loaded(&self) -> bool {
-        self.position.borrow().next_offset.is_some()
+        self.position.borrow().next_offset().is_some()
     }
 
     /// How far the topic has been read; `None` if it has not been read yet.
     pub fn progress(&self, now: Time) -> Option<Progress> {
         let position = self.position.borrow();
         Some(Progress {
-            end: position.next_offset?,
-            age_ms: now.since(position.as_of).as_millis() as u64,
+            end: position.next_offset()?,
+            age_ms: now.since(position.as_of()).as_millis() as u64,
         })
     }
 
-    /// Requests a read, which is skipped if the leader forwards the missing records
-    /// within `DELIVERY_TIME`.
-    pub fn request_read(&self) {
-        self.position.borrow_mut().behind = true;
-        self.due.notify_one();
+    /// Records that records are missing.
+    pub fn mark_behind(&self, now: Time) {
+        self.position.borrow_mut().mark_behind(now);
     }
 
-    /// Records how far the leader has read. Returns false, and records nothing, if the
-    /// leader's reads are stale.
-    pub fn observe_leader_progress(&self, now: Time, progress: &Progress) -> bool {
+    /// Records how far another instance has read. Returns false, and records nothing, if
+    /// its reads are outdated.
+    pub fn observe_reader(&self, now: Time, progress: &Progress) -> bool {
         let age = Duration::from_millis(progress.age_ms);
-        if age > STALE_AGE {
-            return false;
-        }
         let mut position = self.position.borrow_mut();
-        position.leader_heard = Some(now);
-        match position.next_offset {
-            Some(from) if progress.end <= from => position.as_of = position.as_of.max(now - age),
-            _ => {
-                position.behind = true;
-                self.due.notify_one();
-            }
-        }
-        true
+        position.observe_reader(now, progress.end, age)
+    }
+
+    /// Offset from which records are to be requested from another instance now; `None` if
+    /// no request is due.
+    pub fn take_request(&self, now: Time) -> Option<u64> {
+        let mut position = self.position.borrow_mut();
+        position
+            .take_request(now)
+            .then(|| position.next_offset())
+            .flatten()
+    }
+
+    /// Batches that contain all records from offset `from` on; empty if some of them are
+    /// no longer known.
+    pub fn batches_from(&self, now: Time, from: u64) -> Vec<RecordBatch> {
+        self.history.borrow().batches_from(now, from)
     }
 
     /// Waits until a read is due.
     async fn wait_until_due(&self, state: &State) {
         loop {
+            let is_leader = state.leadership.borrow().epoch().is_some();
+            let reader_position = reader_position(state);
             let now = state.clock.now();
             let position = *self.position.borrow();
-            let is_leader = state.leadership.borrow().epoch().is_some();
-            let heard = position
-                .leader_heard
-                .is_some_and(|heard| now.since(heard) < STALE_AGE);
-            if is_leader || !heard || position.next_offset.is_none() {
+            if position.should_read(now, is_leader, reader_position) {
                 return;
             }
-            if position.behind {
-                tokio::time::sleep(DELIVERY_TIME).await;
-                if self.position.borrow().behind {
-                    return;
-                }
-                continue;
-            }
-            // Both a notification and a timeout lead to another check.
-            let _ = tokio::time::timeout(DUE_CHECK_INTERVAL, self.due.notified()).await;
+            tokio::time::sleep(DUE_CHECK_INTERVAL).await;
         }
     }
 }
 
+/// Number of instances of this instance's failure domain that read before it while the
+/// leader is silent.
+fn reader_position(state: &State) -> u32 {
+    let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+    let own_rank = rank(&state.settings.borrow().name);
+    let neighbours = state.neighbours();
+    let before = neighbours.iter().filter(|(name, _)| rank(name) < own_rank);
+    before.count() as u32
+}
+
 /// Keeps the local state of a topic up to date.
 pub async fn follow(state: Rc<State>, topic: Topic, socket: Rc<UdpSocket>) {
     let address = state.settings.borrow().store;
@@ -206,12 +189,7 @@
             Ok(batch) => {
                 state.metrics.count_call(topic.label(), "done");
                 state.record_store_result(true);
-                if let Some(batch) = batch
-                    .clone()
-                    .filter(|_| state.leadership.borrow().epoch().is_some())
-                {
-                    peers::broadcast(&state, &socket, &Message::Records(batch)).await;
-                }
+                forward_read(&state, topic, &socket, batch.clone()).await;
                 tokio::time::sleep(MIN_READ_INTERVAL).await;
             }
             Err(error) => {
@@ -224,6 +202,29 @@
     }
 }
 
+/// Forwards what was read: the leader to all instances, a follower to those of its failure
+/// domain if they do not hear from the leader either.
+async fn forward_read(state: &State, topic: Topic, socket: &UdpSocket, batch: Option<RecordBatch>) {
+    let records = batch.map(Message::Records);
+    if state.leadership.borrow().epoch().is_some() {
+        if let Some(records) = records {
+            peers::broadcast(state, socket, &records).await;
+        }
+        return;
+    }
+    let now = state.clock.now();
+    let progress = state.feed(topic).progress(now);
+    let is_silent = state.feed(topic).position.borrow().is_silent(now);
+    let Some(progress) = progress.filter(|_| is_silent) else {
+        return;
+    };
+    if let Some(records) = records {
+        peers::send_to_domain(state, socket, &records).await;
+    }
+    let progress = Message::ReadProgress { topic, progress };
+    peers::send_to_domain(state, socket, &progress).await;
+}
+
 /// Reads once and applies new records. Returns the batch that a leader forwards to the
 /// other instances; `None` if no new records were read from the current position, as in
 /// the first read of a topic.
@@ -234,31 +235,38 @@
     started: Time,
 ) -> Result<Option<RecordBatch>, Error> {
     let before = *state.feed(topic).position.borrow();
-    let Some(from) = before.next_offset else {
+    let Some(from) = before.next_offset() else {
         let latest = store.read_latest(topic.name()).await?;
         state.record_store_result(true);
         let end = latest.next_offset;
         apply_records(state, topic, &latest.records, true, Duration::ZERO);
-        advance_position(state, topic, end, started);
+        state
+            .feed(topic)
+            .position
+            .borrow_mut()
+            .advance(end, started);
         return Ok(None);
     };
     let is_leader = state.leadership.borrow().epoch().is_some();
-    let wait = match (is_leader, before.behind) {
-        (_, true) => Duration::ZERO,
-        (true, false) => LEADER_READ_WAIT,
-        (false, false) => FOLLOWER_READ_WAIT,
+    let age = started.since(before.as_of());
+    let wait = match is_leader {
+        _ if before.is_behind() => Duration::ZERO,
+        true => LEADER_READ_WAIT,
+        // Others start to read as well unless they soon hear of the first read.
+        false if age >= FOLLOWER_READ_WAIT => Duration::ZERO,
+        false => FOLLOWER_READ_WAIT,
     };
     let (records, end) = match store.read_from(topic.name(), from, wait).await? {
         ReadOutcome::Records(records, end) => (records, end),
         ReadOutcome::Trimmed => {
-            state.feed(topic).position.borrow_mut().next_offset = None;
+            state.feed(topic).position.borrow_mut().reset();
             return Ok(None);
         }
     };
     state.record_store_result(true);
     let now = state.clock.now();
-    if state.feed(topic).position.borrow().next_offset != Some(from) {
-        // Records from the leader have been applied in the meantime.
+    if state.feed(topic).position.borrow().next_offset() != Some(from) {
+        // Records from another instance have been applied in the meantime.
         return Ok(None);
     }
     let to_forward = apply_records(state, topic, &records, false, Duration::ZERO);
@@ -268,9 +276,8 @@
     } else {
         started
     };
-    advance_position(state, topic, end, read_up_to.max(started));
     let grace = removal_time(state, Duration::ZERO).since(now);
-    Ok((!records.is_empty()).then(|| RecordBatch {
+    let batch = RecordBatch {
         topic,
         from,
         end,
@@ -279,38 +286,45 @@
             .map(|item| (item.key.clone(), item.value.as_deref().map(<[u8]>::to_vec)))
             .collect(),
         grace_ms: grace.as_millis() as u64,
-    }))
+    };
+    let batch = (!records.is_empty()).then_some(batch);
+    advance(state, topic, end, read_up_to.max(started), batch.as_ref());
+    Ok(batch)
 }
 
-/// Applies records forwarded by the leader, or requests a read if earlier ones are
-/// missing.
+/// Applies records forwarded by another instance. If earlier ones are missing, only
+/// records that.
 pub fn receive_records(state: &State, batch: RecordBatch) {
     let feed = state.feed(batch.topic);
-    let from = feed.position.borrow().next_offset;
-    match from {
-        Some(from) if from == batch.from => {
-            let record = |(key, value): (String, Option<Vec<u8>>)| KeyedRecord {
-                key,
-                value: value.map(Into::into),
+    let now = state.clock.now();
+    let fit = feed.position.borrow().fit(batch.from, batch.end);
+    match fit {
+        Fit::Next => {
+            let record = |(key, value): &(String, Option<Vec<u8>>)| KeyedRecord {
+                key: key.clone(),
+                value: value.clone().map(Into::into),
                 offset: 0,
             };
-            let records: Vec<KeyedRecord> = batch.records.into_iter().map(record).collect();
+            let records: Vec<KeyedRecord> = batch.records.iter().map(record).collect();
             let grace = Duration::from_millis(batch.grace_ms);
-            // The result is not needed, since only the leader forwards records.
+            // The result is not needed: the batch is passed on as it is.
             apply_records(state, batch.topic, &records, false, grace);
-            let now = state.clock.now();
-            advance_position(state, batch.topic, batch.end, now - DELIVERY_TIME);
+            let as_of = now - DELIVERY_TIME;
+            advance(state, batch.topic, batch.end, as_of, Some(&batch));
         }
-        Some(from) if from >= batch.end => {}
-        _ => feed.request_read(),
+        Fit::Known => {}
+        Fit::Gap => feed.mark_behind(now),
     }
 }
 
-fn advance_position(state: &State, topic: Topic, end: u64, as_of: Time) {
-    let mut position = state.feed(topic).position.borrow_mut();
-    position.next_offset = Some(end);
-    position.as_of = position.as_of.max(as_of);
-    position.behind = false;
+/// Records that the topic has been applied up to `end`, the last part of it by `batch`.
+fn advance(state: &State, topic: Topic, end: u64, as_of: Time, batch: Option<&RecordBatch>) {
+    let feed = state.feed(topic);
+    feed.position.borrow_mut().advance(end, as_of);
+    if let Some(batch) = batch {
+        let now = state.clock.now();
+        feed.history.borrow_mut().record(now, batch.clone());
+    }
 }
 
 /// Applies records and returns those that a leader forwards: all configurations, all
@@ -380,7 +394,7 @@
     grace: Duration,
 ) -> Vec<&'a KeyedRecord> {
     let now = state.clock.now();
-    let since = state.feed(Topic::Directory).position.borrow().as_of;
+    let since = state.feed(Topic::Directory).position.borrow().as_of();
     let at = removal_time(state, grace);
     let mut directory = state.directory.borrow_mut();
     if is_snapshot {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,10 +10,11 @@
 use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
-use medlarreel_core::entry::map::OwnerMap;
+use medlarreel_core::entry::map::{ChangeLog, OwnerMap, OwnerMapChange};
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, Queue, Ticket, UpstreamLookup,
 };
+use medlarreel_core::entry::relay::{self, Branch, Receiver};
 use medlarreel_core::entry::routes::{RouteTable, TrafficSplitter};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
@@ -39,7 +40,7 @@
 const INSTANCE_BUDGET_SHARE: f64 = 0.5;
 
 /// Another instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Member {
     /// UDP address for messages between instances.
     pub address: SocketAddr,
@@ -47,6 +48,8 @@
     pub started: u64,
     /// Processor time allotted to it in its settings, in percent of a core.
     pub cpu_percent: u32,
+    /// Failure domain that it runs in.
+    pub domain: String,
     /// Time of the last message from it; `None` if this instance has received none.
     pub last_heard: Option<Time>,
 }
@@ -64,6 +67,14 @@
     pub confirmed_at: Time,
 }
 
+/// Time without a message after which an instance no longer counts as alive. Reports are
+/// sent every second.
+pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Minimum interval between two full owner maps that an instance sends on request. A map
+/// of hundreds of upstreams takes 30 kB, and the smallest links carry 20 Mbit/s.
+const FULL_MAP_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Reachability of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
@@ -99,6 +110,14 @@
     pub directory_feed: Feed,
     /// Owners of the keys of all services.
     pub owner_map: RefCell<OwnerMap>,
+    /// Recent changes of the owner map.
+    pub owner_changes: RefCell<ChangeLog>,
+    /// Time of the last request for an owner map.
+    pub owners_requested: Cell<Option<Time>>,
+    /// Time at which this instance last sent a full owner map on request.
+    full_map_sent: Cell<Option<Time>>,
+    /// Number of messages broadcast so far; selects the relays of the next one.
+    broadcasts: Cell<u64>,
     /// Time at which the owner map was adopted.
     pub owner_map_received: Cell<Time>,
     /// Waiting requests and free capacity of upstreams.
@@ -155,6 +174,10 @@
             config_feed: Feed::default(),
             directory_feed: Feed::default(),
             owner_map: RefCell::default(),
+            owner_changes: RefCell::default(),
+            owners_requested: Cell::default(),
+            full_map_sent: Cell::default(),
+            broadcasts: Cell::default(),
             owner_map_received: Cell::default(),
             queue: RefCell::default(),
             waiters: RefCell::default(),
@@ -324,8 +347,30 @@
         if map.revision() <= self.owner_map.borrow().revision() {
             return false;
         }
+        *self.owner_map.borrow_mut() = map;
+        self.use_new_owners();
+        true
+    }
+
+    /// Applies a change of the owner map. Returns false if the change is based on a map
+    /// that this instance does not have.
+    pub fn apply_owner_change(&self, change: OwnerMapChange) -> bool {
+        if change.to <= self.owner_map.borrow().revision() {
+            return true;
+        }
+        if !self.owner_map.borrow_mut().apply(change.clone()) {
+            return false;
+        }
+        self.owner_changes.borrow_mut().record(change);
+        self.use_new_owners();
+        true
+    }
+
+    /// Continues with the owner map that was just adopted.
+    fn use_new_owners(&self) {
         let has_unknown_owner = {
             let directory = self.directory.borrow();
+            let map = self.owner_map.borrow();
             let mut owners = map.services.values().flatten();
             owners.any(|range| {
                 let owner = range.owner.as_ref();
@@ -333,13 +378,75 @@
             })
         };
         if has_unknown_owner {
-            self.directory_feed.request_read();
+            self.directory_feed.mark_behind(self.clock.now());
         }
-        tracing::info!(epoch = map.epoch, version = map.version, "owners changed");
-        *self.owner_map.borrow_mut() = map;
+        let (epoch, version) = self.owner_map.borrow().revision();
+        tracing::info!(epoch, version, "owners changed");
         self.owner_map_received.set(self.clock.now());
         self.dispatch_decisions();
-        true
+    }
+
+    /// Epoch and version of the owner map that was last broadcast, if this instance leads.
+    pub fn published_revision(&self) -> Option<(u64, u64)> {
+        let epoch = self.leadership.borrow().epoch()?;
+        let revision = self.owner_map.borrow().revision();
+        (revision.0 == epoch).then_some(revision)
+    }
+
+    /// Whether a full owner map may be sent on request now; records that one is sent.
+    pub fn allow_full_map(&self) -> bool {
+        let now = self.clock.now();
+        let sent = self.full_map_sent.get();
+        let allowed = sent.is_none_or(|sent| now.since(sent) >= FULL_MAP_INTERVAL);
+        if allowed {
+            self.full_map_sent.set(Some(now));
+        }
+        allowed
+    }
+
+    /// Address of the leader of the highest known epoch, if it is another instance.
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        let leadership = self.leadership.borrow();
+        let members = self.members.borrow();
+        members
+            .get(leadership.leader()?)
+            .map(|member| member.address)
+    }
+
+    /// Names and addresses of the other instances of this instance's failure domain.
+    pub fn neighbours(&self) -> Vec<(String, SocketAddr)> {
+        let domain = self.settings.borrow().domain.clone();
+        let members = self.members.borrow();
+        let neighbours = members.iter().filter(|(_, member)| member.domain == domain);
+        neighbours
+            .map(|(name, member)| (name.clone(), member.address))
+            .collect()
+    }
+
+    /// Plans the way of the next broadcast message.
+    pub fn plan_broadcast(&self) -> Vec<Branch> {
+        let now = self.clock.now();
+        let round = self.broadcasts.get();
+        self.broadcasts.set(round + 1);
+        let members = self.members.borrow();
+        let receivers: Vec<Receiver<'_>> = members
+            .values()
+            .map(|member| Receiver {
+                address: member.address,
+                domain: &member.domain,
+                cpu_percent: member.cpu_percent,
+                alive: member.is_alive(now),
+            })
+            .collect();
+        relay::plan_branches(&receivers, round)
+    }
+}
+
+impl Member {
+    /// Whether a message from the instance was received recently.
+    pub fn is_alive(&self, now: Time) -> bool {
+        let heard = self.last_heard;
+        heard.is_some_and(|heard| now.since(heard) < LIVENESS_TIMEOUT)
     }
 }
 
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -3,5 +3,7 @@
 
 mod faults;
 mod fixture;
+mod fleet;
+mod history;
 mod requests;
 mod settings;
