Let requests wait after an owner has refused one

Each refusal used up an attempt and the retry budget. Besides, upstreams at their connection limit reset a connection right after accepting it; a request that is not idempotent and had been written by then ended as failed (502) though it had reached nobody.

Change: core doubt. Requests for a range whose owner has refused one wait until the owner map changes, 150 ms at first and up to 1.2 s after further refusals. Such refusals no longer count against the attempts of the route, as they are not runs; the budget counts them as before. New connections are watched for a round trip before a request that is not idempotent is written.

Tests: doubt (core), connection (entry).

Ruled out: asking the owner for a shorter time only; the map reaches all instances within 250 ms now, so that most second sends came too early.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,6 +7,7 @@
 //! request directly to the owner of its key.
 
 pub mod directory;
+pub mod doubt;
 pub mod follow;
 pub mod fragments;
 pub mod leadership;
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of an entry instance.
 
 mod directory;
+mod doubt;
 mod fixture;
 mod follow;
 mod fragments;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -4,7 +4,7 @@
 //! reused, so that neither a late response nor a late request can appear on it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -22,6 +22,12 @@
 /// Maximum size of a response body in bytes. Instances have at least 160 MB of memory.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Bounds of the time for which a new connection is watched in `confirm_accepted`. The
+/// lower one leaves time to handle a reset that has arrived, the upper one limits the
+/// delay on a busy instance, where connecting seems to take longer than it does.
+const ACCEPT_WAIT_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(1), Duration::from_millis(20));
+
 /// A response whose body has been read completely.
 #[derive(Clone, Debug)]
 pub struct BufferedResponse {
@@ -37,6 +43,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Time that connecting took, about one round trip.
+    connect_time: Duration,
 }
 
 impl Connection {
@@ -46,6 +54,7 @@
     ///
     /// Returns `NotSent` if no connection is established.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
+        let started = Instant::now();
         let connecting = async {
             let stream = open_stream(address).await.map_err(not_sent)?;
             let (sender, connection) = http1::Builder::new()
@@ -58,12 +67,31 @@
                     tracing::trace!(%address, %error, "connection ended");
                 }
             });
-            Ok(Connection { sender })
+            Ok(Connection {
+                sender,
+                connect_time: started.elapsed(),
+            })
         };
         let connected = tokio::time::timeout(timeout, connecting).await;
         connected.unwrap_or_else(|_| Err(Error::NotSent("connecting took too long".into())))
     }
 
+    /// Waits for a round trip and checks that the server has not reset the connection. A
+    /// server at its connection limit accepts connections and resets them at once; if a
+    /// request is written before the reset arrives, it is unknown whether it has run.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` if the connection is closed.
+    pub async fn confirm_accepted(&self) -> Result<(), Error> {
+        let (shortest, longest) = ACCEPT_WAIT_BOUNDS;
+        tokio::time::sleep(self.connect_time.clamp(shortest, longest)).await;
+        match self.sender.is_closed() {
+            true => Err(Error::NotSent("reset after connecting".into())),
+            false => Ok(()),
+        }
+    }
+
     /// Whether the connection can take another request.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed() && self.sender.is_ready()
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -42,7 +42,8 @@
     /// Returns the most recently used idle connection to `upstream`, or connects to
     /// `address` within `connect_timeout`. Without an `upstream`, it always connects. For
     /// a request that is not `idempotent`, connections that have been idle for
-    /// `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used.
+    /// `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used, and new ones are used only once the
+    /// server has accepted them.
     ///
     /// # Errors
     ///
@@ -55,10 +56,15 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, Error> {
-        match upstream.and_then(|upstream| self.take_idle(now, upstream, idempotent)) {
-            Some(connection) => Ok(connection),
-            None => Connection::connect(address, connect_timeout).await,
+        let idle = upstream.and_then(|upstream| self.take_idle(now, upstream, idempotent));
+        if let Some(connection) = idle {
+            return Ok(connection);
         }
+        let connection = Connection::connect(address, connect_timeout).await?;
+        if !idempotent {
+            connection.confirm_accepted().await?;
+        }
+        Ok(connection)
     }
 
     /// Takes the most recently used idle connection; `None` if all are closed or idle for
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -27,9 +27,6 @@
 /// Number of connection failures up to which a request that was never sent is retried.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
-/// Delay before a request is sent again to the owner of its key.
-const OWNER_RETRY_DELAY: Duration = Duration::from_millis(30);
-
 /// `Retry-After` is at most the remaining time of the caller divided by this number.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
@@ -78,6 +75,8 @@
     unresolved: bool,
     tried: Vec<Upstream>,
     sends: u32,
+    /// Number of sends that were refused because the upstream does not hold the key.
+    refused_by_owner: u32,
     connect_failures: u32,
 }
 
@@ -145,9 +144,6 @@
         if !approve_resend(state, request, progress, outcome, &why, expected) {
             return give_up(state, request, progress, outcome, &why);
         }
-        if request.key.is_some() {
-            tokio::time::sleep(OWNER_RETRY_DELAY).await;
-        }
     }
 }
 
@@ -249,7 +245,12 @@
         (false, _) => RetryDecision::Late,
         (true, true) if progress.connect_failures <= MAX_CONNECT_FAILURES => RetryDecision::Send,
         (true, true) => RetryDecision::Spent,
-        (true, false) if progress.sends >= request.route.max_attempts => RetryDecision::Spent,
+        // The limit is on upstreams that may run the request.
+        (true, false)
+            if progress.sends - progress.refused_by_owner >= request.route.max_attempts =>
+        {
+            RetryDecision::Spent
+        }
         (true, false) => {
             let mut budgets = state.retry_budgets.borrow_mut();
             budgets
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -24,9 +24,6 @@
 /// second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Reason reported if the upstream refused the request because it does not own the key.
-pub(super) const NOT_OWNER_REASON: &str = "not the owner";
-
 /// Outcome of sending a request once. The texts are reasons for the log and for the label
 /// of the `resends` metric.
 pub(super) enum SendOutcome {
@@ -153,6 +150,7 @@
     };
     match ran {
         Ok(true) => {
+            record_ownership(state, request, upstream, true);
             let now = state.clock.now();
             state.return_connection(now, upstream, connection, &response.headers);
             SendOutcome::Responded(response)
@@ -161,7 +159,11 @@
             let now = state.clock.now();
             state.return_connection(now, upstream, connection, &response.headers);
             match response.status {
-                StatusCode::MISDIRECTED_REQUEST => SendOutcome::NotRun(NOT_OWNER_REASON),
+                StatusCode::MISDIRECTED_REQUEST => {
+                    progress.refused_by_owner += u32::from(request.key.is_some());
+                    record_ownership(state, request, upstream, false);
+                    SendOutcome::NotRun("not the owner")
+                }
                 _ => SendOutcome::NotRun("refused by the upstream"),
             }
         }
@@ -172,6 +174,13 @@
     }
 }
 
+/// Records whether the upstream holds the key of a request.
+fn record_ownership(state: &State, request: &RoutedRequest, upstream: Upstream, held: bool) {
+    if let Some(key) = request.key {
+        state.record_ownership(upstream, &request.service, key, held);
+    }
+}
+
 /// Whether a response shows that the upstream ran the request.
 ///
 /// # Errors
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,6 +8,7 @@
 
 use http::HeaderMap;
 use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
+use medlarreel_core::entry::doubt::Doubts;
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
 use medlarreel_core::entry::map::{ChangeLog, OwnerMap, OwnerMapChange};
@@ -110,6 +111,8 @@
     pub directory_feed: Feed,
     /// Owners of the keys of all services.
     pub owner_map: RefCell<OwnerMap>,
+    /// Ranges of the owner map whose owner has refused a request.
+    pub doubts: RefCell<Doubts>,
     /// Recent changes of the owner map.
     pub owner_changes: RefCell<ChangeLog>,
     /// Time of the last request for an owner map.
@@ -174,6 +177,7 @@
             config_feed: Feed::default(),
             directory_feed: Feed::default(),
             owner_map: RefCell::default(),
+            doubts: RefCell::default(),
             owner_changes: RefCell::default(),
             owners_requested: Cell::default(),
             full_map_sent: Cell::default(),
@@ -386,6 +390,20 @@
         self.dispatch_decisions();
     }
 
+    /// Records whether the owner of a key has run a request for it or has refused to
+    /// because it does not hold the key.
+    pub fn record_ownership(&self, owner: Upstream, service: &str, key: u16, held: bool) {
+        let map = self.owner_map.borrow();
+        let Some(range) = map.range_of(service, key) else {
+            return;
+        };
+        let mut doubts = self.doubts.borrow_mut();
+        match held {
+            true => doubts.clear(owner, range.first),
+            false => doubts.record(self.clock.now(), owner, range.first),
+        }
+    }
+
     /// Epoch and version of the owner map that was last broadcast, if this instance leads.
     pub fn published_revision(&self) -> Option<(u64, u64)> {
         let epoch = self.leadership.borrow().epoch()?;
@@ -486,6 +504,14 @@
         };
         let found = directory.find(&owner.id);
         let current = found.filter(|(_, record)| record.registration.born == owner.born);
+        let doubted_until = current.and_then(|(upstream, _)| {
+            let doubts = self.doubts.borrow();
+            doubts.until(now, upstream, range.first)
+        });
+        if doubted_until.is_some() {
+            availability.available_at = doubted_until;
+            return availability;
+        }
         availability
             .candidates
             .extend(current.and_then(|(upstream, record)| {
