Load the topics of a starting instance from its failure domain

Cause: each instance loaded configuration and registrations with three calls to the store, and announced itself with two.

Tests: topic_is_loaded_from_the_store_only_if_no_neighbour_sends_it, removed_upstreams_are_not_registered. The start of a fleet is also played by fleet.rs and the path tests.

Ruled out: sending the store's encoding, which for 809 upstreams is 200 kB for each instance.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -19,7 +19,7 @@
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_100);
 
 /// Registration that an upstream publishes about itself.
-#[data(plain)]
+#[data(value)]
 pub struct Registration {
     /// Unique id of the upstream.
     pub id: String,
@@ -50,6 +50,8 @@
     /// Whether the upstream accepts new requests: it is registered, is not draining, and
     /// no later incarnation of it is known.
     pub usable: bool,
+    /// Whether the registration was removed.
+    pub removed: bool,
     /// Time at which the removal of the registration takes effect; `None` if no removal
     /// is scheduled.
     pub removal_at: Option<Time>,
@@ -94,6 +96,19 @@
             .filter(|(_, record)| record.usable)
     }
 
+    /// Registrations of all upstreams that are registered, also of draining ones, with the
+    /// warm-up time that is left now.
+    pub fn registered(&self, now: Time) -> impl Iterator<Item = Registration> {
+        let records = self.current.values();
+        records
+            .map(|key| &self.records[key.0 as usize])
+            .filter(|record| !record.removed && record.removal_at.is_none())
+            .map(move |record| Registration {
+                warmup: record.warm_at.since(now),
+                ..record.registration.clone()
+            })
+    }
+
     /// Whether a registration changes anything, rather than only confirming that its
     /// upstream is alive. A change of the remaining warm-up time alone does not count,
     /// nor does an outdated registration of the same incarnation.
@@ -135,6 +150,7 @@
                     record.usable != usable || record.registration.address != registration.address;
                 record.registration = registration;
                 record.usable = usable;
+                record.removed = false;
                 record.removal_at = None;
                 record.leaving_since = match usable {
                     true => None,
@@ -151,6 +167,7 @@
         self.records.push(UpstreamRecord {
             registration,
             usable,
+            removed: false,
             removal_at: None,
             leaving_since: leaving,
             warm_at,
@@ -201,6 +218,7 @@
         for (_, key) in &expired {
             let record = &mut self.records[key.0 as usize];
             record.usable = false;
+            record.removed = true;
             record.removal_at = None;
             self.version += 1;
         }
--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -129,6 +129,14 @@
         due
     }
 
+    /// Whether this instance, which started `waited` ago, should load the topic from the
+    /// store now. Before that it requests a snapshot from the others of its failure domain,
+    /// unless it is the first of them; see `should_read` for `reader_position`, which is
+    /// `None` while the others are not known.
+    pub fn should_load(&self, waited: Duration, reader_position: Option<u32>) -> bool {
+        self.next_offset.is_none() && waited >= stagger(reader_position.unwrap_or(u32::MAX))
+    }
+
     /// Whether no other instance that reads the topic has been heard for `MAX_READ_AGE`.
     pub fn is_silent(&self, now: Time) -> bool {
         let heard = self.reader_heard;
@@ -139,11 +147,14 @@
     /// is the number of instances of its failure domain that read before it while the
     /// leader is silent.
     pub fn should_read(&self, now: Time, is_leader: bool, reader_position: u32) -> bool {
-        let stagger = READER_STAGGER * reader_position.min(MAX_READER_POSITION);
-        let is_silent = self.is_silent(now - stagger);
+        let is_silent = self.is_silent(now - stagger(reader_position));
         let is_overdue = self
             .behind_since
             .is_some_and(|since| now.since(since) >= CATCH_UP_TIME);
         is_leader || self.next_offset.is_none() || is_silent || is_overdue
     }
 }
+
+fn stagger(reader_position: u32) -> Duration {
+    READER_STAGGER * reader_position.min(MAX_READER_POSITION)
+}
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -135,3 +135,25 @@
         "registered again after its removal"
     );
 }
+
+/// Guards against an upstream that has left being passed on to an instance that has just
+/// started, which would use it again.
+#[test]
+fn removed_upstreams_are_not_registered() {
+    let mut directory = Directory::default();
+    let draining = Registration {
+        draining: true,
+        ..registration(2)
+    };
+    for registration in [registration(1), draining, registration(3), registration(4)] {
+        directory.apply(at(0), at(0), registration);
+    }
+    directory.schedule_removal("u2", at(0), at(10));
+    directory.schedule_removal("u3", at(0), at(10));
+    directory.schedule_removal("u4", at(0), at(5_000));
+    directory.expire(at(10));
+
+    let registered: Vec<String> = directory.registered(at(20)).map(|one| one.id).collect();
+
+    assert_eq!(registered, ["u1"]);
+}
--- a/crates/core/tests/entry/follow.rs
+++ b/crates/core/tests/entry/follow.rs
@@ -91,3 +91,17 @@
     assert!(position.should_read(at(1_000), false, 0));
     assert_eq!(position.as_of(), at(0));
 }
+
+/// Guards against a store that all instances read at once when all have started together.
+#[test]
+fn topic_is_loaded_from_the_store_only_if_no_neighbour_sends_it() {
+    let position = Position::default();
+
+    assert!(position.should_load(ms(0), Some(0)));
+    assert!(!position.should_load(ms(100), Some(1)));
+    assert!(position.should_load(ms(120), Some(1)));
+    assert!(!position.should_load(ms(500), None));
+    assert!(position.should_load(ms(600), None));
+    assert!(position.should_load(ms(600), Some(500)));
+    assert!(!loaded().should_load(ms(600), Some(0)));
+}
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -101,6 +101,7 @@
                     }
                 }
                 tracing::info!(members = known.len(), "instance list loaded");
+                state.has_joined.set(true);
                 break;
             }
             Err(error) => {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -25,6 +25,7 @@
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
+use crate::reader::bootstrap::Snapshot;
 use crate::reader::{Progress, RecordBatch, Topic};
 use crate::state::State;
 
@@ -122,6 +123,13 @@
         /// Offset of the first missing record.
         from: u64,
     },
+    /// Request for a snapshot of a topic, from an instance that has just started.
+    SnapshotRequest {
+        /// Topic of the snapshot.
+        topic: Topic,
+    },
+    /// Contents of a topic.
+    Snapshot(Snapshot),
     /// How far an instance has read a topic that reads it for its failure domain while
     /// the leader is silent.
     ReadProgress {
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -7,6 +7,7 @@
 use tokio::net::UdpSocket;
 
 use super::{Message, heartbeat, missed, send, send_datagrams};
+use crate::reader::bootstrap;
 use crate::state::{Member, PendingTransfer, State};
 
 /// Handles a message that was received from `from`.
@@ -108,6 +109,14 @@
                 send(socket, from, &Message::Records(batch)).await;
             }
         }
+        Message::SnapshotRequest { topic } => {
+            if let Some(snapshot) = bootstrap::snapshot(state, topic)
+                && state.allow_bulk_message()
+            {
+                send(socket, from, &Message::Snapshot(snapshot)).await;
+            }
+        }
+        Message::Snapshot(snapshot) => bootstrap::receive_snapshot(state, snapshot),
         Message::ReadProgress { topic, progress } => {
             if state.feed(topic).observe_reader(now, &progress) {
                 state.record_store_contact();
--- a/crates/entry/src/peers/missed.rs
+++ b/crates/entry/src/peers/missed.rs
@@ -57,7 +57,7 @@
         for change in changes {
             send(socket, to, &Message::OwnersChange(change)).await;
         }
-    } else if state.allow_full_map() {
+    } else if state.allow_bulk_message() {
         let map = state.owner_map.borrow().clone();
         send(socket, to, &Message::Owners(map)).await;
     }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -5,6 +5,7 @@
 //! domain, while the leader is silent or itself gets no responses from the store (core
 //! `follow`).
 
+pub mod bootstrap;
 pub mod history;
 
 use std::cell::RefCell;
@@ -181,6 +182,7 @@
 pub async fn follow(state: Rc<State>, topic: Topic, socket: Rc<UdpSocket>) {
     let address = state.settings.borrow().store;
     let mut store = StoreClient::new(address);
+    bootstrap::wait_for_snapshot(&state, topic, &socket).await;
     loop {
         state.feed(topic).wait_until_due(&state).await;
         let started = state.clock.now();
@@ -370,6 +372,7 @@
             }
             let (routes, version) = (config.routes.len(), config.version);
             tracing::info!(version, routes, before = current, "configuration in force");
+            state.config_record.replace(Some(value.to_vec()));
             state.metrics.config_version.set(version as i64);
             *state.route_table.borrow_mut() = Rc::new(RouteTable::new(config));
             state.traffic_splitter.borrow_mut().reset();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -72,9 +72,10 @@
 /// sent every second.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Minimum interval between two full owner maps that an instance sends on request. A map
-/// of hundreds of upstreams takes 30 kB, and the smallest links carry 20 Mbit/s.
-const FULL_MAP_INTERVAL: Duration = Duration::from_millis(30);
+/// Minimum interval between two full owner maps or snapshots that an instance sends on
+/// request. For hundreds of upstreams they take 30 to 50 kB, and the smallest links carry
+/// 20 Mbit/s.
+const BULK_MESSAGE_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Reachability of the store.
 #[derive(Clone, Copy, Debug, Default)]
@@ -101,6 +102,8 @@
     pub started: u64,
     /// Routes and services of the configuration in force.
     pub route_table: RefCell<Rc<RouteTable>>,
+    /// Encoded configuration in force; `None` before the first.
+    pub config_record: RefCell<Option<Vec<u8>>>,
     /// Distribution of the requests of routes with a traffic split.
     pub traffic_splitter: RefCell<TrafficSplitter>,
     /// Registered upstreams.
@@ -117,8 +120,8 @@
     pub owner_changes: RefCell<ChangeLog>,
     /// Time of the last request for an owner map.
     pub owners_requested: Cell<Option<Time>>,
-    /// Time at which this instance last sent a full owner map on request.
-    full_map_sent: Cell<Option<Time>>,
+    /// Time at which this instance last sent a full owner map or a snapshot on request.
+    bulk_message_sent: Cell<Option<Time>>,
     /// Number of messages broadcast so far; selects the relays of the next one.
     broadcasts: Cell<u64>,
     /// Time at which the owner map was adopted.
@@ -144,6 +147,8 @@
     pub pending_transfer: RefCell<Option<PendingTransfer>>,
     /// Other instances, by name.
     pub members: RefCell<BTreeMap<String, Member>>,
+    /// Whether the other instances have been loaded from the store.
+    pub has_joined: Cell<bool>,
     /// Reachability of the store.
     pub store_health: Cell<StoreHealth>,
     /// Whether the instance is shutting down.
@@ -172,6 +177,7 @@
             clock,
             started,
             route_table: RefCell::default(),
+            config_record: RefCell::default(),
             traffic_splitter: RefCell::default(),
             directory: RefCell::default(),
             config_feed: Feed::default(),
@@ -180,7 +186,7 @@
             doubts: RefCell::default(),
             owner_changes: RefCell::default(),
             owners_requested: Cell::default(),
-            full_map_sent: Cell::default(),
+            bulk_message_sent: Cell::default(),
             broadcasts: Cell::default(),
             owner_map_received: Cell::default(),
             queue: RefCell::default(),
@@ -193,6 +199,7 @@
             leader_topic: Cell::default(),
             pending_transfer: RefCell::default(),
             members: RefCell::default(),
+            has_joined: Cell::default(),
             store_health: Cell::default(),
             stopping: Cell::new(false),
             key_counts: RefCell::default(),
@@ -411,13 +418,14 @@
         (revision.0 == epoch).then_some(revision)
     }
 
-    /// Whether a full owner map may be sent on request now; records that one is sent.
-    pub fn allow_full_map(&self) -> bool {
+    /// Whether a full owner map or a snapshot may be sent on request now; records that one
+    /// is sent.
+    pub fn allow_bulk_message(&self) -> bool {
         let now = self.clock.now();
-        let sent = self.full_map_sent.get();
-        let allowed = sent.is_none_or(|sent| now.since(sent) >= FULL_MAP_INTERVAL);
+        let sent = self.bulk_message_sent.get();
+        let allowed = sent.is_none_or(|sent| now.since(sent) >= BULK_MESSAGE_INTERVAL);
         if allowed {
-            self.full_map_sent.set(Some(now));
+            self.bulk_message_sent.set(Some(now));
         }
         allowed
     }
