Refuse instead of failing when upstreams close new connections at once

Cause: upstreams at their connection limit, or with a long queue, accept a connection and reset it.

Change: each new connection is watched for a round trip before it is used. One that is closed by then counts as a full upstream, not as an unreachable one, and after the second the request is refused as not run, with Retry-After. A relayed message longer than a datagram is passed on in fragments (found in reading).

Tests: request_is_refused_if_all_upstreams_reset_connections (502 on the code before), messages.rs.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -82,12 +82,12 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if the connection is closed.
+    /// Returns `NotAccepted` if the connection is closed.
     pub async fn confirm_accepted(&self) -> Result<(), Error> {
         let (shortest, longest) = ACCEPT_WAIT_BOUNDS;
         tokio::time::sleep(self.connect_time.clamp(shortest, longest)).await;
         match self.sender.is_closed() {
-            true => Err(Error::NotSent("reset after connecting".into())),
+            true => Err(Error::NotAccepted),
             false => Ok(()),
         }
     }
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -7,6 +7,9 @@
 pub enum Error {
     /// The connection failed, or nothing was sent on it.
     NotSent(String),
+    /// The server accepted the connection and closed it at once, as one does that is at its
+    /// connection limit. Nothing was sent.
+    NotAccepted,
     /// The request may have been received, but there is no usable response.
     NoResponse(String),
     /// The server reported, with this status, that the request was not executed.
@@ -19,6 +22,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::NotSent(why) => write!(f, "not sent: {why}"),
+            Error::NotAccepted => write!(f, "not sent: closed after connecting"),
             Error::NoResponse(why) => write!(f, "no answer: {why}"),
             Error::Refused(status) => write!(f, "refused with status {status}"),
             Error::Malformed(why) => write!(f, "malformed answer: {why}"),
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -20,7 +20,7 @@
     let sent = state.clock.now();
     let reply = match send_order(state, &order).await {
         Ok(reply) => reply,
-        Err(Error::NotSent(_)) => Reply::NotSent,
+        Err(Error::NotSent(_) | Error::NotAccepted) => Reply::NotSent,
         Err(_) => Reply::Unknown,
     };
     let outcome = match &reply {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -142,7 +142,7 @@
 
 /// Sends a message. Errors are only logged: a message that cannot be sent counts as lost.
 pub async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
-    if let Some(datagrams) = encode_datagrams(message) {
+    if let Some(datagrams) = encode(message).and_then(to_datagrams) {
         send_datagrams(socket, to, &datagrams).await;
     }
 }
@@ -155,15 +155,15 @@
         .ok()
 }
 
-/// Encodes a message, split into fragments if it does not fit into one datagram.
-fn encode_datagrams(message: &Message) -> Option<Vec<Vec<u8>>> {
-    let bytes = encode(message)?;
-    if bytes.len() <= MAX_DATAGRAM_BYTES {
-        return Some(vec![bytes]);
+/// Returns an encoded message as datagrams: split into fragments if it does not fit into
+/// one. Returns `None` if it takes too many.
+pub fn to_datagrams(message: Vec<u8>) -> Option<Vec<Vec<u8>>> {
+    if message.len() <= MAX_DATAGRAM_BYTES {
+        return Some(vec![message]);
     }
-    let Some(fragments) = fragments::split_message(rand::random(), &bytes, MAX_FRAGMENT_BYTES)
+    let Some(fragments) = fragments::split_message(rand::random(), &message, MAX_FRAGMENT_BYTES)
     else {
-        tracing::error!(bytes = bytes.len(), "message too large, dropped");
+        tracing::error!(bytes = message.len(), "message too large, dropped");
         return None;
     };
     let fragments = fragments.into_iter();
@@ -208,7 +208,7 @@
         let members = state.members.borrow();
         members.values().map(|member| member.address).collect()
     };
-    send_to_each(socket, &members, message).await;
+    send_to_each(socket, &members, encode(message)).await;
 }
 
 /// Sends a message to the other instances of this instance's failure domain.
@@ -218,13 +218,14 @@
         .iter()
         .map(|(_, address)| *address)
         .collect();
-    send_to_each(socket, &neighbours, message).await;
+    send_to_each(socket, &neighbours, encode(message)).await;
 }
 
-async fn send_to_each(socket: &UdpSocket, receivers: &[SocketAddr], message: &Message) {
-    if let Some(datagrams) = encode_datagrams(message) {
-        for address in receivers {
-            send_datagrams(socket, *address, &datagrams).await;
+/// Sends an encoded message to each of the receivers.
+async fn send_to_each(socket: &UdpSocket, receivers: &[SocketAddr], message: Option<Vec<u8>>) {
+    if let Some(datagrams) = message.and_then(to_datagrams) {
+        for receiver in receivers {
+            send_datagrams(socket, *receiver, &datagrams).await;
         }
     }
 }
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::UdpSocket;
 
-use super::{Message, heartbeat, missed, send, send_datagrams};
+use super::{Message, heartbeat, missed, send, send_to_each};
 use crate::reader::bootstrap;
 use crate::state::{Member, PendingTransfer, State};
 
@@ -27,11 +27,10 @@
     }
     let message = match message {
         Message::Relay { receivers, message } => {
-            for receiver in receivers {
-                send_datagrams(socket, receiver, std::slice::from_ref(&message)).await;
-            }
-            match postcard::from_bytes(&message) {
-                Ok(message) => message,
+            let inner = postcard::from_bytes(&message);
+            send_to_each(socket, &receivers, Some(message)).await;
+            match inner {
+                Ok(inner) => inner,
                 Err(error) => {
                     tracing::debug!(%from, %error, "failed to decode relayed message");
                     return;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -42,12 +42,13 @@
     /// Returns the most recently used idle connection to `upstream`, or connects to
     /// `address` within `connect_timeout`. Without an `upstream`, it always connects. For
     /// a request that is not `idempotent`, connections that have been idle for
-    /// `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used, and new ones are used only once the
-    /// server has accepted them.
+    /// `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used. A new connection is used only once the
+    /// server has kept it for a round trip.
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if no connection is established.
+    /// Returns `NotSent` if no connection is established, and `NotAccepted` if the server
+    /// closes a new one at once.
     pub async fn get_or_connect(
         &self,
         now: Time,
@@ -61,9 +62,7 @@
             return Ok(connection);
         }
         let connection = Connection::connect(address, connect_timeout).await?;
-        if !idempotent {
-            connection.confirm_accepted().await?;
-        }
+        connection.confirm_accepted().await?;
         Ok(connection)
     }
 
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -27,6 +27,11 @@
 /// Number of connection failures up to which a request that was never sent is retried.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
+/// Number of upstreams that may close a new connection at once before a request that was
+/// never sent is refused. They are at their connection limit, and further attempts would
+/// keep them there.
+const MAX_CLOSED_CONNECTS: u32 = 1;
+
 /// `Retry-After` is at most the remaining time of the caller divided by this number.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
@@ -78,6 +83,8 @@
     /// Number of sends that were refused because the upstream does not hold the key.
     refused_by_owner: u32,
     connect_failures: u32,
+    /// Number of new connections that the upstream has closed at once.
+    closed_connects: u32,
 }
 
 /// A request that has not been answered yet. It is dropped unanswered if the caller
@@ -243,7 +250,12 @@
     let never_sent = progress.sends == 0;
     let decision = match (is_in_time, never_sent) {
         (false, _) => RetryDecision::Late,
-        (true, true) if progress.connect_failures <= MAX_CONNECT_FAILURES => RetryDecision::Send,
+        (true, true)
+            if progress.connect_failures <= MAX_CONNECT_FAILURES
+                && progress.closed_connects <= MAX_CLOSED_CONNECTS =>
+        {
+            RetryDecision::Send
+        }
         (true, true) => RetryDecision::Spent,
         // The limit is on upstreams that may run the request.
         (true, false)
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -107,8 +107,13 @@
     let mut connection = match connection.await {
         Ok(connection) => connection,
         Err(error) => {
-            in_flight_send.result = SendResult::ConnectFailed;
-            progress.connect_failures += 1;
+            if error == Error::NotAccepted {
+                in_flight_send.result = SendResult::Refused;
+                progress.closed_connects += 1;
+            } else {
+                in_flight_send.result = SendResult::ConnectFailed;
+                progress.connect_failures += 1;
+            }
             return SendOutcome::NotSent(error.to_string());
         }
     };
--- a/crates/entry/tests/path/connection.rs
+++ b/crates/entry/tests/path/connection.rs
@@ -34,7 +34,7 @@
 
     let confirmed = confirmed.await;
 
-    assert!(matches!(confirmed, Err(Error::NotSent(_))), "{confirmed:?}");
+    assert_eq!(confirmed, Err(Error::NotAccepted));
 }
 
 /// Guards against connections that are given up although the server keeps them.
--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -1,11 +1,14 @@
 //! Requests under faults: lost and wrong responses, callers that disconnect, shutdown, and
 //! loss of the leader.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use medlarreel_standin::platform::upstream::ResponseMode;
+use medlarreel_standin::server::any_port;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 use crate::fixture::{
@@ -196,3 +199,35 @@
 
     assert_eq!(held, 1 << 16);
 }
+
+/// Guards against a caller that is told that its request failed, although no upstream has
+/// received it: upstreams at their connection limit reset each new connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_if_all_upstreams_reset_connections() {
+    let mut cluster = start_cluster().await;
+    let full = TcpListener::bind(any_port()).await.unwrap();
+    let address = full.local_addr().unwrap();
+    let resets = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&resets);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = full.accept().await {
+            let options = socket2::SockRef::from(&stream);
+            options.set_linger(Some(Duration::ZERO)).unwrap();
+            counter.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+
+    cluster.register_plain_upstream("full", address);
+    cluster.register_upstreams(0, "draining");
+    cluster.register_upstreams(1, "draining");
+    wait_until("only the full upstream is left", async || {
+        let before = resets.load(Ordering::SeqCst);
+        cluster.get("/catalogue/x", "probe").await;
+        resets.load(Ordering::SeqCst) >= before + 2
+    })
+    .await;
+    let response = cluster.get("/catalogue/x", "one").await;
+
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("retry-after:"), "{response}");
+}
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -140,19 +140,27 @@
 impl TestCluster {
     /// Registers upstream `number` of both services with the given state.
     pub fn register_upstreams(&mut self, number: usize, state: &str) {
+        let keyed = self.keyed[number].address();
+        let plain = self.plain[number].address();
+        self.register("keyed", &format!("k{number}"), keyed, state);
+        self.register("plain", &format!("p{number}"), plain, state);
+    }
+
+    /// Registers a further upstream of the plain service.
+    pub fn register_plain_upstream(&mut self, id: &str, address: SocketAddr) {
+        self.register("plain", id, address, "ready");
+    }
+
+    fn register(&mut self, service: &str, id: &str, address: SocketAddr, state: &str) {
         self.sequence += 1;
-        for (service, prefix, servers) in [("keyed", "k", &self.keyed), ("plain", "p", &self.plain)]
-        {
-            let registration = json!({
-                "service": service, "address": servers[number].address().to_string(),
-                "zone": "a", "version": "v1", "slots": 6, "state": state,
-                "warmupLeftS": 0, "sequence": self.sequence, "born": 1000,
-            });
-            let id = format!("{prefix}{number}");
-            self.store
-                .service()
-                .put("keyed.servers", &id, registration.to_string().as_bytes());
-        }
+        let registration = json!({
+            "service": service, "address": address.to_string(),
+            "zone": "a", "version": "v1", "slots": 6, "state": state,
+            "warmupLeftS": 0, "sequence": self.sequence, "born": 1000,
+        });
+        self.store
+            .service()
+            .put("keyed.servers", id, registration.to_string().as_bytes());
     }
 
     /// Writes a configuration with the given version to the store.
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -6,5 +6,6 @@
 mod fixture;
 mod fleet;
 mod history;
+mod messages;
 mod requests;
 mod settings;
