Let the leader read all records itself, and log joins once

A leader that applied records from the reader of its failure domain would not have forwarded them, since its own read then ends behind them; and while the leader cannot reach the store, all instances introduce themselves to it every second, each with a log line, and sent no reports of demand.

Change: the leader ignores forwarded records; a line is logged for a new process only; reports are sent besides the introduction.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -298,7 +298,6 @@
         {
             // The leader may not know this instance, so that it sends no heartbeats.
             send(&socket, address, &hello(&state)).await;
-            continue;
         }
         let counts = std::mem::take(&mut *state.key_counts.borrow_mut());
         // Empty reports are sent as well: they show that this instance is alive.
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -54,7 +54,10 @@
                 last_heard: Some(now),
             };
             let previous = state.members.borrow_mut().insert(name.clone(), member);
-            tracing::info!(name, %from, replaced = previous.is_some(), "instance joined");
+            // While the leader is silent, instances introduce themselves again and again.
+            if previous.as_ref().map(|previous| previous.started) != Some(started) {
+                tracing::info!(name, %from, replaced = previous.is_some(), "instance joined");
+            }
             // The new instance requests what the heartbeat shows that it has missed.
             let published = state.published_revision();
             if let Some(revision) = published {
@@ -100,8 +103,11 @@
         // messages.
         Message::Fragment(_) | Message::Relay { .. } => {}
         Message::Records(batch) => {
-            crate::reader::receive_records(state, batch);
-            missed::request_records(state, socket, from).await;
+            // The leader forwards what it reads, so it must read everything itself.
+            if state.leadership.borrow().epoch().is_none() {
+                crate::reader::receive_records(state, batch);
+                missed::request_records(state, socket, from).await;
+            }
         }
         Message::RecordsRequest { topic, from: first } => {
             for batch in state.feed(topic).batches_from(now, first) {
