--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -1,6 +1,7 @@
 //! Leader election and the duties of the leader: maintaining its record in the store,
 //! granting keys to upstreams and publishing the owner map.
 
+mod broadcast;
 mod demand;
 mod handover;
 mod order;
@@ -29,7 +30,6 @@
 };
 
 use crate::error::Error;
-use crate::peers::{self, Message};
 use crate::platform::store::{AppendOutcome, StoreClient};
 use crate::state::{PendingTransfer, State};
 
@@ -47,13 +47,6 @@
 /// would delay its heartbeats.
 const BASE_ORDERS_PER_TICK: usize = 16;
 
-/// Interval between the leader's heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Minimum interval between two broadcasts of the owner map, per message that the leader
-/// sends for one.
-const BROADCAST_INTERVAL_PER_MESSAGE: Duration = Duration::from_millis(4);
-
 /// Interval between rebalancing passes.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -414,55 +407,6 @@
         }
     }
 
-    /// Broadcasts the owner map if it has changed, and a heartbeat if one is due.
-    async fn broadcast_owners(&mut self, now: Time) {
-        let revision = {
-            let ledger = self.state.ledger.borrow();
-            ledger
-                .as_ref()
-                .map(|ledger| (ledger.epoch(), ledger.view_version()))
-        };
-        let Some(revision) = revision else {
-            return;
-        };
-        let store_reachable = !self.state.store_health.get().failing;
-        // Both the map and the number of messages grow with the fleet.
-        let interval = BROADCAST_INTERVAL_PER_MESSAGE * self.broadcast_messages;
-        if revision != self.broadcast_revision && now.since(self.last_broadcast) >= interval {
-            self.broadcast_revision = revision;
-            self.last_broadcast = now;
-            let map = {
-                let ledger = self.state.ledger.borrow();
-                ledger
-                    .as_ref()
-                    .map(|ledger| ledger.view(now, store_reachable))
-            };
-            if let Some(map) = map {
-                let change = {
-                    let before = self.state.owner_map.borrow();
-                    (before.epoch == map.epoch).then(|| before.change_to(&map))
-                };
-                let message = match change {
-                    Some(change) => {
-                        self.state.apply_owner_change(change.clone());
-                        Message::OwnersChange(change)
-                    }
-                    None => {
-                        self.state.adopt_owner_map(map.clone());
-                        Message::Owners(map)
-                    }
-                };
-                self.broadcast_messages =
-                    peers::broadcast(&self.state, &self.socket, &message).await;
-            }
-        }
-        if now.since(self.last_heartbeat) >= HEARTBEAT_INTERVAL {
-            self.last_heartbeat = now;
-            let heartbeat = peers::heartbeat(&self.state, now, self.broadcast_revision);
-            peers::broadcast(&self.state, &self.socket, &heartbeat).await;
-        }
-    }
-
     /// Processes the result of the last write, then starts a write if one is due: the
     /// record of owners if it is outdated, otherwise the record that renews leadership.
     ///
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,9 @@
 //! State shared by the tasks of an instance, all of which run on one thread.
 
+mod members;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,13 +16,14 @@
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, Queue, Ticket, UpstreamLookup,
 };
-use medlarreel_core::entry::relay::{self, Branch, Receiver};
 use medlarreel_core::entry::routes::{RouteTable, TrafficSplitter};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
 use tokio::sync::oneshot;
 
+pub use members::Member;
+
 use crate::clock::Clock;
 use crate::connection::Connection;
 use crate::metrics::Metrics;
@@ -40,21 +42,6 @@
 /// ratio limits all instances together, and they receive uneven parts of the requests.
 const INSTANCE_BUDGET_SHARE: f64 = 0.5;
 
-/// Another instance.
-#[derive(Clone, Debug)]
-pub struct Member {
-    /// UDP address for messages between instances.
-    pub address: SocketAddr,
-    /// Start of its process, in milliseconds since the Unix epoch.
-    pub started: u64,
-    /// Processor time allotted to it in its settings, in percent of a core.
-    pub cpu_percent: u32,
-    /// Failure domain that it runs in.
-    pub domain: String,
-    /// Time of the last message from it; `None` if this instance has received none.
-    pub last_heard: Option<Time>,
-}
-
 /// Leadership that another instance has transferred to this one.
 #[derive(Debug)]
 pub struct PendingTransfer {
@@ -68,10 +55,6 @@
     pub confirmed_at: Time,
 }
 
-/// Time without a message after which an instance no longer counts as alive. Reports are
-/// sent every second.
-pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Minimum interval between two full owner maps or snapshots that an instance sends on
 /// request. For hundreds of upstreams they take 30 to 50 kB, and the smallest links carry
 /// 20 Mbit/s.
@@ -429,51 +412,6 @@
         }
         allowed
     }
-
-    /// Address of the leader of the highest known epoch, if it is another instance.
-    pub fn leader_address(&self) -> Option<SocketAddr> {
-        let leadership = self.leadership.borrow();
-        let members = self.members.borrow();
-        members
-            .get(leadership.leader()?)
-            .map(|member| member.address)
-    }
-
-    /// Names and addresses of the other instances of this instance's failure domain.
-    pub fn neighbours(&self) -> Vec<(String, SocketAddr)> {
-        let domain = self.settings.borrow().domain.clone();
-        let members = self.members.borrow();
-        let neighbours = members.iter().filter(|(_, member)| member.domain == domain);
-        neighbours
-            .map(|(name, member)| (name.clone(), member.address))
-            .collect()
-    }
-
-    /// Plans the way of the next broadcast message.
-    pub fn plan_broadcast(&self) -> Vec<Branch> {
-        let now = self.clock.now();
-        let round = self.broadcasts.get();
-        self.broadcasts.set(round + 1);
-        let members = self.members.borrow();
-        let receivers: Vec<Receiver<'_>> = members
-            .values()
-            .map(|member| Receiver {
-                address: member.address,
-                domain: &member.domain,
-                cpu_percent: member.cpu_percent,
-                alive: member.is_alive(now),
-            })
-            .collect();
-        relay::plan_branches(&receivers, round)
-    }
-}
-
-impl Member {
-    /// Whether a message from the instance was received recently.
-    pub fn is_alive(&self, now: Time) -> bool {
-        let heard = self.last_heard;
-        heard.is_some_and(|heard| now.since(heard) < LIVENESS_TIMEOUT)
-    }
 }
 
 impl UpstreamLookup for State {
