--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -43,6 +43,8 @@
             first = order.first,
             last = order.last,
             upstream = order.owner.id,
+            born = order.owner.born,
+            address = %order.owner.address,
             fence = order.fence,
             took_ms = now.since(sent).as_millis() as u64,
             "order finished"
