Let the stand-in of the store restore a backup and start a new era

The stand-in lost nothing that it had acknowledged, so no test of ours could play a store that comes back from a copy some seconds old.

The topics and the era are under one lock, so a response names the era of the log that it was made from. `restore` puts the topics back and ends the waits of all readers; a read beyond the end gets 410 instead of waiting. An append is now checked and applied as a whole: before, its condition was checked under a lock of its own, and a malformed body kept its first records.

--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,7 +1,8 @@
 //! Stand-in for the platform's log store.
 //!
 //! Topics have one partition and are kept in memory. The newest record of a key is
-//! found by a linear scan of its topic, since tests write few records.
+//! found by a linear scan of its topic, since tests write few records. Each response
+//! carries the era of the topics that it was made from.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::json;
@@ -25,11 +26,30 @@
 /// Maximum time that a read waits for a record.
 const MAX_WAIT_MS: u64 = 30_000;
 
+/// First retained offset of every topic, since no record is ever dropped.
+const FIRST_OFFSET: u64 = 0;
+
+/// Number of times that the topics were restored, plus one.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
+type Topics = BTreeMap<String, Vec<Bytes>>;
+
+/// A copy of all topics at one moment.
+#[derive(Clone, Debug)]
+pub struct Backup(Topics);
+
+#[derive(Debug)]
+struct State {
+    era: u64,
+    topics: Topics,
+}
+
 /// The log store and its faults.
 #[derive(Debug)]
 pub struct Store {
-    topics: Mutex<BTreeMap<String, Vec<Bytes>>>,
-    appended: watch::Sender<u64>,
+    state: Mutex<State>,
+    /// Notifies waiting reads of appends and restores.
+    changed: watch::Sender<()>,
     unavailable: AtomicBool,
     responses_to_drop: AtomicU32,
     requests_received: AtomicU32,
@@ -42,8 +62,11 @@
 /// The address cannot be bound.
 pub async fn start(listen: SocketAddr) -> Result<Server<Store>, Error> {
     let store = Store {
-        topics: Mutex::default(),
-        appended: watch::channel(0).0,
+        state: Mutex::new(State {
+            era: 1,
+            topics: Topics::new(),
+        }),
+        changed: watch::channel(()).0,
         unavailable: AtomicBool::new(false),
         responses_to_drop: AtomicU32::new(0),
         requests_received: AtomicU32::new(0),
@@ -59,20 +82,37 @@
         record.put_u8(key.len() as u8);
         record.put_slice(key.as_bytes());
         record.put_slice(value);
-        self.append(topic, record.freeze());
+        self.state().append(topic, vec![record.freeze()]);
+        self.changed.send_replace(());
     }
 
     /// Newest value of a key. `None` if the key has no record in the topic, or if the
     /// newest value is empty, which marks the key as deleted.
     pub fn get(&self, topic: &str, key: &str) -> Option<Bytes> {
-        let topics = self.topics();
-        let records = topics.get(topic)?.iter().rev();
+        let state = self.state();
+        let records = state.records(topic).iter().rev();
         let found = records.filter_map(split_key).find(|(name, _)| name == key);
         found
             .map(|(_, value)| value)
             .filter(|value| !value.is_empty())
     }
 
+    /// Copies all topics.
+    pub fn backup(&self) -> Backup {
+        Backup(self.state().topics.clone())
+    }
+
+    /// Replaces all topics by those of a backup and starts the next era. The records
+    /// appended since the backup are lost, and their offsets are assigned again. Waiting
+    /// reads are answered at once. Faults and counters stay as they are.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = self.state();
+        state.era += 1;
+        state.topics = backup.0;
+        drop(state);
+        self.changed.send_replace(());
+    }
+
     /// Starts or ends an outage, during which every request gets status 503 and has no
     /// effect.
     pub fn set_unavailable(&self, unavailable: bool) {
@@ -90,44 +130,25 @@
         self.requests_received.load(Ordering::SeqCst)
     }
 
-    fn topics(&self) -> MutexGuard<'_, BTreeMap<String, Vec<Bytes>>> {
-        self.topics
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Appends a record. Returns its offset and the new end of the topic.
-    fn append(&self, topic: &str, record: Bytes) -> (usize, usize) {
-        let mut topics = self.topics();
-        let records = topics.entry(topic.to_owned()).or_default();
-        records.push(record);
-        self.appended.send_modify(|count| *count += 1);
-        (records.len() - 1, records.len())
-    }
-
-    /// Offset of the next record to be appended to a topic.
-    fn topic_end(&self, topic: &str) -> usize {
-        self.topics().get(topic).map_or(0, Vec::len)
-    }
-
     /// Appends the records of a body, each preceded by its length in 4 big-endian bytes.
     /// If the parameter `asOf` is given and is not the topic's end, appends nothing and
     /// responds with status 412.
-    async fn add_batch(&self, query: Option<&str>, mut body: Bytes) -> Result<Reply, Error> {
+    fn add_batch(&self, query: Option<&str>, body: Bytes) -> Result<Reply, Error> {
         let topic = text_param(query, "topic")?;
-        let end = self.topic_end(&topic);
-        if query_param(query, "asOf", end)? != end {
-            return Ok(server::json(412, &json!({"end": end})));
-        }
-        let mut first_offset = None;
-        while body.len() >= 4 {
-            let length = body.get_u32() as usize;
-            if length > body.len() {
-                return Err(Error::Malformed("record is cut short".into()));
-            }
-            let (offset, _) = self.append(&topic, body.split_to(length));
-            first_offset = first_offset.or(Some(offset));
+        let records = split_records(body)?;
+        let mut state = self.state();
+        let offset = state.end(&topic);
+        if query_param(query, "asOf", offset)? != offset {
+            return Ok(state.with_era(server::json(412, &json!({"end": offset}))));
         }
+        state.append(&topic, records);
+        self.changed.send_replace(());
         let decrement = |count: u32| count.checked_sub(1);
         if self
             .responses_to_drop
@@ -136,44 +157,52 @@
         {
             return Err(Error::ResponseDropped);
         }
-        let (offset, end) = (first_offset.unwrap_or(end), self.topic_end(&topic));
-        Ok(server::json(200, &json!({"offset": offset, "end": end})))
+        let range = json!({"offset": offset, "end": state.end(&topic)});
+        Ok(state.with_era(server::json(200, &range)))
     }
 
-    /// Responds with the records from an offset on. If there are none yet, waits up to
-    /// `waitMs` milliseconds for one.
+    /// Responds with the records from an offset on. If the offset is the topic's end,
+    /// waits up to `waitMs` milliseconds for a record or a restore. If it lies beyond
+    /// the end, responds with status 410.
     async fn read_records(&self, query: Option<&str>) -> Result<Reply, Error> {
         let topic = text_param(query, "topic")?;
         let from = query_param(query, "from", 0usize)?;
         let wait_ms = query_param(query, "waitMs", 0u64)?.min(MAX_WAIT_MS);
-        let mut appended = self.appended.subscribe();
-        let new_records = async {
-            while self.topic_end(&topic) <= from {
-                if appended.changed().await.is_err() {
+        let mut changed = self.changed.subscribe();
+        let era = self.state().era;
+        let must_wait = || {
+            let state = self.state();
+            state.era == era && state.end(&topic) == from
+        };
+        let change = async {
+            while must_wait() {
+                if changed.changed().await.is_err() {
                     return;
                 }
             }
         };
         // After a timeout, the response contains no records.
-        let _ = tokio::time::timeout(Duration::from_millis(wait_ms), new_records).await;
-        let topics = self.topics();
-        let records = topics.get(&topic).map_or(&[][..], Vec::as_slice);
-        // The end of the topic, and the first retained offset: no record is ever dropped.
+        let _ = tokio::time::timeout(Duration::from_millis(wait_ms), change).await;
+        let state = self.state();
+        let end = state.end(&topic);
+        if from > end {
+            return Ok(state.with_era(server::json(410, &json!({"first": FIRST_OFFSET}))));
+        }
         let mut body = BytesMut::new();
-        body.put_u64(records.len() as u64);
-        body.put_u64(0);
-        for record in records.iter().skip(from) {
+        body.put_u64(end as u64);
+        body.put_u64(FIRST_OFFSET);
+        for record in &state.records(&topic)[from..] {
             body.put_u32(record.len() as u32);
             body.put_slice(record);
         }
-        Ok(Response::new(Full::new(body.freeze())))
+        Ok(state.with_era(Response::new(Full::new(body.freeze()))))
     }
 
     /// Responds with the newest record of each key that is not deleted.
     fn newest_records(&self, query: Option<&str>) -> Result<Reply, Error> {
         let topic = text_param(query, "topic")?;
-        let topics = self.topics();
-        let records = topics.get(&topic).map_or(&[][..], Vec::as_slice);
+        let state = self.state();
+        let records = state.records(&topic);
         let mut newest = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
             match split_key(record) {
@@ -188,24 +217,19 @@
         }
         let item = |(key, (value, offset)): (String, (String, usize))| json!({"key": key, "value": value, "offset": offset});
         let items: Vec<_> = newest.into_iter().map(item).collect();
-        let end = records.len();
-        Ok(server::json(
-            200,
-            &json!({"items": items, "hasMore": false, "end": end}),
-        ))
+        let page = json!({"items": items, "hasMore": false, "end": records.len()});
+        Ok(state.with_era(server::json(200, &page)))
     }
-}
 
-impl server::Service for Store {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Error> {
-        self.requests_received.fetch_add(1, Ordering::SeqCst);
+    async fn respond(&self, request: Request<Incoming>) -> Result<Reply, Error> {
         if self.unavailable.load(Ordering::SeqCst) {
-            return Ok(server::text(503, "the store is down"));
+            let reply = server::text(503, "the store is down");
+            return Ok(self.state().with_era(reply));
         }
         let (parts, body) = request.into_parts();
         let query = parts.uri.query();
         match parts.uri.path() {
-            "/medlarreel/log-append" => self.add_batch(query, server::read_body(body).await?).await,
+            "/medlarreel/log-append" => self.add_batch(query, server::read_body(body).await?),
             "/medlarreel/log-read" => self.read_records(query).await,
             "/medlarreel/log-newest" => self.newest_records(query),
             path => Err(Error::NotFound(path.to_owned())),
@@ -213,6 +237,51 @@
     }
 }
 
+impl State {
+    /// Records of a topic, from offset 0 on.
+    fn records(&self, topic: &str) -> &[Bytes] {
+        self.topics.get(topic).map_or(&[], Vec::as_slice)
+    }
+
+    /// Offset of the next record to be appended to a topic.
+    fn end(&self, topic: &str) -> usize {
+        self.records(topic).len()
+    }
+
+    fn append(&mut self, topic: &str, records: Vec<Bytes>) {
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        topic.extend(records);
+    }
+
+    /// Adds the header with the era to a response.
+    fn with_era(&self, mut reply: Reply) -> Reply {
+        let era = HeaderValue::from(self.era);
+        reply.headers_mut().insert(STORE_ERA, era);
+        reply
+    }
+}
+
+impl server::Service for Store {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Error> {
+        self.requests_received.fetch_add(1, Ordering::SeqCst);
+        let result = self.respond(request).await;
+        result.or_else(|error| Ok(self.state().with_era(server::error_reply(error)?)))
+    }
+}
+
+/// Splits the body of an append into its records.
+fn split_records(mut body: Bytes) -> Result<Vec<Bytes>, Error> {
+    let mut records = Vec::new();
+    while body.len() >= 4 {
+        let length = body.get_u32() as usize;
+        if length > body.len() {
+            return Err(Error::Malformed("record is cut short".into()));
+        }
+        records.push(body.split_to(length));
+    }
+    Ok(records)
+}
+
 /// Splits a record of a keyed topic, which is the length of the key in one byte, the key
 /// and the value. Returns `None` if the record is malformed.
 fn split_key(record: &Bytes) -> Option<(String, Bytes)> {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -131,11 +131,19 @@
     service: Arc<S>,
     request: Request<Incoming>,
 ) -> Result<Reply, Error> {
-    match service.handle(request).await {
-        Err(Error::ResponseDropped) => Err(Error::ResponseDropped),
-        Err(error @ Error::NotFound(_)) => Ok(text(404, &error.to_string())),
-        Err(error) => Ok(text(400, &error.to_string())),
-        Ok(reply) => Ok(reply),
+    service.handle(request).await.or_else(error_reply)
+}
+
+/// Builds the response to a request whose handler failed.
+///
+/// # Errors
+///
+/// `Error::ResponseDropped` has no response and is returned.
+pub(crate) fn error_reply(error: Error) -> Result<Reply, Error> {
+    match error {
+        Error::ResponseDropped => Err(error),
+        Error::NotFound(_) => Ok(text(404, &error.to_string())),
+        _ => Ok(text(400, &error.to_string())),
     }
 }
 
