Let the stand-in of an upstream restart under an id of its own

A test could not play an upstream that starts again at its address, with another id or with the same, and could not see which incarnation had accepted which fence.

`restart` forgets leases and fences, takes an id and closes all open connections, through a new method of the gate. A grant or a release that names another instance is refused with 421 and changes nothing. Accepted grants are recorded with the id and the number of restarts before, since an incarnation may have the id of the one before.

The new tests fail without the closing of the connections, without the reset of the leases and without the check of the target.

--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -1,4 +1,4 @@
-//! Connection faults: freezing, silent connections and a connection limit.
+//! Connection faults: freezing, silent connections, closing and a connection limit.
 //!
 //! While a server is frozen, nothing is read from or written to its connections. A
 //! silent connection stays frozen for the rest of its life. Administrative
@@ -45,6 +45,8 @@
     frozen: bool,
     /// Connections with a lower number are silent.
     silent_below: u64,
+    /// Connections with a lower number are closed.
+    closed_below: u64,
 }
 
 impl Flow {
@@ -80,6 +82,7 @@
             flow: watch::Sender::new(Flow {
                 frozen: false,
                 silent_below: 0,
+                closed_below: 0,
             }),
             next_number: AtomicU64::new(0),
             permits: Arc::new(Semaphore::new(limit)),
@@ -101,6 +104,14 @@
             .send_modify(|flow| flow.silent_below = next_number);
     }
 
+    /// Closes every connection that is open now, including administrative and silent
+    /// ones. Their requests are cancelled.
+    pub fn close_open_connections(&self) {
+        let next_number = self.next_number.load(Ordering::Relaxed);
+        self.flow
+            .send_modify(|flow| flow.closed_below = next_number);
+    }
+
     /// Waits until traffic is not frozen.
     pub async fn wait_until_unfrozen(&self) {
         let mut flow = self.flow.subscribe();
@@ -121,7 +132,8 @@
 
     /// Assigns a number and, below the limit, a permit to a connection that has just
     /// been accepted. Must be called in the order of acceptance, so that
-    /// `silence_open_connections` covers all earlier connections.
+    /// `silence_open_connections` and `close_open_connections` cover all earlier
+    /// connections.
     pub(crate) fn register(&self) -> (u64, Option<OwnedSemaphorePermit>) {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         (number, self.permits.clone().try_acquire_owned().ok())
@@ -174,6 +186,12 @@
         let _ = flow.wait_for(|flow| flow.allows(number)).await;
     }
 
+    /// Waits until the connection registered under `number` is to be closed.
+    pub(crate) async fn wait_until_closed(&self, number: u64) {
+        let mut flow = self.flow.subscribe();
+        let _ = flow.wait_for(|flow| number < flow.closed_below).await;
+    }
+
     async fn wait_until_silenced(&self, number: u64) {
         let mut flow = self.flow.subscribe();
         let silent = |flow: &Flow| number < flow.silent_below && number != ADMIN_NUMBER;
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -1,16 +1,16 @@
 //! Stand-in for an upstream of the platform.
 //!
 //! It stores the highest fence (fencing token) and the lease expiry of each key. It
-//! refuses a request that names another upstream as its target. A keyed upstream also
-//! refuses a request without a key, or for a key whose lease it does not hold. The
-//! requests that are run are recorded.
+//! refuses requests, grants and releases that name another upstream as their target. A
+//! keyed upstream also refuses a request without a key, or for a key whose lease it does
+//! not hold. The requests that are run and the grants that are accepted are recorded.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -20,6 +20,15 @@
 use crate::gate::Gate;
 use crate::server::{self, Reply, Server};
 
+/// Number of 16-bit shard keys.
+const KEY_COUNT: usize = 1 << 16;
+
+/// Id of the upstream that a request is meant for.
+const TARGET_INSTANCE: HeaderName = HeaderName::from_static("target-instance");
+
+/// Id of the upstream that responds.
+const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
+
 /// How the upstream responds to requests. Grants and releases are not affected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -53,6 +62,21 @@
     expires_at: Option<Instant>,
 }
 
+/// A grant that was accepted, be it a new one or a renewal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AcceptedGrant {
+    /// Id of the upstream when it accepted the grant.
+    pub id: String,
+    /// Number of restarts before. Distinguishes incarnations with the same id.
+    pub incarnation: u32,
+    /// First key of the grant.
+    pub first_key: u16,
+    /// Last key of the grant.
+    pub last_key: u16,
+    /// Fence of the grant.
+    pub fence: u64,
+}
+
 /// A request that was run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -66,9 +90,13 @@
 
 #[derive(Debug)]
 struct State {
+    id: String,
+    /// Number of restarts.
+    incarnation: u32,
     mode: ResponseMode,
     /// Lease of each key, indexed by the 16-bit shard key.
     keys: Vec<KeyLease>,
+    accepted_grants: Vec<AcceptedGrant>,
     runs: Vec<Run>,
     finished_count: usize,
 }
@@ -76,8 +104,8 @@
 /// An upstream.
 #[derive(Debug)]
 pub struct Upstream {
-    id: String,
     keyed: bool,
+    gate: Arc<Gate>,
     state: Mutex<State>,
 }
 
@@ -88,17 +116,21 @@
 ///
 /// The address cannot be bound.
 pub async fn start(listen: SocketAddr, id: &str, keyed: bool) -> Result<Server<Upstream>, Error> {
+    let gate = Gate::new(usize::MAX);
     let upstream = Upstream {
-        id: id.to_owned(),
         keyed,
+        gate: gate.clone(),
         state: Mutex::new(State {
+            id: id.to_owned(),
+            incarnation: 0,
             mode: ResponseMode::Serve(Duration::ZERO),
-            keys: vec![KeyLease::default(); 1 << 16],
+            keys: vec![KeyLease::default(); KEY_COUNT],
+            accepted_grants: Vec::new(),
             runs: Vec::new(),
             finished_count: 0,
         }),
     };
-    server::start(listen, upstream, Gate::new(usize::MAX)).await
+    server::start(listen, upstream, gate).await
 }
 
 impl Upstream {
@@ -107,6 +139,22 @@
         self.state().mode = mode;
     }
 
+    /// Restarts the process as another incarnation, whose id may be the same. It holds no
+    /// keys and knows no fences; open connections are closed and their requests
+    /// cancelled. The mode and the records of runs and grants are kept.
+    pub fn restart(&self, id: &str) {
+        let mut state = self.state();
+        id.clone_into(&mut state.id);
+        state.incarnation += 1;
+        state.keys = vec![KeyLease::default(); KEY_COUNT];
+        self.gate.close_open_connections();
+    }
+
+    /// Grants accepted by all incarnations, in the order of their acceptance.
+    pub fn accepted_grants(&self) -> Vec<AcceptedGrant> {
+        self.state().accepted_grants.clone()
+    }
+
     /// Requests whose run has started, in the order of their start.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -122,11 +170,12 @@
     pub fn held_key_count(&self) -> usize {
         let now = Instant::now();
         let state = self.state();
-        let held = state
-            .keys
-            .iter()
-            .filter(|key| key.expires_at.is_some_and(|expires_at| expires_at > now));
-        held.count()
+        state.keys.iter().filter(|key| key.is_held(now)).count()
+    }
+
+    /// Whether the lease of a key is held now.
+    pub fn holds(&self, key: u16) -> bool {
+        self.state().keys[usize::from(key)].is_held(Instant::now())
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -136,11 +185,20 @@
     }
 
     /// Applies a grant or a release. A grant is refused as a whole if one of its keys has
-    /// a higher fence; a release skips such keys.
-    fn apply_lease_update(&self, body: &Bytes) -> Result<Reply, Error> {
+    /// a higher fence; a release skips such keys. Both are refused without effect if they
+    /// name another upstream.
+    fn apply_lease_update(&self, headers: &HeaderMap, body: &Bytes) -> Result<Reply, Error> {
         let update: LeaseUpdate =
             serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))?;
-        let mut state = self.state();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        if state.is_misdirected(headers) {
+            let mut reply = server::text(421, "meant for another instance");
+            if let Ok(id) = HeaderValue::try_from(&state.id) {
+                reply.headers_mut().insert(INSTANCE_ID, id);
+            }
+            return Ok(reply);
+        }
         let keys = &mut state.keys[usize::from(update.from)..=usize::from(update.target)];
         let is_grant = update.hold_s.is_some();
         if is_grant && keys.iter().any(|key| key.fence > update.fence) {
@@ -152,7 +210,15 @@
             key.expires_at = hold.map(|hold| Instant::now() + hold);
         }
         let mut reply = server::text(200, "done");
-        if !is_grant {
+        if is_grant {
+            state.accepted_grants.push(AcceptedGrant {
+                id: state.id.clone(),
+                incarnation: state.incarnation,
+                first_key: update.from,
+                last_key: update.target,
+                fence: update.fence,
+            });
+        } else {
             let token = HeaderValue::from_static("5c0e7a21d94b36f8");
             reply.headers_mut().insert("handover", token);
         }
@@ -161,17 +227,11 @@
 
     /// Status of the refusal if the request must not be run, otherwise `None`.
     fn refusal_status(&self, headers: &HeaderMap) -> Option<StatusCode> {
-        let header = |name| headers.get(name).and_then(|value| value.to_str().ok());
-        if header("target-instance").is_some_and(|target| target != self.id) {
-            return Some(StatusCode::MISDIRECTED_REQUEST);
-        }
         let state = self.state();
-        let key = header("shard-key").and_then(|key| key.parse::<u16>().ok());
-        let held = |key: u16| {
-            let expires_at = state.keys[usize::from(key)].expires_at;
-            expires_at.is_some_and(|expires_at| expires_at > Instant::now())
-        };
-        if self.keyed && !key.is_some_and(held) {
+        let key = headers.get("shard-key").and_then(|key| key.to_str().ok());
+        let key = key.and_then(|key| key.parse::<u16>().ok());
+        let held = |key: u16| state.keys[usize::from(key)].is_held(Instant::now());
+        if state.is_misdirected(headers) || self.keyed && !key.is_some_and(held) {
             return Some(StatusCode::MISDIRECTED_REQUEST);
         }
         (state.mode == ResponseMode::Shed).then_some(StatusCode::SERVICE_UNAVAILABLE)
@@ -186,14 +246,14 @@
     ) -> Result<Reply, Error> {
         let attempt = headers.get("attempt-id").and_then(|id| id.to_str().ok());
         let attempt = attempt.unwrap_or_default().to_owned();
-        let mode = {
+        let (mode, id) = {
             let mut state = self.state();
             state.runs.push(Run {
                 attempt: attempt.clone(),
                 path: path.to_owned(),
                 body,
             });
-            state.mode
+            (state.mode, state.id.clone())
         };
         let response_attempt = match mode {
             ResponseMode::DropResponse => return Err(Error::ResponseDropped),
@@ -206,7 +266,7 @@
             ResponseMode::Shed => attempt.as_str(),
         };
         self.state().finished_count += 1;
-        let mut reply = Response::new(Full::new(Bytes::from(format!("{} {path}", self.id))));
+        let mut reply = Response::new(Full::new(Bytes::from(format!("{id} {path}"))));
         let response_headers = reply.headers_mut();
         if let Ok(response_attempt) = HeaderValue::try_from(response_attempt) {
             response_headers.insert("attempt-id", response_attempt);
@@ -217,13 +277,27 @@
     }
 }
 
+impl KeyLease {
+    fn is_held(&self, now: Instant) -> bool {
+        self.expires_at.is_some_and(|expires_at| expires_at > now)
+    }
+}
+
+impl State {
+    /// Whether a request names another upstream as its target.
+    fn is_misdirected(&self, headers: &HeaderMap) -> bool {
+        let target = headers.get(TARGET_INSTANCE);
+        target.is_some_and(|target| target != &self.id)
+    }
+}
+
 impl server::Service for Upstream {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Error> {
         let (parts, body) = request.into_parts();
         let body = server::read_body(body).await?;
         let path = parts.uri.path();
         if path == "/medlarreel/grant" || path == "/medlarreel/release" {
-            return self.apply_lease_update(&body);
+            return self.apply_lease_update(&parts.headers, &body);
         }
         if let Some(status) = self.refusal_status(&parts.headers) {
             let mut reply = server::text(status.as_u16(), "not run");
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -105,8 +105,17 @@
                     let registered = gate.register();
                     let (service, gate) = (service.clone(), gate.clone());
                     connections.spawn(async move {
-                        if let Some(admitted) = gate.admit(stream, registered).await {
-                            serve_connection(admitted, service, &gate).await;
+                        let number = registered.0;
+                        let serve = async {
+                            if let Some(admitted) = gate.admit(stream, registered).await {
+                                serve_connection(admitted, service, &gate).await;
+                            }
+                        };
+                        tokio::select! {
+                            // A closed connection must not start another request.
+                            biased;
+                            () = gate.wait_until_closed(number) => {}
+                            () = serve => {}
                         }
                     });
                 }
