Ignore delayed registrations of upstreams that ended

Cause: incarnations were told apart by id only. A process that starts at an address proves that the one before it has ended, whatever its id.

Change: a registration is ignored while an upstream that started later is registered at its address, and a later one takes the address over. An address of a removed upstream is free, so clocks that disagree don't block it for longer than a registration lasts.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -67,6 +67,8 @@
 pub struct Directory {
     records: Vec<UpstreamRecord>,
     current: HashMap<String, Upstream>,
+    /// Latest incarnation of any upstream at each address.
+    by_address: HashMap<SocketAddr, Upstream>,
     version: u64,
 }
 
@@ -111,8 +113,11 @@
 
     /// Whether a registration changes anything, rather than only confirming that its
     /// upstream is alive. A change of the remaining warm-up time alone does not count,
-    /// nor does an outdated registration of the same incarnation.
+    /// nor does an outdated registration.
     pub fn is_changed_by(&self, registration: &Registration) -> bool {
+        if self.has_successor(registration) {
+            return false;
+        }
         let Some((_, record)) = self.find(&registration.id) else {
             return true;
         };
@@ -129,14 +134,43 @@
                 || record.usable == registration.draining)
     }
 
+    /// Whether another upstream that has started later is registered at the same address.
+    /// Such a registration was delayed on its way; the process that sent it has ended.
+    fn has_successor(&self, registration: &Registration) -> bool {
+        let latest = self.by_address.get(&registration.address);
+        latest.is_some_and(|key| {
+            let record = &self.records[key.0 as usize];
+            !record.removed
+                && record.registration.address == registration.address
+                && record.registration.id != registration.id
+                && record.registration.born > registration.born
+        })
+    }
+
+    /// Records which upstream has an address now. The one that had it before has ended.
+    fn occupy_address(&mut self, key: Upstream) {
+        let registration = &self.records[key.0 as usize].registration;
+        let before = self.by_address.insert(registration.address, key);
+        let address = registration.address;
+        if let Some(before) = before.filter(|before| *before != key) {
+            let record = &mut self.records[before.0 as usize];
+            if record.registration.address == address {
+                record.usable = false;
+            }
+        }
+    }
+
     /// Applies a registration; returns whether the set of usable upstreams or the
     /// address of one has changed. `since` is the time of the previous read, so the
     /// change is not older than that.
     pub fn apply(&mut self, now: Time, since: Time, registration: Registration) -> bool {
+        if self.has_successor(&registration) {
+            return false;
+        }
         let usable = !registration.draining;
         let leaving = (!usable).then_some(since);
         let warm_at = now + registration.warmup;
-        if let Some(key) = self.current.get(&registration.id) {
+        if let Some(key) = self.current.get(&registration.id).copied() {
             let record = &mut self.records[key.0 as usize];
             if registration.born < record.registration.born {
                 return false;
@@ -157,6 +191,7 @@
                     false => record.leaving_since.or(leaving),
                 };
                 record.warm_at = warm_at;
+                self.occupy_address(key);
                 self.version += u64::from(changed);
                 return changed;
             }
@@ -172,6 +207,7 @@
             leaving_since: leaving,
             warm_at,
         });
+        self.occupy_address(key);
         self.version += 1;
         true
     }
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -40,6 +40,54 @@
     assert_eq!(directory.usable().count(), 0);
 }
 
+/// Guards against sending requests to a process that has ended, after a delayed
+/// registration of it arrives beside that of its successor at the address.
+#[test]
+fn successor_at_an_address_replaces_the_upstream_before_it() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), registration(1));
+    let successor = Registration {
+        id: "next".into(),
+        born: 2,
+        ..registration(1)
+    };
+    let delayed = Registration {
+        sequence: 9,
+        ..registration(1)
+    };
+
+    directory.apply(at(1_000), at(0), successor);
+    let is_change = directory.is_changed_by(&delayed);
+    directory.apply(at(1_200), at(0), delayed);
+
+    let usable: Vec<&str> = directory
+        .usable()
+        .map(|(_, record)| record.registration.id.as_str())
+        .collect();
+    assert!(!is_change);
+    assert_eq!(usable, ["next"]);
+}
+
+/// Guards against an address that stays unused after its upstream has left.
+#[test]
+fn address_of_a_removed_upstream_is_used_again() {
+    let mut directory = Directory::default();
+    let clock_ahead = Registration {
+        born: 5,
+        ..registration(1)
+    };
+    directory.apply(at(0), at(0), clock_ahead);
+    directory.schedule_removal("u1", at(0), at(0));
+    directory.expire(at(0));
+
+    let next = Registration {
+        id: "next".into(),
+        ..registration(1)
+    };
+    assert!(directory.apply(at(100), at(0), next));
+    assert_eq!(directory.usable().count(), 1);
+}
+
 /// Guards against confusing a restarted upstream with the incarnation that owned keys.
 #[test]
 fn later_incarnation_gets_its_own_record() {
