Let a leadership be resumed only once, by a fresh reply to its successor

A stopping leader sent its ledger three times without being asked. The receiver took it if the epoch was the highest known one and it did not lead, and counted the age of the last confirmed write from the arrival. A copy that waited in the socket of a suspended process, or came after the receiver had led and stepped down, could start a second leader of one epoch with fences in use.

The leader now steps down, then offers its leadership (TransferOffer) to one instance, and to a second one only if the first has not answered within 300 ms. The receiver answers with a request that carries a nonce and the start of its process. The ledger is sent only in reply, to the one process that asked first. The receiver accepts a reply only to its latest request, within 500 ms, and counts the age from before that request was first sent. A process never resumes an epoch that it has led, checked again at the takeover; joining the cluster no longer forgets it. If nobody asks, the leader resigns. All of this runs beside the readiness delay.

The start of the process is needed: without it, a successor that led and restarted while its predecessor was still alive got the old ledger again.

The simulation plays messages that are lost, late by up to 20 s or repeated, suspended processes and restarts.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -17,4 +17,5 @@
 pub mod queue;
 pub mod relay;
 pub mod routes;
+pub mod transfer;
 pub mod upstream_state;
--- a/crates/core/src/entry/leadership.rs
+++ b/crates/core/src/entry/leadership.rs
@@ -53,6 +53,8 @@
     /// Highest known epoch and the name of its leader.
     highest_epoch: u64,
     leader: Option<String>,
+    /// Highest epoch in which this process has led; 0 if it never has.
+    highest_led: u64,
     /// Time from which the heartbeat timeout is counted. Heartbeats of a leader that
     /// cannot reach the store do not advance it, unless they announce a new epoch.
     last_heartbeat: Time,
@@ -71,6 +73,7 @@
             role: Role::Follower,
             highest_epoch: 0,
             leader: None,
+            highest_led: 0,
             last_heartbeat: now,
             campaign_after: now,
             last_topic_end: None,
@@ -114,6 +117,7 @@
     pub fn become_leader(&mut self, name: &str, epoch: u64, sent_at: Time) {
         self.vacant = false;
         self.highest_epoch = epoch;
+        self.highest_led = self.highest_led.max(epoch);
         self.leader = Some(name.to_owned());
         self.role = Role::Leader {
             epoch,
@@ -142,6 +146,18 @@
         self.last_heartbeat = now;
     }
 
+    /// Whether this instance may resume the leadership of an epoch whose leader has
+    /// stopped. An epoch in which this process has led before is refused: the offered
+    /// ledger may lack the orders that this process has sent.
+    pub fn accepts_transfer(&self, epoch: u64) -> bool {
+        self.epoch().is_none() && epoch >= self.highest_epoch && epoch > self.highest_led
+    }
+
+    /// Restarts the heartbeat timeout.
+    pub fn restart_heartbeat_timeout(&mut self, now: Time) {
+        self.last_heartbeat = now;
+    }
+
     /// Records a heartbeat of the leader of an epoch; returns whether the epoch is new.
     ///
     /// `store_reachable` tells whether that leader can reach the store. A leader that
--- /dev/null
+++ b/crates/core/src/entry/transfer.rs
@@ -0,0 +1,123 @@
+//! Transfer of leadership from a leader that stops to one other instance.
+//!
+//! The leader stops acting, then offers its leadership to a successor. The successor
+//! answers with a request, and the reply to it contains the ledger. Any copy of these
+//! messages may be lost, repeated, or wait in the socket of a suspended process. So that
+//! no two instances resume one epoch, the leader replies to one process only, and a
+//! process accepts only a recent reply to its latest request. It counts the age of the
+//! leader's last confirmed write from before that request was sent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::time::Time;
+
+/// Time within which an offer must be answered; then the leader offers its leadership to
+/// the next candidate. An instance that is alive answers within a few milliseconds.
+pub const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time from a request until its reply is refused. Requests are sent again while offers
+/// arrive, so a reply that is this late was delayed in a suspended process.
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Number of instances that a leader offers its leadership to. With two, it resigns
+/// before the other instances miss its heartbeats.
+const MAX_CANDIDATES: usize = 2;
+
+/// Process of an instance.
+#[data(key)]
+pub struct Process {
+    /// Address of the instance.
+    pub address: SocketAddr,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started: u64,
+}
+
+/// Offer of a leader that has stopped acting.
+#[data(plain)]
+pub struct Offer {
+    epoch: u64,
+    /// Instances that have not been offered the leadership yet, the next one last.
+    candidates: Vec<SocketAddr>,
+    /// Instance that the leadership is offered to, and the time of its first offer.
+    receiver: Option<(SocketAddr, Time)>,
+    /// The only process that may take over. Set by its first request.
+    successor: Option<Process>,
+}
+
+impl Offer {
+    /// Offer of the leadership of an epoch to the first of `candidates` that answers.
+    pub fn new(epoch: u64, candidates: impl Iterator<Item = SocketAddr>) -> Offer {
+        let mut candidates: Vec<SocketAddr> = candidates.take(MAX_CANDIDATES).collect();
+        candidates.reverse();
+        Offer {
+            epoch,
+            candidates,
+            receiver: None,
+            successor: None,
+        }
+    }
+
+    /// Epoch of the leadership.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether a successor has requested the leadership, so that it may lead now.
+    pub fn is_taken(&self) -> bool {
+        self.successor.is_some()
+    }
+
+    /// Instance to send the offer to now. Returns `None` if none of the candidates has
+    /// answered in time; from then on all requests are refused.
+    pub fn receiver(&mut self, now: Time) -> Option<SocketAddr> {
+        let is_waiting = |(_, since): &(SocketAddr, Time)| now.since(*since) < OFFER_TIMEOUT;
+        if !self.is_taken() && !self.receiver.as_ref().is_some_and(is_waiting) {
+            self.receiver = self.candidates.pop().map(|next| (next, now));
+        }
+        self.receiver.map(|(address, _)| address)
+    }
+
+    /// Whether to send the ledger to a process that requests the leadership of an epoch.
+    /// After the first such request, only the same process receives it.
+    pub fn accept_request(&mut self, epoch: u64, process: Process) -> bool {
+        let is_receiver = self
+            .receiver
+            .is_some_and(|(address, _)| address == process.address);
+        epoch == self.epoch && is_receiver && *self.successor.get_or_insert(process) == process
+    }
+}
+
+/// Latest request of an instance for an offered leadership.
+#[data(plain)]
+#[derive(Default)]
+pub struct Request {
+    /// Epoch, nonce, and the time before the request was first sent; `None` if there is
+    /// no open request.
+    open: Option<(u64, u64, Time)>,
+}
+
+impl Request {
+    /// Returns the nonce with which to request the leadership of `epoch` now. It is
+    /// `new_nonce`, or that of the open request, which is then sent again.
+    pub fn send(&mut self, now: Time, epoch: u64, new_nonce: u64) -> u64 {
+        match self.open {
+            Some((open, nonce, sent)) if open == epoch && now.since(sent) < REPLY_TIMEOUT => nonce,
+            _ => {
+                self.open = Some((epoch, new_nonce, now));
+                new_nonce
+            }
+        }
+    }
+
+    /// Closes the open request with a reply that echoes `nonce`, and returns the time
+    /// before the request was sent. Returns `None` if the reply must be refused.
+    pub fn close(&mut self, now: Time, epoch: u64, nonce: u64) -> Option<Time> {
+        let (.., sent) = self
+            .open
+            .take_if(|(open, expected, _)| *open == epoch && *expected == nonce)?;
+        (now.since(sent) < REPLY_TIMEOUT).then_some(sent)
+    }
+}
--- a/crates/core/tests/entry/leadership.rs
+++ b/crates/core/tests/entry/leadership.rs
@@ -82,3 +82,31 @@
     assert!(leadership.should_campaign(at(100), 0, true));
     assert!(leadership.observe_topic_end(at(100), 10));
 }
+
+/// Guards against resuming an epoch from an old copy of a transfer, after this process has
+/// led it and the store has refused its writes.
+#[test]
+fn epoch_that_was_led_before_is_not_resumed() {
+    let mut leadership = Leadership::new(at(0));
+    leadership.observe_heartbeat(at(0), 7, "a", true);
+    let before = leadership.accepts_transfer(7);
+    leadership.become_leader("b", 7, at(100));
+    let leading = leadership.accepts_transfer(7);
+
+    leadership.step_down(at(200));
+    leadership.restart_heartbeat_timeout(at(300));
+
+    assert_eq!([before, leading], [true, false]);
+    assert!(!leadership.accepts_transfer(7));
+    assert!(leadership.accepts_transfer(8));
+}
+
+/// Guards against resuming an epoch that has ended.
+#[test]
+fn earlier_epoch_is_not_resumed() {
+    let mut leadership = Leadership::new(at(0));
+
+    leadership.observe_heartbeat(at(0), 7, "a", true);
+
+    assert!(!leadership.accepts_transfer(6));
+}
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -13,3 +13,4 @@
 mod queue;
 mod relay;
 mod routes;
+mod transfer;
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -1,22 +1,24 @@
-//! Simulation with random leader changes, failures, restarts of upstreams and lost
-//! messages: a key never has two holders.
+//! Simulation with random leader changes, failures, restarts of upstreams, lost, late and
+//! repeated messages, and suspended processes: a key never has two holders, and an epoch
+//! never two leaders.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarreel_core::entry::leadership::LEADER_LEASE;
+use medlarreel_core::entry::leadership::{LEADER_LEASE, Leadership};
 use medlarreel_core::entry::ledger::{
-    CALL_TIMEOUT, Ledger, Order, OrderKind, Reply, max_lease_duration,
+    CALL_TIMEOUT, Ledger, LedgerSnapshot, Order, OrderKind, Reply, max_lease_duration,
 };
 use medlarreel_core::entry::map::{Owner, OwnerMap};
 use medlarreel_core::entry::plan::{Candidate, KeyWeights};
+use medlarreel_core::entry::transfer::{Offer, Process, Request};
 use medlarreel_core::time::Time;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fixture::{at, candidates, ms};
+use crate::fixture::{address, at, candidates, ms};
 
 const LEASE_DURATION: Duration = Duration::from_secs(4);
 const SERVICE: &str = "intake";
@@ -24,6 +26,9 @@
 /// Keys that the simulation tracks.
 const SAMPLED_KEYS: [u16; 5] = [0, 9_999, 30_000, 45_000, u16::MAX];
 
+/// Number of instances. A leader that stops is replaced by a new process at its address.
+const INSTANCES: usize = 4;
+
 /// An upstream's state of one tracked key: the highest fencing token that it has seen,
 /// and the end of its lease.
 #[derive(Clone, Default)]
@@ -35,15 +40,65 @@
 /// A leader. Two may be active at once, since a deposed leader does not know of its
 /// successor yet.
 struct Leader {
+    /// Distinguishes leaders that continue the same epoch.
+    id: u64,
+    instance: usize,
     ledger: Ledger,
     /// Time at which the store last confirmed this leader.
     confirmed: Time,
 }
 
-/// An order in flight from the leader of an epoch.
+/// A process of an instance.
+struct Instance {
+    started: u64,
+    leadership: Leadership,
+    request: Request,
+    /// Time until which the process is suspended. What it has received waits.
+    suspended_until: Time,
+}
+
+/// What a stopped leader leaves to a successor.
+struct StoppedLeader {
+    address: SocketAddr,
+    offer: Offer,
+    snapshot: LedgerSnapshot,
+    confirmed: Time,
+    /// Time at which the process exits.
+    exits: Time,
+}
+
+/// Message of a transfer of leadership between a stopped leader and an instance.
+#[derive(Clone)]
+enum Message {
+    Offer {
+        epoch: u64,
+    },
+    Request {
+        epoch: u64,
+        started: u64,
+        nonce: u64,
+    },
+    Transfer {
+        snapshot: LedgerSnapshot,
+        age: Duration,
+        nonce: u64,
+    },
+}
+
+/// Message in flight.
+#[derive(Clone)]
+struct Datagram {
+    /// Instance that stopped, or is stopping, as the leader.
+    leader: SocketAddr,
+    /// Instance that may take over.
+    instance: usize,
+    message: Message,
+}
+
+/// An order in flight from a leader.
 #[derive(Clone)]
 struct Call {
-    epoch: u64,
+    leader: u64,
     sent: Time,
     order: Order,
     /// Whether the reply is lost.
@@ -63,7 +118,17 @@
     accepted: BTreeMap<u16, (u64, Owner)>,
     /// Grants that were accepted with a token that another process has had.
     reused_fences: Vec<Order>,
+    /// Leaders that have not noticed their end, by epoch.
     leaders: Vec<Leader>,
+    leader_count: u64,
+    instances: Vec<Instance>,
+    stopped: Vec<StoppedLeader>,
+    /// Messages of transfers in flight, by time of arrival.
+    datagrams: Vec<(Time, Datagram)>,
+    /// Leader that has used each fence.
+    fences: BTreeMap<u64, u64>,
+    /// Number of leaderships that were transferred.
+    transfers: u32,
     /// Epoch that may write to the store, and the ownership record in it.
     store: (u64, OwnerMap),
     /// Calls in flight, by time of arrival.
@@ -94,6 +159,12 @@
             accepted: BTreeMap::new(),
             reused_fences: Vec::new(),
             leaders: Vec::new(),
+            leader_count: 0,
+            instances: (0..INSTANCES).map(|_| instance(0, at(0))).collect(),
+            stopped: Vec::new(),
+            datagrams: Vec::new(),
+            fences: BTreeMap::new(),
+            transfers: 0,
             store: (0, OwnerMap::default()),
             calls: Vec::new(),
             replies: Vec::new(),
@@ -103,14 +174,38 @@
         }
     }
 
+    /// Makes a process that does not lead the leader of a new epoch.
     fn elect_leader(&mut self, now: Time) {
+        let number = self.random.random_range(0..INSTANCES);
+        let instance = &self.instances[number];
+        if instance.leadership.epoch().is_some() || now < instance.suspended_until {
+            return;
+        }
         let (predecessor, epoch) = (self.store.0, self.store.0 + 3);
         let mut ledger = Ledger::new(epoch, LEASE_DURATION);
         let until = now + LEADER_LEASE + CALL_TIMEOUT + max_lease_duration(LEASE_DURATION);
         ledger.adopt(&self.store.1, predecessor, now, until);
         self.store.0 = epoch;
-        let confirmed = now;
-        self.leaders.push(Leader { ledger, confirmed });
+        self.lead(number, ledger, now);
+    }
+
+    /// Lets a process lead with a ledger.
+    fn lead(&mut self, number: usize, ledger: Ledger, confirmed: Time) {
+        let epoch = ledger.epoch();
+        let leadership = &mut self.instances[number].leadership;
+        leadership.become_leader(&format!("i{number}"), epoch, confirmed);
+        self.leader_count += 1;
+        self.leaders.push(Leader {
+            id: self.leader_count,
+            instance: number,
+            ledger,
+            confirmed,
+        });
+        self.leaders.sort_by_key(|leader| leader.ledger.epoch());
+    }
+
+    fn is_suspended(&self, now: Time, instance: usize) -> bool {
+        now < self.instances[instance].suspended_until
     }
 
     /// Restarts an upstream at its address, with its id or with a new one. The leaders
@@ -185,11 +280,13 @@
         Reply::Done { handover: None }
     }
 
-    fn send_order(&mut self, now: Time, epoch: u64, order: Order) {
+    fn send_order(&mut self, now: Time, leader: u64, epoch: u64, order: Order) {
+        let user = *self.fences.entry(order.fence).or_insert(leader);
+        assert_eq!(user, leader, "two leaders use fence {}", order.fence);
         let (sent, outcome) = (now, self.random.random_range(0..10));
         let lost = outcome == 1 || outcome == 2;
         let call = Call {
-            epoch,
+            leader,
             sent,
             order,
             lost,
@@ -221,7 +318,7 @@
         let replies = self.replies.extract_if(.., |(time, ..)| *time <= now);
         for (_, call, reply) in replies.collect::<Vec<_>>() {
             let mut leaders = self.leaders.iter_mut();
-            let sender = leaders.find(|leader| leader.ledger.epoch() == call.epoch);
+            let sender = leaders.find(|leader| leader.id == call.leader);
             if let Some(leader) = sender {
                 let ledger = &mut leader.ledger;
                 ledger.handle_reply(now, call.sent, &call.order, &reply);
@@ -229,13 +326,16 @@
         }
     }
 
-    /// At random, stops a replaced leader, which reports its grants, or hands over from
+    /// At random, lets a replaced leader notice its end and report its grants, and stops
     /// the newest leader.
     fn stop_leaders(&mut self, now: Time) {
         let replaced = self.leaders.len().saturating_sub(1);
         if replaced > 0 && self.random.random_range(0..20) == 0 {
             let index = self.random.random_range(0..replaced);
-            let stopped = self.leaders.remove(index).ledger;
+            let leader = self.leaders.remove(index);
+            self.instances[leader.instance].leadership.step_down(now);
+            self.abort_calls(leader.id);
+            let stopped = leader.ledger;
             let delay = ms(self.random.random_range(0..2_000));
             let report = stopped.snapshot(now).owners;
             self.reports.push((now + delay, stopped.epoch(), report));
@@ -246,12 +346,162 @@
             }
         }
         if self.random.random_range(0..60) == 0
-            && let Some(newest) = self.leaders.last_mut()
+            && let Some(newest) = self.leaders.pop()
         {
-            newest.ledger = Ledger::resume(&newest.ledger.snapshot(now), LEASE_DURATION, now);
-            // The stopping leader closes the connections of its calls.
-            let epoch = newest.ledger.epoch();
-            self.calls.retain(|(_, call)| call.epoch != epoch);
+            self.stop_instance(now, newest);
+        }
+    }
+
+    /// Closes the connections of a leader's calls, so that those in flight are lost.
+    fn abort_calls(&mut self, leader: u64) {
+        self.calls.retain(|(_, call)| call.leader != leader);
+    }
+
+    /// Ends the processes of replaced leaders.
+    fn end_replaced_leaders(&mut self, now: Time) {
+        let epoch = self.store.0;
+        let replaced = |leader: &mut Leader| leader.ledger.epoch() < epoch;
+        for leader in self.leaders.extract_if(.., replaced).collect::<Vec<_>>() {
+            self.abort_calls(leader.id);
+            let started = self.instances[leader.instance].started;
+            self.instances[leader.instance] = instance(started + 1, now);
+        }
+    }
+
+    /// Stops a leader, which offers its leadership to the other instances until it exits.
+    /// A new process starts at its address.
+    fn stop_instance(&mut self, now: Time, leader: Leader) {
+        self.abort_calls(leader.id);
+        let stopped = leader.instance;
+        let others = (1..INSTANCES).map(|step| (stopped + step) % INSTANCES);
+        let candidates = others.map(instance_address);
+        self.stopped.push(StoppedLeader {
+            address: instance_address(stopped),
+            offer: Offer::new(leader.ledger.epoch(), candidates),
+            snapshot: leader.ledger.snapshot(now),
+            confirmed: leader.confirmed,
+            exits: now + ms(self.random.random_range(500..4_000)),
+        });
+        self.instances[stopped] = instance(self.instances[stopped].started + 1, now);
+    }
+
+    /// Sends a message of a transfer: it may be lost, and a copy of it may be very late.
+    fn send(&mut self, now: Time, datagram: Datagram) {
+        for max_delay_ms in [100, 20_000] {
+            if self.random.random_range(0..5) > 0 {
+                let delay = ms(self.random.random_range(0..max_delay_ms));
+                self.datagrams.push((now + delay, datagram.clone()));
+            }
+        }
+    }
+
+    /// Sends the offers of stopped leaders, delivers the messages of transfers that are
+    /// due, and suspends instances at random.
+    fn transfer_leadership(&mut self, now: Time) {
+        if self.random.random_range(0..80) == 0 {
+            let number = self.random.random_range(0..INSTANCES);
+            let duration = ms(self.random.random_range(0..15_000));
+            self.instances[number].suspended_until = now + duration;
+        }
+        if self.random.random_range(0..50) == 0
+            && let Some(newest) = self.leaders.last()
+        {
+            let number = self.random.random_range(0..INSTANCES);
+            let (name, epoch) = (format!("i{}", newest.instance), newest.ledger.epoch());
+            let leadership = &mut self.instances[number].leadership;
+            if leadership.epoch().is_none() {
+                leadership.observe_heartbeat(now, epoch, &name, true);
+            }
+        }
+        self.stopped.retain(|stopped| now < stopped.exits);
+        let receivers = self.stopped.iter_mut().filter_map(|stopped| {
+            let receiver = stopped.offer.receiver(now)?;
+            let instance = (0..INSTANCES).find(|number| instance_address(*number) == receiver)?;
+            let epoch = stopped.offer.epoch();
+            Some(Datagram {
+                leader: stopped.address,
+                instance,
+                message: Message::Offer { epoch },
+            })
+        });
+        for offer in receivers.collect::<Vec<_>>() {
+            self.send(now, offer);
+        }
+        let instances = &self.instances;
+        let is_due = |(time, datagram): &mut (Time, Datagram)| {
+            let waits = match datagram.message {
+                Message::Request { .. } => false,
+                _ => now < instances[datagram.instance].suspended_until,
+            };
+            *time <= now && !waits
+        };
+        let due: Vec<_> = self.datagrams.extract_if(.., is_due).collect();
+        for (_, datagram) in due {
+            self.receive(now, datagram);
+        }
+    }
+
+    /// Handles a message of a transfer.
+    fn receive(&mut self, now: Time, datagram: Datagram) {
+        let (leader, number) = (datagram.leader, datagram.instance);
+        let instance = &mut self.instances[number];
+        let answer = match datagram.message {
+            Message::Offer { epoch } if instance.leadership.accepts_transfer(epoch) => {
+                let nonce = instance.request.send(now, epoch, self.random.random());
+                let started = instance.started;
+                Some(Message::Request {
+                    epoch,
+                    started,
+                    nonce,
+                })
+            }
+            Message::Offer { .. } => None,
+            Message::Request {
+                epoch,
+                started,
+                nonce,
+            } => {
+                let address = instance_address(number);
+                let process = Process { address, started };
+                let senders = self.stopped.iter_mut();
+                let accepting = senders
+                    .filter(|stopped| stopped.address == leader)
+                    .find_map(|stopped| {
+                        let accepted = stopped.offer.accept_request(epoch, process);
+                        accepted.then_some(stopped)
+                    });
+                accepting.map(|stopped| Message::Transfer {
+                    snapshot: stopped.snapshot.clone(),
+                    age: now.since(stopped.confirmed),
+                    nonce,
+                })
+            }
+            Message::Transfer {
+                snapshot,
+                age,
+                nonce,
+            } => {
+                let epoch = snapshot.owners.epoch;
+                let sent = instance.request.close(now, epoch, nonce);
+                if let Some(sent) = sent
+                    && instance.leadership.accepts_transfer(epoch)
+                {
+                    self.transfers += 1;
+                    let ledger = Ledger::resume(&snapshot, LEASE_DURATION, now);
+                    self.lead(number, ledger, sent - age);
+                }
+                None
+            }
+        };
+        if let Some(message) = answer {
+            self.send(
+                now,
+                Datagram {
+                    leader,
+                    instance: number,
+                    message,
+                },
+            );
         }
     }
 
@@ -259,6 +509,7 @@
         self.read_registrations(now);
         self.deliver(now);
         self.stop_leaders(now);
+        self.transfer_leadership(now);
         let usable: Vec<Candidate> = match self.random.random_range(0..40) {
             0 => self.candidates[1..].to_vec(),
             1 => self.candidates[..2].to_vec(),
@@ -279,8 +530,11 @@
             newer.cloned()
         };
         for index in 0..self.leaders.len() {
+            if self.is_suspended(now, self.leaders[index].instance) {
+                continue;
+            }
             let leader = &mut self.leaders[index];
-            let epoch = leader.ledger.epoch();
+            let (id, epoch) = (leader.id, leader.ledger.epoch());
             if store_reachable && epoch == self.store.0 {
                 leader.confirmed = now;
                 self.store.1 = leader.ledger.ownership_record(now);
@@ -298,11 +552,17 @@
                 .ledger
                 .take_due_orders(now, usize::MAX, newer_incarnation)
             {
-                self.send_order(now, epoch, order);
+                self.send_order(now, id, epoch, order);
             }
         }
     }
 
+    /// Whether two processes lead the same epoch.
+    fn has_rivals(&self) -> bool {
+        let epochs = |pair: &[Leader]| pair[0].ledger.epoch() == pair[1].ledger.epoch();
+        self.leaders.windows(2).any(epochs)
+    }
+
     fn holder_count(&self, now: Time, key: u16) -> usize {
         let is_held = |((_, state_key), key_state): &(&(Owner, u16), &KeyState)| {
             *state_key == key && key_state.until.is_some_and(|until| until > now)
@@ -311,6 +571,21 @@
     }
 }
 
+/// Process of an instance that started now.
+fn instance(started: u64, now: Time) -> Instance {
+    Instance {
+        started,
+        leadership: Leadership::new(now),
+        request: Request::default(),
+        suspended_until: now,
+    }
+}
+
+/// Address of instance `number`.
+fn instance_address(number: usize) -> SocketAddr {
+    address(100 + number as u8)
+}
+
 /// Which faults a run contains, besides changes of the leader and lost messages.
 #[derive(Clone, Copy)]
 struct Faults {
@@ -321,21 +596,27 @@
     replaced_leaders_act: bool,
 }
 
-/// Runs a minute of simulated time and checks that no key ever has two holders, and no
-/// process takes a key with a fencing token that another one has had.
-fn check_ownership(seed: u64, faults: Faults) -> Result<(), TestCaseError> {
+/// Runs a minute of simulated time and checks that no key ever has two holders, no epoch two
+/// leaders, and that no process takes a key with a fencing token that another one has had.
+/// Returns the number of leaderships that were transferred.
+fn run(seed: u64, faults: Faults) -> Result<u32, TestCaseError> {
     let mut simulation = Simulation::new(seed);
     simulation.elect_leader(at(0));
     for step in 0..600 {
         let now = at(step * 100);
-        if simulation.random.random_bool(0.01) {
+        let probability = if simulation.leaders.is_empty() {
+            0.1
+        } else {
+            0.01
+        };
+        if simulation.random.random_bool(probability) {
             simulation.elect_leader(now);
         }
         if !faults.replaced_leaders_act {
-            let replaced = simulation.leaders.len() - 1;
-            simulation.leaders.drain(..replaced);
-            let epoch = simulation.store.0;
-            simulation.calls.retain(|(_, call)| call.epoch == epoch);
+            simulation.end_replaced_leaders(now);
+        }
+        if simulation.random.random_bool(0.02) {
+            simulation.restart_upstream(now, faults.restarts_keep_id);
         }
         if simulation.random.random_bool(0.02) {
             let epoch = simulation.store.0;
@@ -348,10 +629,11 @@
         if simulation.random.random_bool(0.02) {
             simulation.partitions.clear();
         }
-        if simulation.random.random_bool(0.02) {
-            simulation.restart_upstream(now, faults.restarts_keep_id);
-        }
         simulation.step(now);
+        prop_assert!(
+            !simulation.has_rivals(),
+            "two leaders of an epoch at step {step}"
+        );
         for key in SAMPLED_KEYS {
             prop_assert!(
                 simulation.holder_count(now, key) <= 1,
@@ -364,33 +646,45 @@
             simulation.reused_fences
         );
     }
-    Ok(())
+    Ok(simulation.transfers)
+}
+
+/// Upstreams are replaced by others, and replaced leaders go on.
+const REPLACED_UPSTREAMS: Faults = Faults {
+    restarts_keep_id: false,
+    replaced_leaders_act: true,
+};
+
+/// Guards against a simulation that checks no transfers, since none succeeds.
+#[test]
+fn simulation_transfers_leadership() {
+    let transfers = (0..20).map(|seed| run(seed, REPLACED_UPSTREAMS).unwrap());
+    let transfers: u32 = transfers.sum();
+
+    assert!(transfers >= 50, "{transfers} transfers");
 }
 
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(60))]
 
-    /// Guards against two upstreams that hold the same key, or have it with the same fencing
-    /// token, whatever messages are lost or delayed, however often the leader changes, and
-    /// when upstreams are replaced at their address.
+    /// Guards against two upstreams that hold the same key, whatever messages are lost or
+    /// delayed, however often the leader changes and when upstreams are replaced at their
+    /// address, and against two leaders that resume the same epoch or use the same fence.
     #[test]
     fn a_key_has_at_most_one_holder(seed in any::<u64>()) {
-        let faults = Faults { restarts_keep_id: false, replaced_leaders_act: true };
-        check_ownership(seed, faults)?;
+        run(seed, REPLACED_UPSTREAMS)?;
     }
 
     /// Guards against a grant for an upstream that reaches its next incarnation.
     #[test]
     fn keys_of_a_restarted_upstream_have_at_most_one_holder(seed in any::<u64>()) {
-        let faults = Faults { restarts_keep_id: true, replaced_leaders_act: false };
-        check_ownership(seed, faults)?;
+        run(seed, Faults { restarts_keep_id: true, replaced_leaders_act: false })?;
     }
 
     /// Guards against a replaced leader whose grants an upstream accepts because it has
     /// restarted, and with that forgotten the fencing tokens of the new leader.
     #[test]
     fn replaced_leader_does_not_grant_to_a_restarted_upstream(seed in any::<u64>()) {
-        let faults = Faults { restarts_keep_id: true, replaced_leaders_act: true };
-        check_ownership(seed, faults)?;
+        run(seed, Faults { restarts_keep_id: true, replaced_leaders_act: true })?;
     }
 }
--- /dev/null
+++ b/crates/core/tests/entry/transfer.rs
@@ -0,0 +1,121 @@
+//! Tests of the transfer of leadership.
+
+use medlarreel_core::entry::transfer::{OFFER_TIMEOUT, Offer, Process, REPLY_TIMEOUT, Request};
+
+use crate::fixture::{address, at, ms};
+
+/// Process of instance `number` that started at `started`.
+fn process(number: u8, started: u64) -> Process {
+    Process {
+        address: address(number),
+        started,
+    }
+}
+
+/// Offer of epoch 7 to instances 1, 2 and 3.
+fn offer() -> Offer {
+    Offer::new(7, (1..=3).map(address))
+}
+
+/// Guards against two successors: the request of the first one arrives only after the
+/// leader has turned to the next.
+#[test]
+fn only_the_current_receiver_may_take_over() {
+    let mut offer = offer();
+
+    let first = offer.receiver(at(0));
+    let second = offer.receiver(at(0) + OFFER_TIMEOUT);
+    let late = offer.accept_request(7, process(1, 1));
+    let current = offer.accept_request(7, process(2, 1));
+
+    assert_eq!([first, second], [Some(address(1)), Some(address(2))]);
+    assert_eq!([late, current], [false, true]);
+}
+
+/// Guards against a leader that turns to another successor after the first may lead.
+#[test]
+fn offer_stays_with_a_successor_that_has_answered() {
+    let mut offer = offer();
+    offer.receiver(at(0));
+
+    assert!(offer.accept_request(7, process(1, 1)));
+
+    assert_eq!(offer.receiver(at(9_000)), Some(address(1)));
+    assert!(offer.accept_request(7, process(1, 1)));
+}
+
+/// Guards against a restarted successor that resumes the state from before its previous
+/// process led.
+#[test]
+fn restarted_successor_is_refused() {
+    let mut offer = offer();
+    offer.receiver(at(0));
+
+    assert!(offer.accept_request(7, process(1, 1)));
+
+    assert!(!offer.accept_request(7, process(1, 2)));
+}
+
+/// Guards against a successor of a leader that has resigned.
+#[test]
+fn requests_are_refused_after_the_last_offer_has_expired() {
+    let mut offer = offer();
+    offer.receiver(at(0));
+    offer.receiver(at(0) + OFFER_TIMEOUT);
+
+    let receiver = offer.receiver(at(0) + OFFER_TIMEOUT * 2);
+
+    assert_eq!(receiver, None);
+    assert!((1..=3).all(|number| !offer.accept_request(7, process(number, 1))));
+}
+
+/// Guards against a request for another epoch that is answered with this one.
+#[test]
+fn request_for_another_epoch_is_refused() {
+    let mut offer = offer();
+    offer.receiver(at(0));
+
+    assert!(!offer.accept_request(6, process(1, 1)));
+
+    assert!(!offer.is_taken());
+}
+
+/// Guards against counting the age of a reply from a later copy of its request.
+#[test]
+fn repeated_request_keeps_its_nonce_and_time() {
+    let mut request = Request::default();
+
+    let nonces = [request.send(at(0), 7, 1), request.send(at(100), 7, 2)];
+    let sent = request.close(at(200), 7, 1);
+
+    assert_eq!(nonces, [1, 1]);
+    assert_eq!(sent, Some(at(0)));
+}
+
+/// Guards against a reply that has waited in the socket of a suspended process, and
+/// against one to an earlier request.
+#[test]
+fn late_reply_is_refused() {
+    let mut request = Request::default();
+    request.send(at(0), 7, 1);
+
+    let nonce = request.send(at(0) + REPLY_TIMEOUT, 7, 2);
+    let earlier = request.close(at(0) + REPLY_TIMEOUT, 7, 1);
+    let late = request.close(at(0) + REPLY_TIMEOUT * 2, 7, 2);
+
+    assert_eq!(nonce, 2);
+    assert_eq!([earlier, late], [None, None]);
+}
+
+/// Guards against accepting copies of a reply, or a reply for another epoch.
+#[test]
+fn reply_is_accepted_once() {
+    let mut request = Request::default();
+    request.send(at(0), 7, 1);
+
+    let other = request.close(at(10), 8, 1);
+    let first = request.close(at(10) + ms(10), 7, 1);
+    let copy = request.close(at(10) + ms(10), 7, 1);
+
+    assert_eq!([other, first, copy], [None, Some(at(0)), None]);
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -158,7 +158,6 @@
     let shutdown_grace = state.settings.borrow().shutdown_grace;
     tracing::info!(connections = connections.open_count(), "shutdown started");
     state.stopping.set(true);
-    leader::transfer_leadership(state, socket).await;
     let drained = async {
         tokio::time::sleep(READINESS_DELAY).await;
         stop.send_replace(true);
@@ -167,7 +166,12 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
-    let finished = tokio::time::timeout(shutdown_grace, drained).await.is_ok();
+    // Requests are still served while leadership is transferred.
+    let (drained, ()) = tokio::join!(
+        tokio::time::timeout(shutdown_grace, drained),
+        leader::transfer_leadership(state, socket),
+    );
+    let finished = drained.is_ok();
     tracing::info!(
         finished,
         cut_off = connections.open_count(),
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -22,7 +22,7 @@
 use tokio::net::UdpSocket;
 
 use demand::Demand;
-pub use handover::{step_down, transfer_leadership};
+pub use handover::{answer_request, step_down, transfer_leadership};
 use order::execute_order;
 pub use record::join_cluster;
 use record::{
@@ -180,7 +180,10 @@
         if let Some((writer, _)) = self.write_result.take() {
             self.writer = Some(writer);
         }
-        if let Some(transferred) = self.state.pending_transfer.take() {
+        // This instance may have learned of a later epoch since it received the transfer.
+        if let Some(transferred) = self.state.pending_transfer.take()
+            && self.state.can_take_over(transferred.snapshot.owners.epoch)
+        {
             self.resume_leadership(now, &transferred);
             return;
         }
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::map::OwnerMap;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
@@ -114,7 +113,10 @@
     peers::send_to_all(state, socket, &peers::hello(state)).await;
     // The leader may not send heartbeats to this instance before the `Hello`, so the time
     // to wait for one starts again.
-    *state.leadership.borrow_mut() = leadership::Leadership::new(state.clock.now());
+    state
+        .leadership
+        .borrow_mut()
+        .restart_heartbeat_timeout(state.clock.now());
 }
 
 async fn announce(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,9 +6,9 @@
 //! In a large fleet, relays pass the leader's messages on (core `relay`).
 //!
 //! Messages may be lost. From a heartbeat, a receiver notices which owner map or records
-//! it has missed, and requests them from the instance that it has the heartbeat from. A
-//! transfer of leadership is sent several times, and `Hello` until the leader is heard;
-//! `Resigned` and reports are not sent again.
+//! it has missed, and requests them from the instance that it has the heartbeat from. An
+//! offer of leadership is sent until the successor is heard to lead, and `Hello` until the
+//! leader is heard; `Resigned` and reports are not sent again.
 
 mod handler;
 mod missed;
@@ -90,7 +90,7 @@
         /// predecessors may remain valid; `None` if the sender has no ledger.
         owners: Option<OwnerMap>,
     },
-    /// The leader is stopping and transfers leadership to the receiver.
+    /// Reply to a `TransferRequest`: leadership is transferred to the receiver.
     Transfer {
         /// Ledger of the stopping leader.
         snapshot: LedgerSnapshot,
@@ -98,8 +98,10 @@
         nonce: u64,
         /// Last known end offset of the leader's topic.
         end: u64,
-        /// Milliseconds since its last successful write.
+        /// Milliseconds since its last successful write, rounded up.
         age_ms: u64,
+        /// Nonce of the request.
+        request: u64,
     },
     /// Observations of an instance since its last report.
     Report {
@@ -138,6 +140,21 @@
         /// How far it was read.
         progress: Progress,
     },
+    /// The leader of an epoch has stopped acting and offers its leadership to the
+    /// receiver.
+    TransferOffer {
+        /// Epoch of the leadership.
+        epoch: u64,
+    },
+    /// Request for an offered leadership.
+    TransferRequest {
+        /// Epoch of the leadership.
+        epoch: u64,
+        /// Start of the sender's process, in milliseconds since the Unix epoch.
+        started: u64,
+        /// Drawn for this request, and echoed in the reply.
+        nonce: u64,
+    },
 }
 
 /// Sends a message. Errors are only logged: a message that cannot be sent counts as lost.
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::transfer::Process;
 use tokio::net::UdpSocket;
 
 use super::{Message, heartbeat, missed, send, send_to_each};
@@ -158,10 +159,18 @@
             nonce,
             end,
             age_ms,
+            request,
         } => {
-            let current = snapshot.owners.epoch >= state.leadership.borrow().highest_epoch();
-            if current && state.leadership.borrow().epoch().is_none() && !state.stopping.get() {
-                let confirmed_at = now - Duration::from_millis(age_ms);
+            let epoch = snapshot.owners.epoch;
+            let sent = state
+                .transfer_request
+                .borrow_mut()
+                .close(now, epoch, request);
+            if let Some(sent) = sent
+                && state.can_take_over(epoch)
+            {
+                // The reply was built after the request was sent, however late it arrives.
+                let confirmed_at = sent - Duration::from_millis(age_ms);
                 state.pending_transfer.replace(Some(PendingTransfer {
                     snapshot,
                     nonce,
@@ -170,6 +179,33 @@
                 }));
             }
         }
+        Message::TransferOffer { epoch } => {
+            if state.can_take_over(epoch) && state.pending_transfer.borrow().is_none() {
+                let nonce = state
+                    .transfer_request
+                    .borrow_mut()
+                    .send(now, epoch, rand::random());
+                let request = Message::TransferRequest {
+                    epoch,
+                    started: state.started,
+                    nonce,
+                };
+                send(socket, from, &request).await;
+            }
+        }
+        Message::TransferRequest {
+            epoch,
+            started,
+            nonce,
+        } => {
+            let process = Process {
+                address: from,
+                started,
+            };
+            if let Some(reply) = crate::leader::answer_request(state, epoch, process, nonce) {
+                send(socket, from, &reply).await;
+            }
+        }
         Message::Report {
             key_counts,
             run_times,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
     Availability, Candidate, Decision, Queue, Ticket, UpstreamLookup,
 };
 use medlarreel_core::entry::routes::{RouteTable, TrafficSplitter};
+use medlarreel_core::entry::transfer::{Offer, Request};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
@@ -43,7 +44,7 @@
 /// ratio limits all instances together, and they receive uneven parts of the requests.
 const INSTANCE_BUDGET_SHARE: f64 = 0.5;
 
-/// Leadership that another instance has transferred to this one.
+/// Leadership that passes from one instance to another.
 #[derive(Debug)]
 pub struct PendingTransfer {
     /// Ledger of the leader that has stopped.
@@ -56,6 +57,15 @@
     pub confirmed_at: Time,
 }
 
+/// Leadership that this instance transfers to another one because it is stopping.
+#[derive(Debug)]
+pub struct OutgoingTransfer {
+    /// The offer, and who may accept it.
+    pub offer: Offer,
+    /// What the successor takes over.
+    pub transfer: PendingTransfer,
+}
+
 /// Minimum interval between two full owner maps or snapshots that an instance sends on
 /// request. For hundreds of upstreams they take 30 to 50 kB, and the smallest links carry
 /// 20 Mbit/s.
@@ -131,6 +141,10 @@
     pub leader_topic: Cell<Option<(u64, u64)>>,
     /// Leadership that was transferred to this instance but not taken over yet.
     pub pending_transfer: RefCell<Option<PendingTransfer>>,
+    /// Latest request of this instance for an offered leadership.
+    pub transfer_request: RefCell<Request>,
+    /// Leadership that this instance has given up because it is stopping.
+    pub outgoing_transfer: RefCell<Option<OutgoingTransfer>>,
     /// Other instances, by name.
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Whether the other instances have been loaded from the store.
@@ -185,6 +199,8 @@
             orders: RefCell::default(),
             leader_topic: Cell::default(),
             pending_transfer: RefCell::default(),
+            transfer_request: RefCell::default(),
+            outgoing_transfer: RefCell::default(),
             members: RefCell::default(),
             has_joined: Cell::default(),
             store_health: Cell::default(),
@@ -225,6 +241,12 @@
         !self.stopping.get() && self.route_table.borrow().is_loaded() && self.is_directory_loaded()
     }
 
+    /// Whether this instance can resume the leadership of an epoch whose leader has
+    /// stopped.
+    pub fn can_take_over(&self, epoch: u64) -> bool {
+        !self.stopping.get() && self.leadership.borrow().accepts_transfer(epoch)
+    }
+
     /// Records the result of a call to the store.
     pub fn record_store_result(&self, success: bool) {
         let mut health = self.store_health.get();
--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -200,6 +200,43 @@
     assert_eq!(held, 1 << 16);
 }
 
+/// Guards against a second leader of one epoch: an instance that was suspended while the
+/// leader stopped reads the old messages of the transfer when it continues.
+#[tokio::test(flavor = "multi_thread")]
+async fn suspended_instance_does_not_resume_an_old_epoch() {
+    let mut cluster = start_cluster().await;
+    let second = start_instance(cluster.store.address()).await;
+    let probe = request_text("GET", "/status/x", "probe", "");
+    wait_until("the second instance serves", async || {
+        send_request(second.callers, &probe)
+            .await
+            .starts_with("HTTP/1.1 200")
+    })
+    .await;
+    // The leader needs a report to know that the second instance is alive.
+    sleep(Duration::from_secs(2)).await;
+
+    second.signal("-STOP");
+    cluster.instance.signal("-TERM");
+    assert!(cluster.instance.wait_for_exit().await);
+    second.signal("-CONT");
+    let metrics = request_text("GET", "/metrics", "m", "");
+    wait_until("the second instance leads", async || {
+        let text = send_request(second.metrics, &metrics).await;
+        text.contains("medlarreel_leads 1\n")
+    })
+    .await;
+
+    let text = send_request(second.metrics, &metrics).await;
+    assert!(!text.contains("medlarreel_epoch 1\n"), "{text}");
+    wait_until("all keys are held", async || {
+        let held = cluster.held_key_count();
+        assert!(held <= 1 << 16, "{held} keys, some have two holders");
+        held == 1 << 16
+    })
+    .await;
+}
+
 /// Guards against a caller that is told that its request failed, although no upstream has
 /// received it: upstreams at their connection limit reset each new connection.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -226,6 +226,12 @@
         runs.filter(|run| run.attempt == attempt).count()
     }
 
+    /// Number of keys that upstreams hold. A key with two holders counts twice.
+    pub fn held_key_count(&self) -> usize {
+        let upstreams = self.keyed.iter().map(Server::service);
+        upstreams.map(|upstream| upstream.held_key_count()).sum()
+    }
+
     /// Sets how all upstreams respond.
     pub fn set_mode(&self, mode: upstream::ResponseMode) {
         for server in self.keyed.iter().chain(&self.plain) {
