Record the era of the platform's store

The store's responses carry the header Store-Era, which rises by one each time that the store comes back from a copy some seconds old. Nothing read it so far, so that an instance could not tell offsets that were given out again from those it knew.

The client remembers the era of its last response. State keeps the highest one that any call has seen; when it rises, this is logged, counted (medlarreel_store_restores_total), and registrations that are removed get the time that upstreams need to register again, which so far followed only from a gap of 1.5 s in the responses. Nothing else depends on the era yet.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -8,6 +8,7 @@
 
 pub mod directory;
 pub mod doubt;
+pub mod era;
 pub mod follow;
 pub mod fragments;
 pub mod leadership;
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -207,6 +207,7 @@
         // The nonce may be that of a leader that transferred leadership to this instance.
         writer.nonce = rand::rng().random();
         let campaign_result = self.campaign(now, &mut writer).await;
+        self.state.observe_store_era(writer.store.era());
         self.writer = Some(writer);
         match campaign_result {
             Ok(()) => self.state.record_store_result(true),
@@ -447,6 +448,7 @@
         tokio::task::spawn_local(async move {
             let (version, owners) = record.unzip();
             let result = writer.write(&state.name(), epoch, owners.as_ref()).await;
+            state.observe_store_era(writer.store.era());
             let written = WriteResult {
                 epoch,
                 sent_at: now,
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -83,7 +83,9 @@
         domain: settings.domain.clone(),
     };
     loop {
-        match announce(&mut store, &settings.name, &record).await {
+        let announced = announce(&mut store, &settings.name, &record).await;
+        state.observe_store_era(store.era());
+        match announced {
             Ok(members) => {
                 state.record_store_result(true);
                 let mut known = state.members.borrow_mut();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -47,6 +47,8 @@
     pub epoch: Gauge,
     /// 1 if this instance is the leader, otherwise 0.
     pub is_leader: Gauge,
+    /// Times that the store has come back from a copy.
+    pub store_restores: Counter,
     /// Log lines that were dropped because the buffer was full.
     pub log_lines_dropped: Counter,
 }
@@ -66,6 +68,7 @@
             config_version: Gauge::default(),
             epoch: Gauge::default(),
             is_leader: Gauge::default(),
+            store_restores: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
         registry.register(
@@ -100,6 +103,11 @@
             "Whether this instance leads",
             metrics.is_leader.clone(),
         );
+        registry.register(
+            "store_restores",
+            "Times that the store came back from a copy",
+            metrics.store_restores.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that were dropped",
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -20,6 +20,9 @@
 pub const SHARD_KEY: HeaderName = HeaderName::from_static("shard-key");
 /// Opaque token that hands state over from one owner of a key range to the next.
 pub const HANDOVER: HeaderName = HeaderName::from_static("handover");
+/// Era of the store, in all its responses: 1 at first, and one more each time that the
+/// store has come back from a copy.
+pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 
 /// Path of the platform's readiness probe.
 pub const READY_PATH: &str = "/medlarreel/ready";
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -8,10 +8,12 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use medlarreel_core::entry::era::Era;
 use serde::Deserialize;
 
 use crate::connection::{BufferedResponse, Connection};
 use crate::error::Error;
+use crate::platform::headers::{self, STORE_ERA};
 
 /// Timeout of a call, in addition to the time that it waits for records. Responses take
 /// a few milliseconds, or a few hundred while the store is slow.
@@ -92,6 +94,7 @@
 pub struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    era: Era,
 }
 
 impl StoreClient {
@@ -100,9 +103,15 @@
         StoreClient {
             address,
             connection: None,
+            era: Era::default(),
         }
     }
 
+    /// Era of the store in its last response, of whichever status.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Reads the latest record of each key of a topic.
     ///
     /// # Errors
@@ -219,6 +228,9 @@
         // kept only after a complete one.
         let response = connection.send_request(request, timeout).await?;
         self.connection = Some(connection);
+        if let Some(era) = headers::parse_u64(&response.headers, &STORE_ERA) {
+            self.era = Era(era);
+        }
         Ok(response)
     }
 }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -185,6 +185,7 @@
         state.feed(topic).wait_until_due(&state).await;
         let started = state.clock.now();
         let read = read_topic(&state, topic, &mut store, started).await;
+        state.observe_store_era(store.era());
         match &read {
             Ok(batch) => {
                 failures = 0;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,6 +10,7 @@
 use http::HeaderMap;
 use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
 use medlarreel_core::entry::doubt::Doubts;
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
 use medlarreel_core::entry::map::{ChangeLog, OwnerMap, OwnerMapChange};
@@ -151,6 +152,8 @@
     pub has_joined: Cell<bool>,
     /// Reachability of the store.
     pub store_health: Cell<StoreHealth>,
+    /// Highest era of the store that this instance has seen or heard of.
+    pub store_era: Cell<Era>,
     /// Whether the instance is shutting down.
     pub stopping: Cell<bool>,
     /// Request counts by service and key since the last report to the leader. On the
@@ -204,6 +207,7 @@
             members: RefCell::default(),
             has_joined: Cell::default(),
             store_health: Cell::default(),
+            store_era: Cell::default(),
             stopping: Cell::new(false),
             key_counts: RefCell::default(),
             run_times: RefCell::default(),
@@ -280,6 +284,25 @@
         self.store_health.set(health);
     }
 
+    /// Records the era that the store or another instance has named. Lower ones are
+    /// ignored: responses on different connections can arrive out of order.
+    pub fn observe_store_era(&self, era: Era) {
+        let before = self.store_era.get();
+        if era <= before {
+            return;
+        }
+        self.store_era.set(era);
+        if !before.is_known() {
+            return;
+        }
+        tracing::info!(era = era.0, before = before.0, "store restored from a copy");
+        self.metrics.store_restores.inc();
+        // Upstreams register again even if the outage was too short to be noticed.
+        let mut health = self.store_health.get();
+        health.recovered_at = Some(self.clock.now());
+        self.store_health.set(health);
+    }
+
     /// Adds a request to the retry budget of its service.
     pub fn earn_retry_budget(&self, now: Time, service: &str) {
         self.retry_budgets
