Load the topics again when a new era of the store begins

After the store came back from a copy, callers were served by a configuration that was no longer in force: a confirmed version did not reach an instance, or none.

Cause: positions, forwarded batches and the history of batches compared offsets across the restore. A follower took the leader's batches, which had lower offsets than its own, for known ones and dropped them; a heartbeat with a lower end counted as up to date. The leader itself read on from its old offset once the topic had grown past it, and missed the records before. A 410 also cleared the position, on which readiness depended, so that all instances reported at once that they were not ready.

When an instance sees a higher era, from the store or from any of these messages, it drops offsets and batches and keeps what it has applied, so it stays ready. Messages of an earlier era are ignored, so a reader that still sees the old one counts as silent; a response of another era than its offset is not applied. The topics are then loaded again from an instance of the failure domain, at times from the leader, or from the store, with the delays that exist for starts. A configuration whose predecessors are missing is applied, since each one is complete.

Those of follow.rs that existed pass the era and check what they did before.

--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -4,9 +4,14 @@
 //! Normally only the leader reads. While the leader is silent or its reads are outdated,
 //! one instance of each failure domain reads for the others of its domain. Reads by all
 //! instances would exceed the store's call rate in a large fleet.
+//!
+//! When a new era of the store begins, an instance keeps what it has applied, but its
+//! offset has lost its meaning. It loads the topic again, from another instance that has
+//! already done so or from the store.
 
 use std::time::Duration;
 
+use super::era::Era;
 use crate::time::Time;
 
 /// Age from which the reads of others count as outdated. A change must take effect
@@ -44,12 +49,20 @@
     Known,
     /// Records before the batch are missing.
     Gap,
+    /// The batch is from an earlier era of the store.
+    Outdated,
 }
 
 /// Position of an instance in a topic.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Position {
-    next_offset: Option<u64>,
+    era: Era,
+    /// Offset of the next record in the era; 0 before the first load in it.
+    end: u64,
+    /// Whether the topic can be read from `end` on.
+    readable: bool,
+    /// Whether the topic has been loaded, in this era or an earlier one.
+    loaded: bool,
     as_of: Time,
     /// Time of the last message from a reader whose reads are not outdated.
     reader_heard: Option<Time>,
@@ -59,10 +72,33 @@
 }
 
 impl Position {
+    /// Era of the store that the offset belongs to.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Offset of the next record; `None` if the latest record of each key must be read
     /// first.
     pub fn next_offset(&self) -> Option<u64> {
-        self.next_offset
+        self.readable.then_some(self.end)
+    }
+
+    /// Whether the topic has been loaded at least once. What was loaded stays in use
+    /// while it must be loaded again.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Forgets the offset if it belongs to an earlier era. Returns whether `era` is a new
+    /// one.
+    pub fn observe_era(&mut self, era: Era) -> bool {
+        let is_new = era > self.era;
+        if is_new {
+            self.era = era;
+            self.end = 0;
+            self.reset();
+        }
+        is_new
     }
 
     /// All records written before this time have been applied.
@@ -78,18 +114,26 @@
     /// Records that all records before `end` that were written before `as_of` have been
     /// applied.
     pub fn advance(&mut self, end: u64, as_of: Time) {
-        if self.next_offset.is_none() {
+        if !self.readable {
             // Others need time to send their first message.
             self.reader_heard = self.reader_heard.max(Some(as_of));
         }
-        self.next_offset = Some(end);
+        self.end = end;
+        (self.readable, self.loaded) = (true, true);
         self.as_of = self.as_of.max(as_of);
         self.behind_since = None;
     }
 
-    /// Forgets the position after the store has dropped the records that follow it.
+    /// Records that the topic cannot be read on from the offset: the store has dropped
+    /// the records that follow it.
     pub fn reset(&mut self) {
-        self.next_offset = None;
+        self.readable = false;
+    }
+
+    /// Whether to apply a snapshot of the records before `end`. One from before the
+    /// records that this instance has applied could remove what these have added.
+    pub fn accepts_snapshot(&self, era: Era, end: u64) -> bool {
+        !self.readable && era == self.era && end >= self.end
     }
 
     /// Records that records are missing.
@@ -97,26 +141,30 @@
         self.behind_since = self.behind_since.or(Some(now));
     }
 
-    /// How a batch of the records from offset `from` to before `end` fits.
+    /// How a batch of the records of `era` from offset `from` to before `end` fits.
     ///
     /// A batch that overlaps with applied records can be applied again as a whole: it
     /// contains the latest change of each key within its offsets.
-    pub fn fit(&self, from: u64, end: u64) -> Fit {
-        match self.next_offset {
+    pub fn fit(&self, era: Era, from: u64, end: u64) -> Fit {
+        match self.next_offset() {
+            _ if era < self.era => Fit::Outdated,
+            _ if era > self.era => Fit::Gap,
             Some(next) if end <= next => Fit::Known,
             Some(next) if from <= next => Fit::Next,
             _ => Fit::Gap,
         }
     }
 
-    /// Records that another instance has read the topic up to `end`, and that its read is
-    /// `age` old. Returns false, and records nothing, if that is too old.
-    pub fn observe_reader(&mut self, now: Time, end: u64, age: Duration) -> bool {
-        if age > MAX_READ_AGE {
+    /// Records that another instance has read the topic up to `end` in `era`, and that its
+    /// read is `age` old. Returns false, and records nothing, if that is too old or if the
+    /// era has ended.
+    pub fn observe_reader(&mut self, now: Time, era: Era, end: u64, age: Duration) -> bool {
+        if age > MAX_READ_AGE || era < self.era {
             return false;
         }
+        self.observe_era(era);
         self.reader_heard = Some(now);
-        match self.next_offset {
+        match self.next_offset() {
             Some(next) if end <= next => self.as_of = self.as_of.max(now - age),
             _ => self.mark_behind(now),
         }
@@ -129,19 +177,19 @@
         let is_due = self
             .last_request
             .is_none_or(|last| now.since(last) >= REQUEST_INTERVAL);
-        let due = self.is_behind() && self.next_offset.is_some() && is_due;
+        let due = self.is_behind() && self.readable && is_due;
         if due {
             self.last_request = Some(now);
         }
         due
     }
 
-    /// Whether this instance, which started `waited` ago, should load the topic from the
-    /// store now. Before that it requests a snapshot from the others of its failure domain,
-    /// unless it is the first of them; see `should_read` for `reader_position`, which is
+    /// Whether this instance, which has had no offset for the time `waited`, should load the
+    /// topic from the store now. Before that it requests a snapshot from other instances,
+    /// unless it is the first of its failure domain; see `should_read` for `reader_position`, which is
     /// `None` while the others are not known.
     pub fn should_load(&self, waited: Duration, reader_position: Option<u32>) -> bool {
-        self.next_offset.is_none() && waited >= stagger(reader_position.unwrap_or(u32::MAX))
+        !self.readable && waited >= stagger(reader_position.unwrap_or(u32::MAX))
     }
 
     /// Whether no other instance that reads the topic has been heard for `MAX_READ_AGE`.
@@ -158,7 +206,7 @@
         let is_overdue = self
             .behind_since
             .is_some_and(|since| now.since(since) >= CATCH_UP_TIME);
-        is_leader || self.next_offset.is_none() || is_silent || is_overdue
+        is_leader || !self.readable || is_silent || is_overdue
     }
 }
 
--- a/crates/core/tests/entry/follow.rs
+++ b/crates/core/tests/entry/follow.rs
@@ -1,12 +1,17 @@
 //! Following a topic of the store through other instances.
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::follow::{Fit, Position, retry_delay};
 
 use crate::fixture::{at, ms};
 
+/// Era of the store in tests in which it does not change.
+const ERA: Era = Era(1);
+
 /// Position of a follower that has loaded a topic up to offset 100 at time 0.
 fn loaded() -> Position {
     let mut position = Position::default();
+    position.observe_era(ERA);
     position.advance(100, at(0));
     position
 }
@@ -17,7 +22,7 @@
 fn only_the_first_instance_of_a_domain_reads_while_the_leader_is_silent() {
     let mut positions = vec![loaded(); 59];
     for position in &mut positions {
-        position.observe_reader(at(10), 100, ms(0));
+        position.observe_reader(at(10), ERA, 100, ms(0));
     }
     let mut reads = vec![0; positions.len()];
 
@@ -30,7 +35,7 @@
             reads[reader] += 1;
             for (other, position) in positions.iter_mut().enumerate() {
                 if other != reader {
-                    position.observe_reader(at(time + 40), 100, ms(40));
+                    position.observe_reader(at(time + 40), ERA, 100, ms(40));
                 }
             }
         }
@@ -44,7 +49,7 @@
 #[test]
 fn another_instance_reads_if_the_first_does_not() {
     let mut position = loaded();
-    position.observe_reader(at(0), 100, ms(0));
+    position.observe_reader(at(0), ERA, 100, ms(0));
 
     assert!(!position.should_read(at(1_100), false, 1));
     assert!(position.should_read(at(1_200), false, 1));
@@ -57,11 +62,11 @@
 fn batch_that_overlaps_with_applied_records_is_applied() {
     let position = loaded();
 
-    assert_eq!(position.fit(90, 110), Fit::Next);
-    assert_eq!(position.fit(100, 110), Fit::Next);
-    assert_eq!(position.fit(80, 100), Fit::Known);
-    assert_eq!(position.fit(101, 110), Fit::Gap);
-    assert_eq!(Position::default().fit(0, 5), Fit::Gap);
+    assert_eq!(position.fit(ERA, 90, 110), Fit::Next);
+    assert_eq!(position.fit(ERA, 100, 110), Fit::Next);
+    assert_eq!(position.fit(ERA, 80, 100), Fit::Known);
+    assert_eq!(position.fit(ERA, 101, 110), Fit::Gap);
+    assert_eq!(Position::default().fit(ERA, 0, 5), Fit::Gap);
 }
 
 /// Guards against missed records that are read from the store although another instance
@@ -70,7 +75,7 @@
 fn missed_records_are_requested_before_they_are_read() {
     let mut position = loaded();
 
-    position.observe_reader(at(100), 105, ms(0));
+    position.observe_reader(at(100), ERA, 105, ms(0));
     let requests = [at(100), at(150), at(250)].map(|now| position.take_request(now));
 
     assert_eq!(requests, [true, false, true]);
@@ -86,7 +91,7 @@
 fn outdated_reads_do_not_count() {
     let mut position = loaded();
 
-    assert!(!position.observe_reader(at(900), 100, ms(1_001)));
+    assert!(!position.observe_reader(at(900), ERA, 100, ms(1_001)));
 
     assert!(position.should_read(at(1_000), false, 0));
     assert_eq!(position.as_of(), at(0));
@@ -124,3 +129,68 @@
     assert!(retries_within(true, ms(8_000)) >= 20);
     assert!(retry_delay(false, u32::MAX) <= ms(2_400));
 }
+
+/// Guards against records of a restored store that an instance takes for known ones
+/// because their offsets are lower than its own.
+#[test]
+fn offsets_of_another_era_are_not_compared() {
+    let mut position = loaded();
+
+    assert_eq!(position.fit(Era(2), 80, 90), Fit::Gap);
+    assert!(position.observe_reader(at(100), Era(2), 90, ms(0)));
+    assert_eq!(position.next_offset(), None);
+    assert_eq!(position.fit(Era(2), 80, 90), Fit::Gap);
+    assert_eq!(position.fit(Era(1), 100, 110), Fit::Outdated);
+    position.advance(90, at(100));
+    assert_eq!(position.fit(Era(2), 80, 90), Fit::Known);
+    assert_eq!(position.fit(Era(2), 90, 95), Fit::Next);
+}
+
+/// Guards against an instance that follows a reader which still sees the store from
+/// before it was restored.
+#[test]
+fn reader_of_an_earlier_era_counts_as_silent() {
+    let mut position = loaded();
+    position.observe_era(Era(2));
+    position.advance(90, at(0));
+
+    assert!(!position.observe_reader(at(900), Era(1), 200, ms(0)));
+
+    assert!(!position.is_behind());
+    assert!(position.should_read(at(1_000), false, 0));
+}
+
+/// Guards against instances that stop serving requests when the store was restored or
+/// has dropped old records.
+#[test]
+fn topic_that_must_be_loaded_again_counts_as_loaded() {
+    let mut restored = loaded();
+    let mut trimmed = loaded();
+
+    assert!(restored.observe_era(Era(2)));
+    assert!(!restored.observe_era(Era(1)));
+    trimmed.reset();
+
+    for position in [restored, trimmed] {
+        assert!(position.is_loaded());
+        assert_eq!(position.next_offset(), None);
+        assert!(!position.should_load(ms(100), Some(1)));
+        assert!(position.should_load(ms(120), Some(1)));
+    }
+    assert!(!Position::default().is_loaded());
+}
+
+/// Guards against a snapshot that undoes changes which an instance has applied.
+#[test]
+fn only_a_snapshot_that_is_not_older_is_accepted() {
+    let mut position = loaded();
+    assert!(!position.accepts_snapshot(ERA, 200), "nothing to load");
+
+    position.reset();
+    assert!(!position.accepts_snapshot(ERA, 99));
+    assert!(position.accepts_snapshot(ERA, 100));
+
+    position.observe_era(Era(2));
+    assert!(!position.accepts_snapshot(ERA, 200));
+    assert!(position.accepts_snapshot(Era(2), 50));
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -125,10 +125,12 @@
         /// Offset of the first missing record.
         from: u64,
     },
-    /// Request for a snapshot of a topic, from an instance that has just started.
+    /// Request for a snapshot of a topic, from an instance that must load it.
     SnapshotRequest {
         /// Topic of the snapshot.
         topic: Topic,
+        /// Time at the sender; the snapshot repeats it.
+        sent_at: Time,
     },
     /// Contents of a topic.
     Snapshot(Snapshot),
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -72,6 +72,9 @@
             revision,
             progress: topic_progress,
         } => {
+            for (_, progress) in &topic_progress {
+                state.observe_store_era(progress.era);
+            }
             let previous_epoch = state.leadership.borrow().epoch();
             if state
                 .leadership
@@ -104,6 +107,7 @@
         // messages.
         Message::Fragment(_) | Message::Relay { .. } => {}
         Message::Records(batch) => {
+            state.observe_store_era(batch.era);
             // The leader forwards what it reads, so it must read everything itself.
             if state.leadership.borrow().epoch().is_none() {
                 crate::reader::receive_records(state, batch);
@@ -115,8 +119,8 @@
                 send(socket, from, &Message::Records(batch)).await;
             }
         }
-        Message::SnapshotRequest { topic } => {
-            if let Some(snapshot) = bootstrap::snapshot(state, topic)
+        Message::SnapshotRequest { topic, sent_at } => {
+            if let Some(snapshot) = bootstrap::snapshot(state, topic, sent_at)
                 && state.allow_bulk_message()
             {
                 send(socket, from, &Message::Snapshot(snapshot)).await;
@@ -124,6 +128,7 @@
         }
         Message::Snapshot(snapshot) => bootstrap::receive_snapshot(state, snapshot),
         Message::ReadProgress { topic, progress } => {
+            state.observe_store_era(progress.era);
             if state.feed(topic).observe_reader(now, &progress) {
                 state.record_store_contact();
             }
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -119,6 +119,7 @@
     /// Returns an error if the call fails or the response is invalid.
     pub async fn read_latest(&mut self, topic: &str) -> Result<LatestRecords, Error> {
         let mut latest = LatestRecords::default();
+        let mut era = None;
         let mut after = String::new();
         loop {
             let query = match after.is_empty() {
@@ -127,6 +128,9 @@
             };
             let response = self.call("GET", &query, Bytes::new(), CALL_TIMEOUT).await?;
             check_status(&response, &[StatusCode::OK])?;
+            if *era.get_or_insert(self.era) != self.era {
+                return Err(Error::Malformed("pages of two eras".into()));
+            }
             let page: RawLatestPage = serde_json::from_slice(&response.body).map_err(malformed)?;
             // The pages are not a consistent snapshot. Reading on from the end that the
             // first page reports covers every change made between the pages.
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -4,6 +4,9 @@
 //! at startup, when they cannot get missed records from others, and, one in each failure
 //! domain, while the leader is silent or itself gets no responses from the store (core
 //! `follow`).
+//!
+//! What was read stays in use when a new era of the store begins, but offsets and batches
+//! of the earlier one are dropped, and each topic is loaded again (`bootstrap`).
 
 pub mod bootstrap;
 pub mod history;
@@ -13,6 +16,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::REREGISTRATION_GRACE;
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::follow::{self, Fit, Position};
 use medlarreel_core::entry::routes::RouteTable;
 use medlarreel_core::time::Time;
@@ -76,6 +80,8 @@
 /// How far a topic has been read.
 #[data(value)]
 pub struct Progress {
+    /// Era of the store that the offset belongs to.
+    pub era: Era,
     /// Offset of the next record.
     pub end: u64,
     /// Maximum age of unread records, in milliseconds.
@@ -87,6 +93,8 @@
 pub struct RecordBatch {
     /// Topic of the records.
     pub topic: Topic,
+    /// Era of the store that the offsets belong to.
+    pub era: Era,
     /// Offset from which the leader read.
     pub from: u64,
     /// Offset after the last record that the leader read.
@@ -109,13 +117,26 @@
 impl Feed {
     /// Whether the topic has been read at least once.
     pub fn is_loaded(&self) -> bool {
-        self.position.borrow().next_offset().is_some()
+        self.position.borrow().is_loaded()
+    }
+
+    /// Whether the topic must be loaded before it can be read on.
+    fn must_load(&self) -> bool {
+        self.position.borrow().next_offset().is_none()
+    }
+
+    /// Drops the offset and the batches of an earlier era.
+    pub fn observe_era(&self, era: Era) {
+        if self.position.borrow_mut().observe_era(era) {
+            self.history.take();
+        }
     }
 
-    /// How far the topic has been read; `None` if it has not been read yet.
+    /// How far the topic has been read; `None` if it must be loaded first.
     pub fn progress(&self, now: Time) -> Option<Progress> {
         let position = self.position.borrow();
         Some(Progress {
+            era: position.era(),
             end: position.next_offset()?,
             age_ms: now.since(position.as_of()).as_millis() as u64,
         })
@@ -127,11 +148,11 @@
     }
 
     /// Records how far another instance has read. Returns false, and records nothing, if
-    /// its reads are outdated.
+    /// its reads are outdated. `State::observe_store_era` comes first.
     pub fn observe_reader(&self, now: Time, progress: &Progress) -> bool {
         let age = Duration::from_millis(progress.age_ms);
         let mut position = self.position.borrow_mut();
-        position.observe_reader(now, progress.end, age)
+        position.observe_reader(now, progress.era, progress.end, age)
     }
 
     /// Offset from which records are to be requested from another instance now; `None` if
@@ -180,12 +201,22 @@
     let address = state.settings.borrow().store;
     let mut store = StoreClient::new(address);
     let mut failures = 0;
-    bootstrap::wait_for_snapshot(&state, topic, &socket).await;
+    let mut load_due_since = None;
+    let feed = state.feed(topic);
     loop {
-        state.feed(topic).wait_until_due(&state).await;
+        if !feed.must_load() {
+            load_due_since = None;
+        }
+        feed.wait_until_due(&state).await;
+        if feed.must_load() {
+            let since = *load_due_since.get_or_insert_with(|| state.clock.now());
+            bootstrap::wait_for_snapshot(&state, topic, &socket, since).await;
+            if !feed.must_load() {
+                continue;
+            }
+        }
         let started = state.clock.now();
         let read = read_topic(&state, topic, &mut store, started).await;
-        state.observe_store_era(store.era());
         match &read {
             Ok(batch) => {
                 failures = 0;
@@ -199,21 +230,29 @@
                 tracing::debug!(topic = topic.label(), %error, "failed to read from the store");
                 state.record_store_result(false);
                 failures += 1;
-                wait_for_retry(&state, failures).await;
+                wait_for_retry(&state, topic, &socket, failures).await;
             }
         }
     }
 }
 
 /// Waits until a failed read is due again; the delay is shorter once this instance leads.
-async fn wait_for_retry(state: &State, failures: u32) {
+/// Requests snapshots meanwhile if the topic must be loaded, and returns once it has been.
+async fn wait_for_retry(state: &State, topic: Topic, socket: &UdpSocket, failures: u32) {
     let failed_at = state.clock.now();
+    let must_load = state.feed(topic).must_load();
     loop {
         let is_leader = state.leadership.borrow().epoch().is_some();
         let waited = state.clock.now().since(failed_at);
         if waited >= follow::retry_delay(is_leader, failures) {
             return;
         }
+        if must_load {
+            if !state.feed(topic).must_load() {
+                return;
+            }
+            bootstrap::request_snapshot(state, topic, socket).await;
+        }
         tokio::time::sleep(DUE_CHECK_INTERVAL).await;
     }
 }
@@ -252,8 +291,16 @@
 ) -> Result<Option<RecordBatch>, Error> {
     let before = *state.feed(topic).position.borrow();
     let Some(from) = before.next_offset() else {
-        let latest = store.read_latest(topic.name()).await?;
+        let latest = store.read_latest(topic.name()).await;
+        state.observe_store_era(store.era());
+        let latest = latest?;
         state.record_store_result(true);
+        let position = *state.feed(topic).position.borrow();
+        if position.next_offset().is_some() || position.era() != store.era() {
+            // A snapshot has been applied in the meantime, or the response is from an
+            // earlier era.
+            return Ok(None);
+        }
         let end = latest.next_offset;
         apply_records(state, topic, &latest.records, true, Duration::ZERO);
         state
@@ -272,19 +319,24 @@
         false if age >= FOLLOWER_READ_WAIT => Duration::ZERO,
         false => FOLLOWER_READ_WAIT,
     };
-    let (records, end) = match store.read_from(topic.name(), from, wait).await? {
+    let outcome = store.read_from(topic.name(), from, wait).await;
+    state.observe_store_era(store.era());
+    let outcome = outcome?;
+    state.record_store_result(true);
+    let now = state.clock.now();
+    let position = *state.feed(topic).position.borrow();
+    if position.next_offset() != Some(from) || position.era() != store.era() {
+        // Records from another instance have been applied in the meantime, or the offset
+        // is of another era than the response.
+        return Ok(None);
+    }
+    let (records, end) = match outcome {
         ReadOutcome::Records(records, end) => (records, end),
         ReadOutcome::Trimmed => {
             state.feed(topic).position.borrow_mut().reset();
             return Ok(None);
         }
     };
-    state.record_store_result(true);
-    let now = state.clock.now();
-    if state.feed(topic).position.borrow().next_offset() != Some(from) {
-        // Records from another instance have been applied in the meantime.
-        return Ok(None);
-    }
     let to_forward = apply_records(state, topic, &records, false, Duration::ZERO);
     // A response without records shows that there were none until it was sent.
     let read_up_to = if records.is_empty() {
@@ -295,6 +347,7 @@
     let grace = removal_time(state, Duration::ZERO).since(now);
     let batch = RecordBatch {
         topic,
+        era: position.era(),
         from,
         end,
         records: to_forward
@@ -308,31 +361,44 @@
     Ok(batch)
 }
 
-/// Applies records forwarded by another instance. If earlier ones are missing, only
-/// records that.
+/// Applies records forwarded by another instance. If earlier ones are missing, records
+/// that, and applies only configurations: each of them is complete.
 pub fn receive_records(state: &State, batch: RecordBatch) {
+    state.observe_store_era(batch.era);
     let feed = state.feed(batch.topic);
     let now = state.clock.now();
-    let fit = feed.position.borrow().fit(batch.from, batch.end);
+    let fit = feed.position.borrow().fit(batch.era, batch.from, batch.end);
     match fit {
         Fit::Next => {
-            let record = |(key, value): &(String, Option<Vec<u8>>)| KeyedRecord {
-                key: key.clone(),
-                value: value.clone().map(Into::into),
-                offset: 0,
-            };
-            let records: Vec<KeyedRecord> = batch.records.iter().map(record).collect();
+            let records = to_keyed(&batch.records);
             let grace = Duration::from_millis(batch.grace_ms);
             // The result is not needed: the batch is passed on as it is.
             apply_records(state, batch.topic, &records, false, grace);
             let as_of = now - DELIVERY_TIME;
             advance(state, batch.topic, batch.end, as_of, Some(&batch));
         }
-        Fit::Known => {}
-        Fit::Gap => feed.mark_behind(now),
+        Fit::Known | Fit::Outdated => {}
+        Fit::Gap => {
+            feed.mark_behind(now);
+            if batch.topic == Topic::Config {
+                apply_config(state, &to_keyed(&batch.records));
+            }
+        }
     }
 }
 
+/// Returns the records of a batch as those of a topic.
+fn to_keyed(records: &[(String, Option<Vec<u8>>)]) -> Vec<KeyedRecord> {
+    let records = records.iter();
+    records
+        .map(|(key, value)| KeyedRecord {
+            key: key.clone(),
+            value: value.clone().map(Into::into),
+            offset: 0,
+        })
+        .collect()
+}
+
 /// Records that the topic has been applied up to `end`, the last part of it by `batch`.
 fn advance(state: &State, topic: Topic, end: u64, as_of: Time, batch: Option<&RecordBatch>) {
     let feed = state.feed(topic);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -292,6 +292,9 @@
             return;
         }
         self.store_era.set(era);
+        for topic in Topic::ALL {
+            self.feed(topic).observe_era(era);
+        }
         if !before.is_known() {
             return;
         }
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -240,6 +240,34 @@
     }
 }
 
+/// Starts `count` further instances and waits until they are ready.
+pub async fn start_followers(cluster: &TestCluster, count: usize) -> Vec<Instance> {
+    let mut followers = Vec::new();
+    for _ in 0..count {
+        followers.push(start_instance(cluster.store.address()).await);
+    }
+    for follower in &followers {
+        wait_until("an instance is ready", async || is_ready(follower).await).await;
+    }
+    followers
+}
+
+/// Whether an instance reports that it is ready.
+pub async fn is_ready(instance: &Instance) -> bool {
+    let request = "GET /medlarreel/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    let response = send_request(instance.readiness, request).await;
+    response.starts_with("HTTP/1.1 200")
+}
+
+/// Value of a metric of an instance; 0 if it has none.
+pub async fn metric(instance: &Instance, name: &str) -> u64 {
+    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
+    let metrics = send_request(instance.metrics, request).await;
+    let mut values = metrics.lines().filter_map(|line| line.rsplit_once(' '));
+    let value = values.find(|(found, _)| *found == name);
+    value.map_or(0, |(_, value)| value.parse().unwrap())
+}
+
 /// Formats a request.
 pub fn request_text(method: &str, path: &str, attempt: &str, body: &str) -> String {
     format!(
--- a/crates/entry/tests/path/fleet.rs
+++ b/crates/entry/tests/path/fleet.rs
@@ -1,38 +1,10 @@
 //! Several instances of one fleet.
 
-use crate::fixture::{
-    Instance, TestCluster, send_request, start_cluster, start_instance, wait_until,
-};
+use crate::fixture::{Instance, metric, start_cluster, start_followers, wait_until};
 
 /// Metric that counts reads of the configuration.
 const READS: &str = "medlarreel_calls_total{kind=\"config\",outcome=\"done\"}";
 
-/// Starts `count` further instances and waits until they are ready.
-async fn start_followers(cluster: &TestCluster, count: usize) -> Vec<Instance> {
-    let mut followers = Vec::new();
-    for _ in 0..count {
-        followers.push(start_instance(cluster.store.address()).await);
-    }
-    for follower in &followers {
-        wait_until("an instance is ready", async || {
-            let request = "GET /medlarreel/ready HTTP/1.1\r\nHost: a\r\n\r\n";
-            let response = send_request(follower.readiness, request).await;
-            response.starts_with("HTTP/1.1 200")
-        })
-        .await;
-    }
-    followers
-}
-
-/// Value of a metric of an instance; 0 if it has none.
-async fn metric(instance: &Instance, name: &str) -> u64 {
-    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
-    let metrics = send_request(instance.metrics, request).await;
-    let mut values = metrics.lines().filter_map(|line| line.rsplit_once(' '));
-    let value = values.find(|(found, _)| *found == name);
-    value.map_or(0, |(_, value)| value.parse().unwrap())
-}
-
 /// Number of reads of the configuration that an instance has made.
 async fn read_count(instance: &Instance) -> u64 {
     metric(instance, READS).await
--- a/crates/entry/tests/path/history.rs
+++ b/crates/entry/tests/path/history.rs
@@ -1,5 +1,6 @@
 //! Recent batches of records that are kept for other instances.
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::time::Time;
 use medlarreel_entry::reader::history::History;
 use medlarreel_entry::reader::{RecordBatch, Topic};
@@ -11,6 +12,7 @@
 fn batch(from: u64, end: u64, grace_ms: u64) -> RecordBatch {
     RecordBatch {
         topic: Topic::Directory,
+        era: Era(1),
         from,
         end,
         records: vec![("i-1".into(), None)],
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -9,4 +9,5 @@
 mod messages;
 mod requests;
 mod restarts;
+mod restored;
 mod settings;
--- /dev/null
+++ b/crates/entry/tests/path/restored.rs
@@ -0,0 +1,127 @@
+//! A store that comes back from a copy: offsets go back and are assigned again.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::fixture::{
+    Instance, TestCluster, is_ready, metric, start_cluster, start_followers, wait_until,
+};
+
+/// Topic of the configurations.
+const CONFIG_TOPIC: &str = "keyed.op";
+
+/// Starts a leader and a follower.
+async fn start_pair() -> (TestCluster, Instance) {
+    let cluster = start_cluster().await;
+    let follower = start_followers(&cluster, 1).await.remove(0);
+    (cluster, follower)
+}
+
+/// Waits until both instances use a version of the configuration.
+async fn wait_for_version(cluster: &TestCluster, follower: &Instance, version: u64) {
+    for instance in [&cluster.instance, follower] {
+        wait_until(&format!("version {version} is in force"), async || {
+            metric(instance, "medlarreel_config_version").await == version
+        })
+        .await;
+    }
+}
+
+/// Waits until both instances have seen that the store was restored.
+async fn wait_for_restore(cluster: &TestCluster, follower: &Instance) {
+    for instance in [&cluster.instance, follower] {
+        wait_until("the restore is noticed", async || {
+            metric(instance, "medlarreel_store_restores_total").await == 1
+        })
+        .await;
+    }
+}
+
+/// Guards against a follower that takes the leader's records for known ones because their
+/// offsets are lower than before the restore.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_published_after_a_restore_takes_effect() {
+    let (cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    for version in 2..=6 {
+        cluster.publish_config(version);
+    }
+    wait_for_version(&cluster, &follower, 6).await;
+
+    cluster.store.service().restore(backup);
+    cluster.publish_config(6);
+    // The leader reads the restored topic before the next version is published.
+    sleep(Duration::from_secs(1)).await;
+    cluster.publish_config(7);
+
+    wait_for_version(&cluster, &follower, 7).await;
+}
+
+/// Guards against records that nobody reads because the restored topic has grown past the
+/// offset that instances read from.
+#[tokio::test(flavor = "multi_thread")]
+async fn topic_that_has_grown_past_the_old_offset_is_loaded_again() {
+    let (cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    for version in 2..=4 {
+        cluster.publish_config(version);
+    }
+    wait_for_version(&cluster, &follower, 4).await;
+
+    let store = cluster.store.service();
+    store.set_unavailable(true);
+    sleep(Duration::from_secs(1)).await;
+    store.restore(backup);
+    cluster.publish_config(5);
+    for _ in 0..5 {
+        store.put(CONFIG_TOPIC, "other", b"{}");
+    }
+    store.set_unavailable(false);
+
+    wait_for_version(&cluster, &follower, 5).await;
+}
+
+/// Guards against an instance that goes back to the configuration of the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_does_not_go_back_after_a_restore() {
+    let (cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    cluster.publish_config(4);
+    wait_for_version(&cluster, &follower, 4).await;
+
+    cluster.store.service().restore(backup);
+    wait_for_restore(&cluster, &follower).await;
+    // Longer than the load from the store, whose newest version is 1.
+    sleep(Duration::from_secs(2)).await;
+
+    for instance in [&cluster.instance, &follower] {
+        assert_eq!(metric(instance, "medlarreel_config_version").await, 4);
+    }
+    cluster.publish_config(5);
+    wait_for_version(&cluster, &follower, 5).await;
+}
+
+/// Guards against instances that report that they are not ready, all at the same time,
+/// while they load the topics again.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_stay_ready_after_a_restore() {
+    let (cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    cluster.publish_config(2);
+    cluster.store.service().put("keyed.servers", "gone", b"");
+    wait_for_version(&cluster, &follower, 2).await;
+    sleep(Duration::from_millis(500)).await;
+
+    cluster.store.service().restore(backup);
+    let mut unready = 0;
+    for _ in 0..100 {
+        for instance in [&cluster.instance, &follower] {
+            unready += u32::from(!is_ready(instance).await);
+        }
+        sleep(Duration::from_millis(15)).await;
+    }
+
+    assert_eq!(unready, 0);
+    cluster.wait_until_served().await;
+}
