Keep removals of upstreams when the store comes back from a copy

The copy may still have the registration of an upstream that has left since. Loading it made the upstream usable again, and a removal that was waiting for the re-registration grace was cancelled by the registration that it had removed: requests went to an upstream that had left.

Cause: a registration of equal sequence was applied whatever was known of its removal. It is now ignored if a record of the removal was read, until a registration with a higher sequence arrives. An upstream that was only missing from a load, as one that is not in the copy, still comes back with the registration that it had, since upstreams write it again as it was.

Each load also removed upstreams that had been removed before once more, and reported all of them as gone; the lookup of missing ones was quadratic in the size of the directory.

Evidence: registration_from_before_its_removal_is_ignored and removed_upstream_is_not_removed_again fail without the change; the two other new tests pass before and after it and guard the cases in which a registration counts.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -4,8 +4,12 @@
 //! An incarnation keeps the same `Upstream` key as long as this process runs. An upstream
 //! that restarts under the same id gets a new key, so that nothing learned about the
 //! earlier incarnation is applied to the later one.
+//!
+//! A registration can be seen again after its removal, since the store may come back from
+//! a copy. The removal holds if a record of it was read. If the registration was only
+//! missing from a load, it counts again, since upstreams write it again as it was.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,6 +56,9 @@
     pub usable: bool,
     /// Whether the registration was removed.
     pub removed: bool,
+    /// Whether a record of the removal was read, rather than that the registration was
+    /// missing from a load.
+    pub removal_read: bool,
     /// Time at which the removal of the registration takes effect; `None` if no removal
     /// is scheduled.
     pub removal_at: Option<Time>,
@@ -72,6 +79,26 @@
     version: u64,
 }
 
+impl UpstreamRecord {
+    /// Whether more is known than a registration of the same incarnation says. They can
+    /// arrive out of order, or once more after their removal.
+    fn is_newer_than(&self, registration: &Registration) -> bool {
+        let known = self.registration.sequence;
+        let is_known =
+            registration.sequence < known || (registration.sequence == known && self.removal_read);
+        registration.born == self.registration.born && is_known
+    }
+
+    fn schedule_removal(&mut self, since: Time, at: Time) {
+        if self.removed {
+            return;
+        }
+        let earliest = self.removal_at.map_or(at, |due| due.min(at));
+        self.removal_at = Some(earliest);
+        self.leaving_since = self.leaving_since.or(Some(since));
+    }
+}
+
 impl Directory {
     /// Counter that increases whenever the set of usable upstreams or the address of one
     /// changes.
@@ -126,9 +153,7 @@
             sequence: registration.sequence,
             ..record.registration.clone()
         };
-        let outdated = record.registration.born == registration.born
-            && registration.sequence < record.registration.sequence;
-        !outdated
+        !record.is_newer_than(registration)
             && (unchanged != *registration
                 || record.removal_at.is_some()
                 || record.usable == registration.draining)
@@ -176,8 +201,7 @@
                 return false;
             }
             if registration.born == record.registration.born {
-                // Registrations of one incarnation can arrive out of order.
-                if registration.sequence < record.registration.sequence {
+                if record.is_newer_than(&registration) {
                     return false;
                 }
                 let changed =
@@ -185,6 +209,7 @@
                 record.registration = registration;
                 record.usable = usable;
                 record.removed = false;
+                record.removal_read = false;
                 record.removal_at = None;
                 record.leaving_since = match usable {
                     true => None,
@@ -203,6 +228,7 @@
             registration,
             usable,
             removed: false,
+            removal_read: false,
             removal_at: None,
             leaving_since: leaving,
             warm_at,
@@ -212,7 +238,7 @@
         true
     }
 
-    /// Records that a registration was removed, with effect at `at` or at the time of a
+    /// Records that the removal of a registration was read, with effect at `at` or at the time of a
     /// removal already scheduled, whichever is earlier. `since` is the earliest time at
     /// which the upstream may have started to shut down.
     ///
@@ -221,23 +247,18 @@
     pub fn schedule_removal(&mut self, id: &str, since: Time, at: Time) {
         if let Some(key) = self.current.get(id) {
             let record = &mut self.records[key.0 as usize];
-            let earliest = record.removal_at.map_or(at, |due| due.min(at));
-            record.removal_at = Some(earliest);
-            record.leaving_since = record.leaving_since.or(Some(since));
+            record.removal_read = true;
+            record.schedule_removal(since, at);
         }
     }
 
     /// Schedules the removal of every registration that is not in `present`, with effect
     /// at `at`.
     pub fn schedule_removals_except(&mut self, present: &[&str], since: Time, at: Time) {
-        let absent: Vec<String> = self
-            .current
-            .keys()
-            .filter(|id| !present.contains(&id.as_str()))
-            .cloned()
-            .collect();
-        for id in absent {
-            self.schedule_removal(&id, since, at);
+        let present: HashSet<&str> = present.iter().copied().collect();
+        let absent = self.current.iter();
+        for (_, key) in absent.filter(|(id, _)| !present.contains(id.as_str())) {
+            self.records[key.0 as usize].schedule_removal(since, at);
         }
     }
 
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -205,3 +205,83 @@
 
     assert_eq!(registered, ["u1"]);
 }
+
+/// Guards against an upstream that has left being used again because a restored copy of
+/// the store still has its registration.
+#[test]
+fn registration_from_before_its_removal_is_ignored() {
+    let mut directory = Directory::default();
+    for number in [1, 2] {
+        directory.apply(at(0), at(0), registration(number));
+    }
+    directory.schedule_removal("u1", at(10), at(10));
+    directory.expire(at(10));
+    directory.schedule_removal("u2", at(10), at(2_000));
+
+    for number in [1, 2] {
+        assert!(!directory.is_changed_by(&registration(number)));
+        assert!(!directory.apply(at(1_000), at(900), registration(number)));
+    }
+    directory.expire(at(2_000));
+
+    assert_eq!(directory.usable().count(), 0);
+    let (_, record) = directory.find("u2").unwrap();
+    assert_eq!(record.leaving_since, Some(at(10)));
+}
+
+/// Guards against upstreams that stay removed although they are alive: a copy of the store
+/// may lack them, and what they write again may be what they wrote before.
+#[test]
+fn registration_that_was_only_missing_is_restored_by_the_same_one() {
+    let mut directory = Directory::default();
+    for number in [1, 2, 3] {
+        directory.apply(at(0), at(0), registration(number));
+    }
+
+    directory.schedule_removals_except(&["u3"], at(10), at(2_000));
+    assert!(directory.is_changed_by(&registration(1)));
+    directory.apply(at(1_000), at(900), registration(1));
+    let expired = directory.expire(at(2_000));
+    assert_eq!(expired.len(), 1);
+    directory.apply(at(2_100), at(2_000), registration(2));
+
+    assert_eq!(directory.usable().count(), 3);
+}
+
+/// Guards against an upstream that stays removed although it has registered again since.
+#[test]
+fn registration_after_its_removal_is_applied() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), registration(1));
+    directory.schedule_removals_except(&[], at(10), at(2_000));
+    directory.schedule_removal("u1", at(10), at(2_000));
+    let renewed = Registration {
+        sequence: 2,
+        ..registration(1)
+    };
+
+    assert!(!directory.apply(at(20), at(10), registration(1)));
+    directory.apply(at(30), at(20), renewed.clone());
+    assert!(directory.expire(at(2_000)).is_empty());
+    directory.schedule_removals_except(&[], at(2_100), at(2_100));
+    directory.expire(at(2_100));
+    assert!(directory.apply(at(2_200), at(2_100), renewed));
+
+    assert_eq!(directory.usable().count(), 1);
+}
+
+/// Guards against upstreams that are reported as gone again by each load of the directory.
+#[test]
+fn removed_upstream_is_not_removed_again() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), registration(1));
+    directory.schedule_removal("u1", at(0), at(10));
+    directory.expire(at(10));
+    let version = directory.version();
+
+    directory.schedule_removals_except(&[], at(20), at(20));
+    directory.schedule_removal("u1", at(20), at(20));
+
+    assert!(directory.expire(at(20)).is_empty());
+    assert_eq!(directory.version(), version);
+}
