Announce instances again when a new era of the store begins

The record by which an instance announces itself may be lost when the store comes back from a copy.

Each instance now announces itself again after up to a second, reads the list again, adds those that it doesn't know or that have started again, and greets them. If the era rises between its append and its read, it announces itself once more. Only the first join resets the leadership state. The gauge medlarreel_members shows how many others are known.

--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::map::OwnerMap;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
+use rand::Rng;
 use tokio::net::UdpSocket;
 
 use super::RETRY_DELAY;
@@ -20,6 +23,13 @@
 /// Topic in which instances announce themselves, keyed by instance name.
 const INSTANCES_TOPIC: &str = "keyed.medlarreel-instances";
 
+/// Interval at which an instance checks whether a new era of the store has begun.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Maximum delay before an instance announces itself again. All instances do so after a
+/// restore, and the delay spreads their calls.
+const MAX_REJOIN_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Key of the record that names the leader.
 pub(super) const LEADER_KEY: &str = "lead";
 
@@ -72,46 +82,23 @@
 }
 
 /// Announces this instance in the store and to the other instances, and loads the list of
-/// instances. Retries until the store responds.
-pub async fn join_cluster(state: &Rc<State>, socket: &UdpSocket) {
+/// instances. Retries until the store responds. Starts a task that does the same at the
+/// beginning of each later era of the store.
+pub async fn join_cluster(state: &Rc<State>, socket: &Rc<UdpSocket>) {
     let settings = state.settings.borrow().clone();
-    let mut store = StoreClient::new(settings.store);
-    let record = InstanceRecord {
-        address: settings.peers,
-        started: state.started,
-        cpu_percent: settings.cpu_percent,
-        domain: settings.domain.clone(),
+    let mut membership = Membership {
+        store: StoreClient::new(settings.store),
+        name: settings.name,
+        record: InstanceRecord {
+            address: settings.peers,
+            started: state.started,
+            cpu_percent: settings.cpu_percent,
+            domain: settings.domain,
+        },
+        era: Era::default(),
     };
-    loop {
-        let announced = announce(&mut store, &settings.name, &record).await;
-        state.observe_store_era(store.era());
-        match announced {
-            Ok(members) => {
-                state.record_store_result(true);
-                let mut known = state.members.borrow_mut();
-                for (name, record) in members {
-                    let member = Member {
-                        address: record.address,
-                        started: record.started,
-                        cpu_percent: record.cpu_percent,
-                        domain: record.domain,
-                        last_heard: None,
-                    };
-                    if name != settings.name {
-                        known.entry(name).or_insert(member);
-                    }
-                }
-                tracing::info!(members = known.len(), "instance list loaded");
-                state.has_joined.set(true);
-                break;
-            }
-            Err(error) => {
-                state.record_store_result(false);
-                tracing::debug!(%error, "failed to announce this instance");
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
+    membership.join(state).await;
+    state.has_joined.set(true);
     peers::send_to_all(state, socket, &peers::hello(state)).await;
     // The leader may not send heartbeats to this instance before the `Hello`, so the time
     // to wait for one starts again.
@@ -119,23 +106,95 @@
         .leadership
         .borrow_mut()
         .restart_heartbeat_timeout(state.clock.now());
+    let (state, socket) = (Rc::clone(state), Rc::clone(socket));
+    tokio::task::spawn_local(async move { membership.maintain(&state, &socket).await });
+}
+
+/// Keeps this instance in the list of instances.
+#[derive(Debug)]
+struct Membership {
+    store: StoreClient,
+    name: String,
+    record: InstanceRecord,
+    /// Era in which the record was last appended. An earlier one may have lost it.
+    era: Era,
+}
+
+impl Membership {
+    /// Announces this instance again whenever the store was restored, and greets the
+    /// instances that are found. Never returns.
+    async fn maintain(&mut self, state: &State, socket: &UdpSocket) {
+        loop {
+            tokio::time::sleep(ERA_CHECK_INTERVAL).await;
+            if state.store_era.get() <= self.era {
+                continue;
+            }
+            let delay = rand::rng().random_range(Duration::ZERO..MAX_REJOIN_DELAY);
+            tokio::time::sleep(delay).await;
+            let found = self.join(state).await;
+            peers::send_to(socket, &found, &peers::hello(state)).await;
+        }
+    }
+
+    /// Announces this instance in the store and adds the others to its members. Returns
+    /// the addresses of those that it did not know. Retries until the store responds.
+    async fn join(&mut self, state: &State) -> Vec<SocketAddr> {
+        loop {
+            let listed = self.announce().await;
+            state.observe_store_era(self.store.era());
+            match listed {
+                Ok(listed) => {
+                    state.record_store_result(true);
+                    let listed = listed.into_iter();
+                    let others = listed.filter(|(name, _)| *name != self.name);
+                    let found = others.filter_map(|(name, record)| {
+                        let address = record.address;
+                        state
+                            .add_listed_member(name, record.into())
+                            .then_some(address)
+                    });
+                    let found: Vec<SocketAddr> = found.collect();
+                    let members = state.members.borrow().len();
+                    tracing::info!(members, found = found.len(), "instance list loaded");
+                    return found;
+                }
+                Err(error) => {
+                    state.record_store_result(false);
+                    tracing::debug!(%error, "failed to announce this instance");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn announce(&mut self) -> Result<Vec<(String, InstanceRecord)>, Error> {
+        let value = encode(&self.record)?;
+        let store = &mut self.store;
+        store
+            .append(INSTANCES_TOPIC, &self.name, &value, None)
+            .await?;
+        self.era = store.era();
+        let latest = store.read_latest(INSTANCES_TOPIC).await?;
+        let items = latest.records.into_iter();
+        Ok(items
+            .filter_map(|item| {
+                let record = postcard::from_bytes(&item.value?).ok()?;
+                Some((item.key, record))
+            })
+            .collect())
+    }
 }
 
-async fn announce(
-    store: &mut StoreClient,
-    name: &str,
-    record: &InstanceRecord,
-) -> Result<Vec<(String, InstanceRecord)>, Error> {
-    let value = encode(record)?;
-    store.append(INSTANCES_TOPIC, name, &value, None).await?;
-    let latest = store.read_latest(INSTANCES_TOPIC).await?;
-    let items = latest.records.into_iter();
-    Ok(items
-        .filter_map(|item| {
-            let record = postcard::from_bytes(&item.value?).ok()?;
-            Some((item.key, record))
-        })
-        .collect())
+impl From<InstanceRecord> for Member {
+    fn from(record: InstanceRecord) -> Member {
+        Member {
+            address: record.address,
+            started: record.started,
+            cpu_percent: record.cpu_percent,
+            domain: record.domain,
+            last_heard: None,
+        }
+    }
 }
 
 pub(super) fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -47,6 +47,8 @@
     pub epoch: Gauge,
     /// 1 if this instance is the leader, otherwise 0.
     pub is_leader: Gauge,
+    /// Other instances that are known.
+    pub members: Gauge,
     /// Times that the store has come back from a copy.
     pub store_restores: Counter,
     /// Log lines that were dropped because the buffer was full.
@@ -68,6 +70,7 @@
             config_version: Gauge::default(),
             epoch: Gauge::default(),
             is_leader: Gauge::default(),
+            members: Gauge::default(),
             store_restores: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
@@ -103,6 +106,11 @@
             "Whether this instance leads",
             metrics.is_leader.clone(),
         );
+        registry.register(
+            "members",
+            "Other instances that are known",
+            metrics.members.clone(),
+        );
         registry.register(
             "store_restores",
             "Times that the store came back from a copy",
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -230,6 +230,11 @@
     send_to_each(socket, &members, encode(message)).await;
 }
 
+/// Sends a message to each of the receivers directly.
+pub async fn send_to(socket: &UdpSocket, receivers: &[SocketAddr], message: &Message) {
+    send_to_each(socket, receivers, encode(message)).await;
+}
+
 /// Sends a message to the other instances of this instance's failure domain.
 pub async fn send_to_domain(state: &State, socket: &UdpSocket, message: &Message) {
     let neighbours: Vec<SocketAddr> = state
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -54,7 +54,7 @@
                 domain,
                 last_heard: Some(now),
             };
-            let previous = state.members.borrow_mut().insert(name.clone(), member);
+            let previous = state.add_member(name.clone(), member);
             // While the leader is silent, instances introduce themselves again and again.
             if previous.as_ref().map(|previous| previous.started) != Some(started) {
                 tracing::info!(name, %from, replaced = previous.is_some(), "instance joined");
--- a/crates/entry/src/state/members.rs
+++ b/crates/entry/src/state/members.rs
@@ -36,6 +36,29 @@
 }
 
 impl State {
+    /// Adds an instance that has introduced itself. Returns what was known of an instance
+    /// with its name.
+    pub fn add_member(&self, name: String, member: Member) -> Option<Member> {
+        let mut members = self.members.borrow_mut();
+        let previous = members.insert(name, member);
+        self.metrics.members.set(members.len() as i64);
+        previous
+    }
+
+    /// Adds an instance from the list of instances, unless it is known. Returns whether it
+    /// was added.
+    pub fn add_listed_member(&self, name: String, member: Member) -> bool {
+        let known_start = {
+            let members = self.members.borrow();
+            members.get(&name).map(|known| known.started)
+        };
+        let is_new = known_start.is_none_or(|started| started < member.started);
+        if is_new {
+            self.add_member(name, member);
+        }
+        is_new
+    }
+
     /// Address of the leader of the highest known epoch, if it is another instance.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let leadership = self.leadership.borrow();
--- a/crates/entry/tests/path/restored.rs
+++ b/crates/entry/tests/path/restored.rs
@@ -5,12 +5,16 @@
 use tokio::time::sleep;
 
 use crate::fixture::{
-    Instance, TestCluster, is_ready, metric, start_cluster, start_followers, wait_until,
+    Instance, TestCluster, is_ready, metric, start_cluster, start_followers, start_instance,
+    wait_until,
 };
 
 /// Topic of the configurations.
 const CONFIG_TOPIC: &str = "keyed.op";
 
+/// Topic in which instances announce themselves.
+const INSTANCES_TOPIC: &str = "keyed.medlarreel-instances";
+
 /// Starts a leader and a follower.
 async fn start_pair() -> (TestCluster, Instance) {
     let cluster = start_cluster().await;
@@ -125,3 +129,44 @@
     assert_eq!(unready, 0);
     cluster.wait_until_served().await;
 }
+
+/// Guards against an instance that later ones do not know, because the record by which it
+/// has announced itself was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_announces_itself_again_after_a_restore() {
+    let cluster = start_cluster().await;
+    let backup = cluster.store.service().backup();
+    let follower = start_followers(&cluster, 1).await.remove(0);
+    let name = format!("entry-{}", follower.callers.port());
+    let store = cluster.store.service();
+    let is_announced = || store.get(INSTANCES_TOPIC, &name).is_some();
+    assert!(is_announced());
+
+    store.restore(backup);
+    assert!(!is_announced());
+
+    wait_until("the follower is announced", async || is_announced()).await;
+}
+
+/// Guards against instances that never hear of each other: one has read the list before
+/// the other was back in it, and its greeting reached nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_find_each_other_after_a_restore() {
+    let cluster = start_cluster().await;
+    let store = cluster.store.service();
+    let backup = store.backup();
+    // The follower learns its configuration from the leader alone.
+    let follower = start_followers(&cluster, 1).await.remove(0);
+
+    store.restore(backup);
+    cluster.instance.signal("-STOP");
+    let late = start_instance(cluster.store.address()).await;
+    for instance in [&follower, &late] {
+        wait_until("the other instances are known", async || {
+            metric(instance, "medlarreel_members").await == 2
+        })
+        .await;
+    }
+
+    cluster.instance.signal("-CONT");
+}
