--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -79,12 +79,19 @@
 
 /// Starts an instance on ports that stay reserved until it is dropped.
 pub async fn start_instance(store: SocketAddr) -> Instance {
+    start_instance_in("a", store).await
+}
+
+/// Starts an instance in the given failure domain.
+pub async fn start_instance_in(domain: &str, store: SocketAddr) -> Instance {
     let reserved = reserve_ports(4).await.unwrap();
     let ports: Vec<u16> = reserved.iter().map(ReservedPort::number).collect();
     let directory = std::env::temp_dir().join(format!("medlarreel-entry-{}", ports[0]));
     std::fs::create_dir_all(&directory).unwrap();
     let file = directory.join("entry.ini");
-    std::fs::write(&file, settings_text(&ports, store)).unwrap();
+    let settings = settings_text(&ports, store);
+    let settings = settings.replace("domain = a\n", &format!("domain = {domain}\n"));
+    std::fs::write(&file, settings).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_medlarreel-entry"))
         .arg("--settings")
         .arg(&file)
--- a/crates/entry/tests/path/restored.rs
+++ b/crates/entry/tests/path/restored.rs
@@ -1,12 +1,17 @@
 //! A store that comes back from a copy: offsets go back and are assigned again.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarreel_standin::server::any_port;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::fixture::{
     Instance, TestCluster, is_ready, metric, start_cluster, start_followers, start_instance,
-    wait_until,
+    start_instance_in, wait_until,
 };
 
 /// Topic of the configurations.
@@ -22,6 +27,32 @@
     (cluster, follower)
 }
 
+/// Starts a forwarder to an address. It closes its connections and accepts no more once
+/// the returned sender is set.
+async fn start_forwarder(to: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (cut, is_cut) = watch::channel(false);
+    let mut closed = is_cut.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut inbound, _) = tokio::select! {
+                accepted = listener.accept() => accepted.unwrap(),
+                _ = closed.changed() => return,
+            };
+            let mut closed = is_cut.clone();
+            tokio::spawn(async move {
+                let mut outbound = TcpStream::connect(to).await.unwrap();
+                tokio::select! {
+                    _ = copy_bidirectional(&mut inbound, &mut outbound) => {}
+                    _ = closed.changed() => {}
+                }
+            });
+        }
+    });
+    (address, cut)
+}
+
 /// Waits until both instances use a version of the configuration.
 async fn wait_for_version(cluster: &TestCluster, follower: &Instance, version: u64) {
     for instance in [&cluster.instance, follower] {
@@ -170,3 +201,28 @@
 
     cluster.instance.signal("-CONT");
 }
+
+/// Guards against a failure domain that follows the store's old era because the store
+/// turns its calls away.
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_without_the_store_loads_the_new_era_from_the_leader() {
+    let cluster = start_cluster().await;
+    let (address, cut) = start_forwarder(cluster.store.address()).await;
+    let follower = start_instance_in("b", address).await;
+    let store = cluster.store.service();
+    let backup = store.backup();
+    cluster.publish_config(6);
+    wait_for_version(&cluster, &follower, 6).await;
+
+    cut.send_replace(true);
+    store.set_unavailable(true);
+    store.restore(backup);
+    // The leader loads this version and passes no batch with it on.
+    cluster.publish_config(7);
+    store.set_unavailable(false);
+    wait_for_version(&cluster, &follower, 7).await;
+    cluster.publish_config(8);
+
+    wait_for_version(&cluster, &follower, 8).await;
+    assert!(is_ready(&follower).await);
+}
