Recover leadership and grants when the store comes back from a copy

Cause: a new leader took the copy's record of owners as complete. It lacks what was granted since the copy was made, and perhaps a whole leadership, so keys that were held counted as free. Epochs and fences were derived from offsets, which are given out again, and a conditional append can hold by chance in a later era.

Change: - Epochs contain the era of their claim, so they and their fences rise across restores. Records name the era; an append counts only if the response is of the same era. - A leader that sees a later era claims leadership again at once. It only renews its grants at first, with fences of its former epoch, which upstreams refuse if another leader has followed whose record was lost.

The tests in recovery.rs need the new interface; the process test follows.

first_leader_is_known_to_the_others expected epoch 1; the first epoch of the first era is now another number, and the test expects exactly that.

--- a/crates/core/src/entry/leadership.rs
+++ b/crates/core/src/entry/leadership.rs
@@ -10,6 +10,7 @@
 
 use medlarreel_macros::data;
 
+use super::era::Era;
 use crate::time::Time;
 
 /// Time after its last successful append during which a leader may grant keys. It
@@ -60,8 +61,8 @@
     last_heartbeat: Time,
     /// Earliest time of the next campaign.
     campaign_after: Time,
-    /// Last seen end of the leader's topic, and when it was first seen.
-    last_topic_end: Option<(u64, Time)>,
+    /// Last seen era and end of the leader's topic, and when they were first seen.
+    last_topic_end: Option<((Era, u64), Time)>,
     /// Whether the leader has stepped down.
     vacant: bool,
 }
@@ -200,15 +201,15 @@
         }
     }
 
-    /// Records that the leader's topic ends at `end` now; returns whether the leader is
-    /// inactive. It is if it has stepped down, or if the topic has not changed for
+    /// Records that the leader's topic ends at `end` of `era` now; returns whether the
+    /// leader is inactive. It is if it has stepped down, or if the topic has not changed for
     /// `STALE_RECORD_AGE` since this instance first saw this end.
-    pub fn observe_topic_end(&mut self, now: Time, end: u64) -> bool {
+    pub fn observe_topic_end(&mut self, now: Time, era: Era, end: u64) -> bool {
         match self.last_topic_end {
             _ if self.vacant => true,
-            Some((seen, since)) if seen == end => now.since(since) >= STALE_RECORD_AGE,
+            Some((seen, since)) if seen == (era, end) => now.since(since) >= STALE_RECORD_AGE,
             _ => {
-                self.last_topic_end = Some((end, now));
+                self.last_topic_end = Some(((era, end), now));
                 false
             }
         }
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -10,15 +10,20 @@
 //! a process with another id refuses them. One with the same id accepts them: each grant
 //! therefore has a new fencing token, and keys of an upstream that has restarted at its
 //! address are released there before they get another holder.
+//!
+//! If the store comes back from a copy, the record may lack holders (`recovery`).
 
 mod order;
 mod range;
+mod recovery;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 pub use order::{LedgerSnapshot, Order, OrderKind, Reply};
 use range::{Lease, LeasedRange, State};
+use recovery::Recovery;
+pub use recovery::{CONFIRMATION_TIME, unknown_grants_end};
 
 use super::map::{KeyRange, Owner, OwnerMap};
 use super::plan::{self, Candidate, KeyWeights, PlannedRange};
@@ -78,8 +83,10 @@
     /// Highest version of the record that the store has acknowledged.
     acknowledged_version: u64,
     view_version: u64,
-    /// Epoch of the leader before this one, as passed to `adopt`; otherwise 0.
+    /// Epoch of the leader whose grants this ledger has taken over or waits for;
+    /// otherwise 0.
     predecessor: u64,
+    recovery: Recovery,
     services: BTreeMap<String, Vec<LeasedRange>>,
     /// Consecutive unanswered calls, and the time at which the last one failed.
     failures: HashMap<Owner, (u32, Time)>,
@@ -90,12 +97,13 @@
     pub fn new(epoch: u64, hold: Duration) -> Ledger {
         Ledger {
             epoch,
-            last_fence: (epoch + 1) * FENCES_PER_EPOCH,
+            last_fence: first_fence(epoch),
             hold,
             record_version: 0,
             acknowledged_version: 0,
             view_version: 0,
             predecessor: 0,
+            recovery: Recovery::Complete,
             services: BTreeMap::new(),
             failures: HashMap::new(),
         }
@@ -149,8 +157,12 @@
     /// State that a successor needs after this leader has stopped: the possible holder
     /// of each key, and how long the grants of this and all earlier leaders may remain
     /// valid. New owners whose record the store has not acknowledged are left out, since
-    /// they have not been granted any keys yet.
-    pub fn snapshot(&self, now: Time) -> LedgerSnapshot {
+    /// they have not been granted any keys yet. Returns `None` while the possible holders
+    /// are not known.
+    pub fn snapshot(&self, now: Time) -> Option<LedgerSnapshot> {
+        if matches!(self.recovery, Recovery::Waiting { .. }) {
+            return None;
+        }
         let acknowledged_version = self.acknowledged_version;
         let owners = self.build_map(self.view_version, |state| match state {
             State::Granting { version, .. } if *version > acknowledged_version => (None, 0),
@@ -159,29 +171,48 @@
                 left(range::lease_end(state), now),
             ),
         });
-        LedgerSnapshot {
+        Some(LedgerSnapshot {
             owners,
             highest_fence: self.last_fence,
-        }
+            is_confirmed: self.recovery == Recovery::Complete,
+        })
     }
 
     /// Ledger of a leader that continues the epoch of one that stopped before `now`.
     pub fn resume(snapshot: &LedgerSnapshot, hold: Duration, now: Time) -> Ledger {
-        let owners = &snapshot.owners;
-        let mut ledger = Ledger::new(owners.epoch, hold);
-        ledger.last_fence = ledger.last_fence.max(snapshot.highest_fence);
-        ledger.inherit_ranges(owners, now - hold, |range| now + from_millis(range.wait_ms));
-        ledger.view_version = owners.version + 1;
+        let mut ledger = Ledger::new(snapshot.owners.epoch, hold);
+        ledger.take_over(snapshot, now);
+        ledger.view_version = snapshot.owners.version + 1;
         ledger
     }
 
-    /// Shortens the inherited leases after the leader of `epoch` has stopped before
-    /// `now` and reported in `owners` how long its grants and those of earlier leaders
-    /// may remain valid. Ignored unless that leader is the recorded predecessor.
-    pub fn handle_predecessor_stop(&mut self, epoch: u64, now: Time, owners: &OwnerMap) {
+    /// Takes over the ranges of a leader that stopped before `now`.
+    fn take_over(&mut self, snapshot: &LedgerSnapshot, now: Time) {
+        if snapshot.is_confirmed && snapshot.owners.epoch == self.epoch {
+            self.last_fence = self.last_fence.max(snapshot.highest_fence);
+        } else {
+            self.last_fence = snapshot.highest_fence;
+            self.start_confirming(now);
+        }
+        let overdue = now - self.hold;
+        let until = |range: &KeyRange| now + from_millis(range.wait_ms);
+        self.inherit_ranges(&snapshot.owners, overdue, until);
+    }
+
+    /// Handles the report of the leader of `epoch`, which has stopped before `now`. Shortens
+    /// the inherited leases to what it says about its grants and those of earlier leaders,
+    /// unless it is not the recorded predecessor. Takes its grants over if this ledger does
+    /// not know them.
+    pub fn handle_predecessor_stop(&mut self, epoch: u64, now: Time, snapshot: &LedgerSnapshot) {
+        if self.lacks_grants_of(epoch) {
+            self.predecessor = epoch;
+            self.take_over(snapshot, now);
+            return;
+        }
         if epoch != self.predecessor {
             return;
         }
+        let owners = &snapshot.owners;
         for (service, ranges) in &mut self.services {
             let Some(reported) = owners.services.get(service) else {
                 continue;
@@ -206,7 +237,7 @@
     /// Whether the store has yet to acknowledge the current record. New owners are
     /// granted keys only after that; releases are recorded for a later leader.
     pub fn needs_record(&self) -> bool {
-        self.acknowledged_version < self.record_version
+        self.recovery == Recovery::Complete && self.acknowledged_version < self.record_version
     }
 
     /// Epoch of this leader.
@@ -235,7 +266,8 @@
         self.build_map(self.view_version, |state| match state {
             State::Held { owner, .. } => (Some(owner.clone()), 0),
             State::Free { .. } | State::Granting { .. } => {
-                (None, millis(if writable { GRANT_TIME } else { STORE_WAIT }))
+                let wait = if writable { GRANT_TIME } else { STORE_WAIT };
+                (None, millis(wait + self.recovery.time_left(now)))
             }
             State::Releasing { lease, sent, .. } => {
                 // A live upstream answers once its requests for the keys have ended.
@@ -302,17 +334,22 @@
             failure.is_none_or(|(count, _)| *count < UNREACHABLE_FAILURES)
         };
         let usable: Vec<Candidate> = candidates.iter().filter(reachable).cloned().collect();
-        let unassigned = || {
-            vec![LeasedRange {
+        self.finish_recovery(now);
+        if !self.services.contains_key(service) {
+            let unassigned = LeasedRange {
                 first: 0,
                 last: u16::MAX,
                 state: State::Free { handover: None },
-            }]
+            };
+            self.services.insert(service.to_owned(), vec![unassigned]);
+            self.view_version += 1;
+        }
+        if self.recovery != Recovery::Complete {
+            return;
+        }
+        let Some(ranges) = self.services.get_mut(service) else {
+            return;
         };
-        let ranges = self
-            .services
-            .entry(service.to_owned())
-            .or_insert_with(unassigned);
         let current: Vec<PlannedRange> = ranges.iter().map(range::planned_range).collect();
         let planned = plan::assign_ranges(&current, &usable, weights);
         let target_of = |key: u16| {
@@ -359,10 +396,15 @@
         max_orders: usize,
         newer_incarnation: impl Fn(&Owner) -> Option<Owner>,
     ) -> Vec<Order> {
+        self.finish_recovery(now);
         self.take_back_ended_ranges(now, newer_incarnation);
+        let renewals_only = self.recovery != Recovery::Complete;
         let mut due: Vec<(Time, &str, &mut LeasedRange)> = Vec::new();
         for (service, ranges) in &mut self.services {
             for range in ranges {
+                if renewals_only && !matches!(range.state, State::Held { .. }) {
+                    continue;
+                }
                 let unreachable = range::owner(&range.state).is_some_and(|owner| {
                     let failure = self.failures.get(owner);
                     failure.is_some_and(|(count, _)| *count >= UNREACHABLE_FAILURES)
@@ -427,6 +469,10 @@
             }
             Reply::Fenced => {}
         }
+        if *reply == Reply::Fenced && self.contradicts_confirmation(order) {
+            self.wait_for_unknown_grants(now);
+            return;
+        }
         let max_duration = self.max_lease_duration();
         let Some(ranges) = self.services.get_mut(&order.service) else {
             return;
@@ -525,6 +571,11 @@
     }
 }
 
+/// Lowest fencing token of an epoch's leader.
+fn first_fence(epoch: u64) -> u64 {
+    (epoch + 1) * FENCES_PER_EPOCH
+}
+
 /// Longest time for which a grant of duration `hold` may remain valid after its
 /// arrival, as an upstream's clock may run 2% slow.
 pub fn max_lease_duration(hold: Duration) -> Duration {
--- a/crates/core/src/entry/ledger/order.rs
+++ b/crates/core/src/entry/ledger/order.rs
@@ -32,6 +32,9 @@
     pub owners: OwnerMap,
     /// Highest fencing token that was used.
     pub highest_fence: u64,
+    /// Whether no other leader can have granted keys since, although the store may have
+    /// lost its record.
+    pub is_confirmed: bool,
 }
 
 /// Kind of an order.
--- a/crates/core/tests/entry/leadership.rs
+++ b/crates/core/tests/entry/leadership.rs
@@ -1,5 +1,6 @@
 //! Tests of leader election and of the leader's lease.
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership::{
     CAMPAIGN_STAGGER, HEARTBEAT_TIMEOUT, LEADER_LEASE, Leadership, STALE_RECORD_AGE,
 };
@@ -64,9 +65,10 @@
     let mut leadership = Leadership::new(at(0));
     leadership.observe_heartbeat(at(0), 3, "a", true);
 
-    let first = leadership.observe_topic_end(at(0), 10);
-    let renewed = leadership.observe_topic_end(at(0) + STALE_RECORD_AGE, 11);
-    let later = leadership.observe_topic_end(at(0) + STALE_RECORD_AGE + STALE_RECORD_AGE, 11);
+    let first = leadership.observe_topic_end(at(0), Era::FIRST, 10);
+    let renewed = leadership.observe_topic_end(at(0) + STALE_RECORD_AGE, Era::FIRST, 11);
+    let later =
+        leadership.observe_topic_end(at(0) + STALE_RECORD_AGE + STALE_RECORD_AGE, Era::FIRST, 11);
 
     assert_eq!([first, renewed, later], [false, false, true]);
 }
@@ -80,7 +82,7 @@
     leadership.observe_resignation(at(100), 3);
 
     assert!(leadership.should_campaign(at(100), 0, true));
-    assert!(leadership.observe_topic_end(at(100), 10));
+    assert!(leadership.observe_topic_end(at(100), Era::FIRST, 10));
 }
 
 /// Guards against resuming an epoch from an old copy of a transfer, after this process has
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -266,7 +266,7 @@
     let mut ledger = Ledger::new(9, LEASE_DURATION);
     ledger.adopt(&record, 5, at(0), at(20_000));
 
-    let stopped = held_ledger(at(0)).snapshot(at(0)).owners;
+    let stopped = held_ledger(at(0)).snapshot(at(0)).unwrap();
     ledger.handle_predecessor_stop(8, at(0), &stopped);
     ledger.rebalance(at(0), SERVICE, &candidates(2)[1..], &KeyWeights::default());
     ledger.take_due_orders(at(10_000), usize::MAX, |_| None);
@@ -297,7 +297,11 @@
     let mut first = held_ledger(at(0));
     let old = first.take_due_orders(at(2_000), usize::MAX, |_| None);
 
-    let mut successor = Ledger::resume(&first.snapshot(at(2_050)), LEASE_DURATION, at(2_100));
+    let mut successor = Ledger::resume(
+        &first.snapshot(at(2_050)).unwrap(),
+        LEASE_DURATION,
+        at(2_100),
+    );
     let orders = successor.take_due_orders(at(2_100), usize::MAX, |_| None);
 
     assert_eq!(successor.epoch(), first.epoch());
@@ -313,7 +317,7 @@
     let mut first = Ledger::new(5, LEASE_DURATION);
     first.rebalance(at(0), SERVICE, &candidates(2), &KeyWeights::default());
 
-    let mut successor = Ledger::resume(&first.snapshot(at(0)), LEASE_DURATION, at(0));
+    let mut successor = Ledger::resume(&first.snapshot(at(0)).unwrap(), LEASE_DURATION, at(0));
     successor.rebalance(at(0), SERVICE, &candidates(2), &KeyWeights::default());
     let orders_before = successor.take_due_orders(at(0), usize::MAX, |_| None);
     successor.acknowledge_record(successor.record_version());
@@ -381,7 +385,11 @@
     let mut second = Ledger::new(9, LEASE_DURATION);
     second.adopt(&record, 5, at(0), at(20_000));
 
-    let mut third = Ledger::resume(&second.snapshot(at(1_000)), LEASE_DURATION, at(1_100));
+    let mut third = Ledger::resume(
+        &second.snapshot(at(1_000)).unwrap(),
+        LEASE_DURATION,
+        at(1_100),
+    );
     let takes_over = |ledger: &mut Ledger, now| {
         ledger.take_due_orders(now, usize::MAX, |_| None);
         ledger.rebalance(now, SERVICE, &candidates(2)[1..], &KeyWeights::default());
@@ -452,7 +460,11 @@
     let record = first.ownership_record(at(1_000));
     assert!(record.services[SERVICE][0].releasing);
 
-    let mut second = Ledger::resume(&first.snapshot(at(1_100)), LEASE_DURATION, at(1_200));
+    let mut second = Ledger::resume(
+        &first.snapshot(at(1_100)).unwrap(),
+        LEASE_DURATION,
+        at(1_200),
+    );
     let mut orders = Vec::new();
     for step in 0..50 {
         orders.extend(second.take_due_orders(at(1_200 + step * 100), usize::MAX, |_| None));
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod ownership;
 mod plan;
 mod queue;
+mod recovery;
 mod relay;
 mod routes;
 mod transfer;
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -138,7 +138,7 @@
     /// Upstreams that the leader of an epoch cannot reach.
     partitions: Vec<(u64, Owner)>,
     /// Final reports of stopped leaders, in flight to later leaders.
-    reports: Vec<(Time, u64, OwnerMap)>,
+    reports: Vec<(Time, u64, LedgerSnapshot)>,
     /// Whether the newest leader can reach the store.
     store_reachable: bool,
 }
@@ -337,12 +337,12 @@
             self.abort_calls(leader.id);
             let stopped = leader.ledger;
             let delay = ms(self.random.random_range(0..2_000));
-            let report = stopped.snapshot(now).owners;
+            let report = stopped.snapshot(now).unwrap();
             self.reports.push((now + delay, stopped.epoch(), report));
         }
-        for (_, epoch, owners) in self.reports.extract_if(.., |(time, ..)| *time <= now) {
+        for (_, epoch, report) in self.reports.extract_if(.., |(time, ..)| *time <= now) {
             for leader in &mut self.leaders {
-                leader.ledger.handle_predecessor_stop(epoch, now, &owners);
+                leader.ledger.handle_predecessor_stop(epoch, now, &report);
             }
         }
         if self.random.random_range(0..60) == 0
@@ -378,7 +378,7 @@
         self.stopped.push(StoppedLeader {
             address: instance_address(stopped),
             offer: Offer::new(leader.ledger.epoch(), candidates),
-            snapshot: leader.ledger.snapshot(now),
+            snapshot: leader.ledger.snapshot(now).unwrap(),
             confirmed: leader.confirmed,
             exits: now + ms(self.random.random_range(500..4_000)),
         });
--- /dev/null
+++ b/crates/core/tests/entry/recovery.rs
@@ -0,0 +1,140 @@
+//! The leader's ledger after the store has come back from a copy.
+
+use std::time::Duration;
+
+use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::ledger::{
+    CONFIRMATION_TIME, Ledger, Order, OrderKind, Reply, unknown_grants_end,
+};
+use medlarreel_core::entry::plan::KeyWeights;
+use medlarreel_core::time::Time;
+
+use crate::fixture::{at, candidates, ms};
+
+const LEASE_DURATION: Duration = Duration::from_secs(4);
+const SERVICE: &str = "intake";
+
+/// Epochs of the first leader, and of claims after the store was restored.
+const BEFORE: u64 = Era::FIRST.epoch_at(20);
+const AFTER: u64 = Era(2).epoch_at(3);
+
+/// Ledger in which upstreams 1 and 2 hold all keys since `now`.
+fn held_ledger(now: Time) -> Ledger {
+    let mut ledger = Ledger::new(BEFORE, LEASE_DURATION);
+    rebalance(&mut ledger, now, 2);
+    ledger.acknowledge_record(ledger.record_version());
+    reply_to_all(&mut ledger, now, &Reply::Done { handover: None });
+    ledger
+}
+
+/// Plans the keys for upstreams 1 to `count`.
+fn rebalance(ledger: &mut Ledger, now: Time, count: u8) {
+    ledger.rebalance(now, SERVICE, &candidates(count), &KeyWeights::default());
+}
+
+fn due_orders(ledger: &mut Ledger, now: Time) -> Vec<Order> {
+    ledger.take_due_orders(now, usize::MAX, |_| None)
+}
+
+fn reply_to_all(ledger: &mut Ledger, now: Time, reply: &Reply) -> Vec<Order> {
+    let orders = due_orders(ledger, now);
+    for order in &orders {
+        ledger.handle_reply(now, now, order, reply);
+    }
+    orders
+}
+
+/// Guards against epochs that repeat or fall when offsets are given out again.
+#[test]
+fn epochs_of_a_later_era_are_higher() {
+    assert!(Era::FIRST.epoch_at(0) > 0);
+    assert!(Era(2).epoch_at(0) > Era::FIRST.epoch_at(1 << 31));
+    assert_eq!(Era::of_epoch(Era(2).epoch_at(7)), Era(2));
+}
+
+/// Guards against two holders of a key: the record of a copy may lack the latest holders.
+#[test]
+fn leader_without_a_complete_record_waits_for_unknown_grants() {
+    let mut ledger = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(0));
+    let end = unknown_grants_end(at(0), LEASE_DURATION);
+
+    rebalance(&mut ledger, end - ms(1), 2);
+    let early = due_orders(&mut ledger, end - ms(1));
+    let needs_record = ledger.needs_record();
+    rebalance(&mut ledger, end, 2);
+    ledger.acknowledge_record(ledger.record_version());
+    let late = due_orders(&mut ledger, end);
+
+    assert!(early.is_empty() && !needs_record);
+    assert_eq!(late.len(), 2);
+}
+
+/// Guards against a leader that moves keys before it knows that no other leader, whose
+/// record was lost, has moved them.
+#[test]
+fn continuing_leader_only_renews_until_its_grants_are_confirmed() {
+    let mut ledger = held_ledger(at(0));
+    let before = reply_to_all(&mut ledger, at(1_400), &Reply::Done { handover: None });
+    ledger.suspend_moves();
+    ledger.continue_in(AFTER, at(2_000));
+
+    rebalance(&mut ledger, at(2_100), 1);
+    let renewals = reply_to_all(&mut ledger, at(2_800), &Reply::Done { handover: None });
+    let needs_record = ledger.needs_record();
+    let confirmed = at(2_000) + CONFIRMATION_TIME;
+    rebalance(&mut ledger, confirmed, 1);
+    let orders = due_orders(&mut ledger, confirmed);
+
+    let is_grant = |order: &Order| order.kind != OrderKind::Release;
+    assert_eq!(renewals.len(), 2);
+    assert!(renewals.iter().all(is_grant));
+    // Fences of the former epoch, which an upstream refuses if another leader has followed.
+    let highest = before.iter().map(|order| order.fence).max().unwrap();
+    let next_epoch = before[0].fence + (1 << 20);
+    assert!(
+        renewals
+            .iter()
+            .all(|order| order.fence > highest && order.fence < next_epoch)
+    );
+    assert!(!needs_record && ledger.needs_record());
+    assert!(orders.iter().any(|order| !is_grant(order)));
+}
+
+/// Guards against a leader that relies on its grants although another leader, whose record
+/// was lost, has replaced it.
+#[test]
+fn refused_confirmation_makes_the_leader_wait() {
+    let mut ledger = held_ledger(at(0));
+    ledger.suspend_moves();
+    ledger.continue_in(AFTER, at(2_000));
+
+    let renewals = due_orders(&mut ledger, at(2_000));
+    ledger.handle_reply(at(2_010), at(2_000), &renewals[0], &Reply::Fenced);
+    rebalance(&mut ledger, at(10_000), 2);
+    let orders = due_orders(&mut ledger, at(10_000));
+
+    assert!(orders.is_empty());
+    assert_eq!(ledger.snapshot(at(10_000)), None);
+}
+
+/// Guards against waiting for grants that the leader before has reported.
+#[test]
+fn waiting_leader_takes_over_the_grants_that_are_reported() {
+    let mut stopped = held_ledger(at(0));
+    let last = reply_to_all(&mut stopped, at(1_400), &Reply::Done { handover: None });
+    let mut ledger = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(2_000));
+
+    let report = stopped.snapshot(at(2_100)).unwrap();
+    ledger.handle_predecessor_stop(BEFORE - 1, at(2_200), &report);
+    let ignored = due_orders(&mut ledger, at(2_200));
+    ledger.handle_predecessor_stop(BEFORE, at(2_200), &report);
+    let renewals = due_orders(&mut ledger, at(2_200));
+
+    assert!(ignored.is_empty());
+    assert_eq!(renewals.len(), 2);
+    for (renewal, last) in renewals.iter().zip(&last) {
+        assert_eq!((&renewal.owner, renewal.first), (&last.owner, last.first));
+        assert!(renewal.fence > last.fence);
+    }
+    assert!(ledger.is_settled(SERVICE));
+}
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -14,6 +14,8 @@
     NoResponse(String),
     /// The server reported, with this status, that the request was not executed.
     Refused(u16),
+    /// The store was restored from a copy during the call or since the one before it.
+    Restored,
     /// The response could not be parsed, or the request could not be encoded.
     Malformed(String),
 }
@@ -25,6 +27,7 @@
             Error::NotAccepted => write!(f, "not sent: closed after connecting"),
             Error::NoResponse(why) => write!(f, "no answer: {why}"),
             Error::Refused(status) => write!(f, "refused with status {status}"),
+            Error::Restored => write!(f, "the store was restored from a copy"),
             Error::Malformed(why) => write!(f, "malformed answer: {why}"),
         }
     }
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::Registration;
-use medlarreel_core::entry::leadership::{self, LEADER_LEASE};
-use medlarreel_core::entry::ledger::{self, CALL_TIMEOUT, Ledger};
+use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::leadership;
+use medlarreel_core::entry::ledger::{self, Ledger};
 use medlarreel_core::entry::map::{Owner, OwnerMap};
 use medlarreel_core::entry::plan::Candidate;
 use medlarreel_core::time::Time;
@@ -22,16 +23,16 @@
 use tokio::net::UdpSocket;
 
 use demand::Demand;
-pub use handover::{answer_request, step_down, transfer_leadership};
+pub use handover::{answer_request, repeat_report, step_down, transfer_leadership};
 use order::execute_order;
 pub use record::join_cluster;
 use record::{
-    LEADER_KEY, LEADER_TOPIC, LeaderRecord, OWNERS_KEY, RecordWriter, WriteResult, decode_error,
-    encode, epoch_at_offset,
+    LEADER_TOPIC, RecordWriter, WriteResult, Written, is_complete, leader_record, owners_record,
 };
 
 use crate::error::Error;
-use crate::platform::store::{AppendOutcome, StoreClient};
+use crate::peers::{self, Message};
+use crate::platform::store::StoreClient;
 use crate::state::{PendingTransfer, State};
 
 /// Interval at which the leader task checks for due work.
@@ -65,6 +66,10 @@
 /// Upper bound for an instance's position in the campaign order.
 const MAX_CAMPAIGN_POSITION: u32 = 12;
 
+/// Interval between attempts to claim leadership again after the store was restored.
+/// Another instance may claim it `STALE_RECORD_AGE` after the store responds again.
+const CLAIM_AGAIN_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Delay after a failed attempt to become leader or to write to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -108,6 +113,7 @@
                 store,
                 nonce: rand::rng().random(),
                 end: 0,
+                era: Era::default(),
             }),
             write_result: Rc::default(),
             last_append: Time(0),
@@ -147,6 +153,7 @@
         };
         writer.nonce = transferred.nonce;
         writer.end = transferred.end;
+        writer.era = Era::of_epoch(transferred.snapshot.owners.epoch);
         let lease_duration = self.state.settings.borrow().lease_duration;
         let ledger = Ledger::resume(&transferred.snapshot, lease_duration, now);
         self.last_confirmed_write = Time(0);
@@ -252,76 +259,56 @@
     /// recorded leader is inactive. If it is active, returns `Ok` without a claim.
     async fn campaign(&mut self, now: Time, writer: &mut RecordWriter) -> Result<(), Error> {
         let latest = writer.store.read_latest(LEADER_TOPIC).await?;
-        let value = |key: &str| {
-            let item = latest.records.iter().find(|item| item.key == key)?;
-            Some((item.offset, item.value.clone()?))
-        };
-        let before = match value(LEADER_KEY) {
-            Some((offset, bytes)) => {
-                let record: LeaderRecord = postcard::from_bytes(&bytes).map_err(decode_error)?;
-                Some((offset, record))
-            }
-            None => None,
-        };
-        let owners: OwnerMap = match value(OWNERS_KEY) {
-            Some((_, bytes)) => postcard::from_bytes(&bytes).map_err(decode_error)?,
-            None => OwnerMap::default(),
-        };
+        let era = writer.store.era();
+        let owners = owners_record(&latest)?;
         let mut predecessor = 0;
-        if let Some((offset, record)) = &before {
-            let epoch = match record.epoch {
-                0 => epoch_at_offset(*offset),
-                epoch => epoch,
-            };
-            predecessor = epoch;
+        if let Some((offset, record)) = leader_record(&latest)? {
+            predecessor = record.epoch(offset);
             let mut leadership = self.state.leadership.borrow_mut();
             // This instance does not lead, so nothing renews a record under its own name,
             // such as one from before a restart.
             let own = record.name == self.state.name();
-            leadership.observe_heartbeat(now, epoch, &record.name, false);
-            let inactive = own || leadership.observe_topic_end(now, latest.next_offset);
+            leadership.observe_heartbeat(now, predecessor, &record.name, false);
+            let inactive = own || leadership.observe_topic_end(now, era, latest.next_offset);
             drop(leadership);
             if !inactive {
-                if owners.epoch > self.state.owner_map.borrow().epoch {
+                if let Some(owners) = owners
+                    && owners.epoch > self.state.owner_map.borrow().epoch
+                {
                     self.state.adopt_owner_map(owners);
                 }
                 return Ok(());
             }
         }
-        let record = LeaderRecord {
-            name: self.state.name(),
-            nonce: writer.nonce,
-            epoch: 0,
-        };
         let sent_at = self.state.clock.now();
-        let value = encode(&record)?;
-        let store = &mut writer.store;
-        match store
-            .append(LEADER_TOPIC, LEADER_KEY, &value, Some(latest.next_offset))
-            .await?
-        {
-            AppendOutcome::Appended(offset) => {
-                writer.end = offset + 1;
-                self.become_leader(epoch_at_offset(offset), predecessor, sent_at, &owners);
-                Ok(())
-            }
-            AppendOutcome::Conflict => Err(Error::Refused(412)),
-        }
+        let epoch = writer.claim(&self.state.name(), latest.next_offset).await?;
+        self.become_leader(epoch, predecessor, sent_at, owners);
+        Ok(())
     }
 
     /// Starts leading in a newly claimed epoch.
-    fn become_leader(&mut self, epoch: u64, predecessor: u64, sent_at: Time, owners: &OwnerMap) {
+    fn become_leader(
+        &mut self,
+        epoch: u64,
+        predecessor: u64,
+        sent_at: Time,
+        owners: Option<OwnerMap>,
+    ) {
         let now = self.state.clock.now();
         let lease_duration = self.state.settings.borrow().lease_duration;
-        let mut ledger = Ledger::new(epoch, lease_duration);
-        // An order that the predecessor sends at the end of its leadership arrives up to
-        // `CALL_TIMEOUT` later, and its grant is then valid for a whole lease.
-        let until = now
-            + medlarreel_core::time::max_with_drift(LEADER_LEASE)
-            + CALL_TIMEOUT
-            + ledger::max_lease_duration(lease_duration);
-        tracing::info!(epoch, predecessor, recorded = owners.epoch, "leader now");
-        ledger.adopt(owners, predecessor, now, until);
+        let is_complete = is_complete(owners.as_ref(), Era::of_epoch(epoch));
+        let recorded = owners.as_ref().map_or(0, |owners| owners.epoch);
+        tracing::info!(epoch, predecessor, recorded, is_complete, "leader now");
+        let ledger = if is_complete {
+            let mut ledger = Ledger::new(epoch, lease_duration);
+            let until = ledger::unknown_grants_end(now, lease_duration);
+            ledger.adopt(&owners.unwrap_or_default(), predecessor, now, until);
+            ledger
+        } else {
+            // The record of the last leader may be lost as well.
+            let predecessor = predecessor.max(self.state.leadership.borrow().highest_epoch());
+            Ledger::without_record(epoch, lease_duration, predecessor, now)
+        };
         (self.last_append, self.last_confirmed_write) = (now, now);
         *self.state.ledger.borrow_mut() = Some(ledger);
         let name = self.state.name();
@@ -333,6 +320,11 @@
     }
 
     async fn tick_leader(&mut self, now: Time) {
+        if self.must_claim_again()
+            && let Some(ledger) = self.state.ledger.borrow_mut().as_mut()
+        {
+            ledger.suspend_moves();
+        }
         if self.state.leadership.borrow().active_epoch(now).is_some() {
             // Released keys cannot be granted again until a new record has been written.
             let store_writable = now.since(self.last_confirmed_write) < MAX_WRITE_AGE;
@@ -343,7 +335,13 @@
             self.send_due_orders(now);
         }
         self.broadcast_owners(now).await;
-        self.maintain_record(now);
+        self.maintain_record(now).await;
+    }
+
+    /// Whether the store has been restored since this leader claimed its epoch.
+    fn must_claim_again(&self) -> bool {
+        let epoch = self.state.leadership.borrow().epoch();
+        epoch.is_some_and(|epoch| Era::of_epoch(epoch) < self.state.store_era.get())
     }
 
     /// Plans the owners of the keys of each keyed service and starts the required moves.
@@ -410,17 +408,24 @@
         }
     }
 
-    /// Processes the result of the last write, then starts a write if one is due: the
-    /// record of owners if it is outdated, otherwise the record that renews leadership.
+    /// Processes the result of the last write, then starts a write if one is due: a new
+    /// claim after the store has been restored, the record of owners if it is outdated,
+    /// otherwise the record that renews leadership.
     ///
     /// The write runs in its own task, since the store may be slow.
-    fn maintain_record(&mut self, now: Time) {
+    async fn maintain_record(&mut self, now: Time) {
         if let Some((writer, written)) = self.write_result.take() {
             self.state
                 .leader_topic
                 .set(Some((writer.nonce, writer.end)));
             self.writer = Some(writer);
-            self.handle_write_result(written);
+            self.handle_write_result(now, written).await;
+        }
+        let must_claim_again = self.must_claim_again();
+        if must_claim_again && self.state.leadership.borrow().active_epoch(now).is_none() {
+            // Other instances may have granted keys since the lease has ended.
+            self.report_stop().await;
+            return;
         }
         let due = {
             let ledger = self.state.ledger.borrow();
@@ -431,6 +436,7 @@
                 .needs_record()
                 .then(|| (ledger.record_version(), ledger.ownership_record(now)));
             let interval = match (&record, self.state.store_health.get().failing) {
+                _ if must_claim_again => CLAIM_AGAIN_INTERVAL,
                 (Some(_), false) => Duration::ZERO,
                 (Some(_), true) => RETRY_DELAY,
                 (None, _) => leadership::RENEWAL_INTERVAL,
@@ -447,7 +453,10 @@
         let (state, slot) = (Rc::clone(&self.state), Rc::clone(&self.write_result));
         tokio::task::spawn_local(async move {
             let (version, owners) = record.unzip();
-            let result = writer.write(&state.name(), epoch, owners.as_ref()).await;
+            let result = match must_claim_again {
+                true => writer.claim_again(&state.name()).await,
+                false => writer.write(&state.name(), epoch, owners.as_ref()).await,
+            };
             state.observe_store_era(writer.store.era());
             let written = WriteResult {
                 epoch,
@@ -459,27 +468,31 @@
         });
     }
 
-    fn handle_write_result(&mut self, written: WriteResult) {
+    async fn handle_write_result(&mut self, now: Time, written: WriteResult) {
         if self.state.leadership.borrow().epoch() != Some(written.epoch) {
             return;
         }
         match written.result {
-            Ok(true) => {
-                self.state.record_store_result(true);
-                self.state.metrics.count_call("lead", "done");
-                self.last_confirmed_write = written.sent_at;
-                self.state
-                    .leadership
-                    .borrow_mut()
-                    .record_append(written.sent_at);
+            Ok(Written::Appended) => {
+                self.record_confirmed_write(written.sent_at);
                 let mut ledger = self.state.ledger.borrow_mut();
                 if let (Some(version), Some(ledger)) = (written.version, ledger.as_mut()) {
                     ledger.acknowledge_record(version);
                 }
             }
-            Ok(false) => {
-                step_down(&self.state);
+            Ok(Written::Claimed(epoch)) => {
+                tracing::info!(epoch, before = written.epoch, "leadership claimed again");
+                let name = self.state.name();
+                let mut leadership = self.state.leadership.borrow_mut();
+                leadership.become_leader(&name, epoch, written.sent_at);
+                drop(leadership);
+                self.record_confirmed_write(written.sent_at);
+                if let Some(ledger) = self.state.ledger.borrow_mut().as_mut() {
+                    ledger.continue_in(epoch, now);
+                }
+                self.begin_leading();
             }
+            Ok(Written::Replaced) => self.report_stop().await,
             Err(error) => {
                 self.state.record_store_result(false);
                 self.state.metrics.count_call("lead", "failed");
@@ -487,6 +500,24 @@
             }
         }
     }
+
+    fn record_confirmed_write(&mut self, sent_at: Time) {
+        self.state.record_store_result(true);
+        self.state.metrics.count_call("lead", "done");
+        self.last_confirmed_write = sent_at;
+        self.state.leadership.borrow_mut().record_append(sent_at);
+    }
+
+    /// Steps down, and reports the grants of this leader to the others: the one that leads
+    /// now may not know them.
+    async fn report_stop(&self) {
+        let Some(epoch) = self.state.leadership.borrow().epoch() else {
+            return;
+        };
+        let snapshot = step_down(&self.state);
+        let resigned = Message::Resigned { epoch, snapshot };
+        peers::broadcast(&self.state, &self.socket, &resigned).await;
+    }
 }
 
 /// The incarnation that a registration describes.
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -3,12 +3,12 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use medlarreel_core::entry::map::OwnerMap;
+use medlarreel_core::entry::ledger::LedgerSnapshot;
 use medlarreel_core::entry::transfer::{Offer, Process};
 use tokio::net::UdpSocket;
 
 use crate::peers::{self, Message};
-use crate::state::{Member, OutgoingTransfer, PendingTransfer, State};
+use crate::state::{FinalReport, Member, OutgoingTransfer, PendingTransfer, State};
 
 /// Interval between repeated offers, since messages may be lost. A successor usually
 /// takes over within a tick of its leader task, which is as long.
@@ -19,18 +19,47 @@
 /// record then has not changed for long enough.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Steps down as leader. Returns the possible holder of each key and how long the grants
-/// of this leader and its predecessors may remain valid, or `None` if this instance has
-/// no ledger.
-pub fn step_down(state: &State) -> Option<OwnerMap> {
+/// Number of times that a leader's final report is sent to each later leader, with its
+/// heartbeats, since messages may be lost.
+const REPORT_SENDS: u32 = 3;
+
+/// Steps down as leader. Returns what a successor needs to know of the grants of this leader
+/// and its predecessors, or `None` if this instance does not know it.
+pub fn step_down(state: &State) -> Option<LedgerSnapshot> {
     let now = state.clock.now();
     state.leadership.borrow_mut().step_down(now);
     // Closes the connections of unanswered orders, so that none arrives later.
     state.orders.borrow_mut().abort_all();
     let ledger = state.ledger.borrow_mut().take()?;
     state.metrics.is_leader.set(0);
-    tracing::info!(epoch = ledger.epoch(), "no longer the leader");
-    Some(ledger.snapshot(now).owners)
+    let epoch = ledger.epoch();
+    tracing::info!(epoch, "no longer the leader");
+    let snapshot = ledger.snapshot(now);
+    let report = snapshot.clone().map(|snapshot| FinalReport {
+        epoch,
+        snapshot,
+        sent: (epoch, 0),
+    });
+    state.last_report.replace(report);
+    snapshot
+}
+
+/// Returns the message with the grants of this instance's last leadership, to be sent to
+/// the leader of `epoch`. Returns `None` if that leader has received it or cannot need it.
+pub fn repeat_report(state: &State, epoch: u64) -> Option<Message> {
+    let mut last_report = state.last_report.borrow_mut();
+    let report = last_report.as_mut()?;
+    if report.sent.0 < epoch {
+        report.sent = (epoch, 0);
+    }
+    if report.epoch >= epoch || report.sent.0 != epoch || report.sent.1 >= REPORT_SENDS {
+        return None;
+    }
+    report.sent.1 += 1;
+    Some(Message::Resigned {
+        epoch: report.epoch,
+        snapshot: Some(report.snapshot.clone()),
+    })
 }
 
 /// Collects what a successor takes over, and selects the instances that may be one.
@@ -40,7 +69,7 @@
     let (nonce, end) = state.leader_topic.get()?;
     let leadership = state.leadership.borrow();
     let transfer = PendingTransfer {
-        snapshot: state.ledger.borrow().as_ref()?.snapshot(now),
+        snapshot: state.ledger.borrow().as_ref()?.snapshot(now)?,
         nonce,
         end,
         confirmed_at: leadership.confirmed_at()?,
@@ -67,7 +96,7 @@
     // No order may follow the snapshot, so this instance steps down before it makes the
     // offer.
     let transfer = prepare_transfer(state);
-    let owners = step_down(state);
+    let snapshot = step_down(state);
     state.outgoing_transfer.replace(transfer);
     if offer_leadership(state, socket, epoch).await {
         tracing::info!(epoch, "leadership transferred");
@@ -75,7 +104,7 @@
     }
     // No request is answered after this message.
     state.outgoing_transfer.take();
-    let resigned = Message::Resigned { epoch, owners };
+    let resigned = Message::Resigned { epoch, snapshot };
     peers::broadcast(state, socket, &resigned).await;
 }
 
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -14,7 +14,7 @@
 use super::RETRY_DELAY;
 use crate::error::Error;
 use crate::peers;
-use crate::platform::store::{AppendOutcome, StoreClient};
+use crate::platform::store::{AppendOutcome, LatestRecords, StoreClient};
 use crate::state::{Member, State};
 
 /// Topic that holds the leader's records.
@@ -31,10 +31,10 @@
 const MAX_REJOIN_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Key of the record that names the leader.
-pub(super) const LEADER_KEY: &str = "lead";
+const LEADER_KEY: &str = "lead";
 
 /// Key of the record with the possible holder of each service key.
-pub(super) const OWNERS_KEY: &str = "owners";
+const OWNERS_KEY: &str = "owners";
 
 /// Record that claims or renews leadership.
 #[data(value)]
@@ -44,6 +44,18 @@
     pub(super) nonce: u64,
     /// Epoch of the leadership; 0 in the record that claims it.
     pub(super) epoch: u64,
+    /// Era of the store in which the leadership was claimed.
+    pub(super) era: Era,
+}
+
+impl LeaderRecord {
+    /// Epoch of the leadership, given the offset of the record.
+    pub(super) fn epoch(&self, offset: u64) -> u64 {
+        match self.epoch {
+            0 => self.era.epoch_at(offset),
+            epoch => epoch,
+        }
+    }
 }
 
 /// Record by which an instance announces itself.
@@ -67,6 +79,8 @@
     pub(super) nonce: u64,
     /// End offset of the topic after the last record of this writer.
     pub(super) end: u64,
+    /// Era of the store in which leadership was claimed, to which `end` belongs.
+    pub(super) era: Era,
 }
 
 /// Result of a write to the leader's topic.
@@ -77,8 +91,18 @@
     pub(super) sent_at: Time,
     /// Version of the record of owners, if that is what was written.
     pub(super) version: Option<u64>,
-    /// `Ok(false)` if another instance has become leader.
-    pub(super) result: Result<bool, Error>,
+    pub(super) result: Result<Written, Error>,
+}
+
+/// Effect of a write to the leader's topic.
+#[derive(Debug)]
+pub(super) enum Written {
+    /// The record was appended.
+    Appended,
+    /// Leadership was claimed again, in this epoch.
+    Claimed(u64),
+    /// Nothing was appended, since another instance has become leader.
+    Replaced,
 }
 
 /// Announces this instance in the store and to the other instances, and loads the list of
@@ -197,26 +221,75 @@
     }
 }
 
-pub(super) fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Error> {
     postcard::to_allocvec(value).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 impl RecordWriter {
-    /// Appends the record of owners, or renews leadership if `owners` is `None`. Returns
-    /// false if another instance has become leader.
+    /// Appends the record that claims leadership, provided that the topic still ends at
+    /// `end`. Returns the claimed epoch.
+    ///
+    /// # Errors
+    ///
+    /// See `write`. The topic must have been read in the era of the last response.
+    pub(super) async fn claim(&mut self, name: &str, end: u64) -> Result<u64, Error> {
+        let era = self.store.era();
+        let record = LeaderRecord {
+            name: name.to_owned(),
+            nonce: self.nonce,
+            epoch: 0,
+            era,
+        };
+        let value = encode(&record)?;
+        let appended = self
+            .store
+            .append(LEADER_TOPIC, LEADER_KEY, &value, Some(end))
+            .await?;
+        match appended {
+            // The condition may have held by chance in a later era.
+            _ if self.store.era() != era => Err(Error::Restored),
+            AppendOutcome::Appended(offset) => {
+                (self.end, self.era) = (offset + 1, era);
+                Ok(era.epoch_at(offset))
+            }
+            AppendOutcome::Conflict => Err(Error::Refused(412)),
+        }
+    }
+
+    /// Claims leadership again after the store has been restored, unless another instance
+    /// has done so.
+    ///
+    /// # Errors
+    ///
+    /// See `write`.
+    pub(super) async fn claim_again(&mut self, name: &str) -> Result<Written, Error> {
+        let latest = self.store.read_latest(LEADER_TOPIC).await?;
+        let record = leader_record(&latest)?;
+        let is_replaced = record.is_some_and(|(_, record)| {
+            record.nonce != self.nonce && record.era == self.store.era()
+        });
+        match is_replaced {
+            true => Ok(Written::Replaced),
+            false => Ok(Written::Claimed(
+                self.claim(name, latest.next_offset).await?,
+            )),
+        }
+    }
+
+    /// Appends the record of owners, or renews leadership if `owners` is `None`.
     ///
     /// # Errors
     ///
     /// After `NotSent` and `Refused` the append had no effect and can be repeated.
     /// `Refused` is also returned if an earlier append of this writer, whose response was
-    /// lost, has moved the end of the topic. After any other error the append may take
-    /// effect now or later.
+    /// lost, or a delayed one from an earlier era has moved the end of the topic. After `Restored`, leadership must be claimed
+    /// again. After any other error the append may take effect now or later.
     pub(super) async fn write(
         &mut self,
         name: &str,
         epoch: u64,
         owners: Option<&OwnerMap>,
-    ) -> Result<bool, Error> {
+    ) -> Result<Written, Error> {
         let (key, value) = match owners {
             Some(map) => (OWNERS_KEY, encode(map)?),
             None => {
@@ -224,6 +297,7 @@
                     name: name.to_owned(),
                     nonce: self.nonce,
                     epoch,
+                    era: self.era,
                 };
                 (LEADER_KEY, encode(&record)?)
             }
@@ -232,35 +306,69 @@
             .store
             .append(LEADER_TOPIC, key, &value, Some(self.end))
             .await?;
+        if self.store.era() != self.era {
+            return Err(Error::Restored);
+        }
         if let AppendOutcome::Appended(offset) = appended {
             self.end = offset + 1;
-            return Ok(true);
+            return Ok(Written::Appended);
         }
         // The topic does not end where expected: either the response to an earlier
         // append of this writer was lost, or another instance has become leader.
         let latest = self.store.read_latest(LEADER_TOPIC).await?;
-        let item = latest.records.iter().find(|item| item.key == LEADER_KEY);
-        let value = item.and_then(|item| item.value.clone());
-        let record: Option<LeaderRecord> = match value {
-            Some(bytes) => Some(postcard::from_bytes(&bytes).map_err(decode_error)?),
-            None => None,
-        };
-        match record {
-            Some(record) if record.nonce == self.nonce => {
+        if self.store.era() != self.era {
+            return Err(Error::Restored);
+        }
+        match leader_record(&latest)? {
+            // A delayed append of an earlier era's leader does not claim this one.
+            Some((_, record)) if record.nonce == self.nonce || record.era < self.era => {
                 self.end = latest.next_offset;
                 Err(Error::Refused(412))
             }
-            _ => Ok(false),
+            _ => Ok(Written::Replaced),
         }
     }
 }
 
-/// Returns the epoch claimed by the record at `offset`. Epoch 0 means that there is no
-/// leader, so epochs start at 1.
-pub(super) fn epoch_at_offset(offset: u64) -> u64 {
-    offset + 1
+/// Returns the record that names the leader, and its offset.
+///
+/// # Errors
+///
+/// Returns an error if the record cannot be decoded.
+pub(super) fn leader_record(latest: &LatestRecords) -> Result<Option<(u64, LeaderRecord)>, Error> {
+    let Some((offset, value)) = find_value(latest, LEADER_KEY) else {
+        return Ok(None);
+    };
+    let record = postcard::from_bytes(value).map_err(decode_error)?;
+    Ok(Some((offset, record)))
 }
 
-pub(super) fn decode_error(error: postcard::Error) -> Error {
+/// Returns the record of owners.
+///
+/// # Errors
+///
+/// Returns an error if the record cannot be decoded.
+pub(super) fn owners_record(latest: &LatestRecords) -> Result<Option<OwnerMap>, Error> {
+    let value = find_value(latest, OWNERS_KEY);
+    let owners = value.map(|(_, bytes)| postcard::from_bytes(bytes));
+    owners.transpose().map_err(decode_error)
+}
+
+/// Offset and value of the latest record of a key.
+fn find_value<'a>(latest: &'a LatestRecords, key: &str) -> Option<(u64, &'a [u8])> {
+    let item = latest.records.iter().find(|item| item.key == key)?;
+    Some((item.offset, item.value.as_deref()?))
+}
+
+fn decode_error(error: postcard::Error) -> Error {
     Error::Malformed(error.to_string())
 }
+
+/// Whether the record of owners names the possible holder of each key. One from an earlier
+/// era may lack what was recorded since the store's copy was made.
+pub(super) fn is_complete(owners: Option<&OwnerMap>, era: Era) -> bool {
+    match owners {
+        Some(owners) => Era::of_epoch(owners.epoch) == era,
+        None => era <= Era::FIRST,
+    }
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -87,8 +87,8 @@
         /// Epoch that has ended.
         epoch: u64,
         /// Possible holders of keys, and how long grants of this leader and its
-        /// predecessors may remain valid; `None` if the sender has no ledger.
-        owners: Option<OwnerMap>,
+        /// predecessors may remain valid; `None` if the sender does not know them.
+        snapshot: Option<LedgerSnapshot>,
     },
     /// Reply to a `TransferRequest`: leadership is transferred to the receiver.
     Transfer {
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::transfer::Process;
 use tokio::net::UdpSocket;
 
@@ -72,6 +73,7 @@
             revision,
             progress: topic_progress,
         } => {
+            state.observe_store_era(Era::of_epoch(epoch));
             for (_, progress) in &topic_progress {
                 state.observe_store_era(progress.era);
             }
@@ -83,17 +85,15 @@
             {
                 tracing::info!(epoch, leader = name, "leader changed");
                 state.metrics.epoch.set(epoch as i64);
-                if let Some(previous_epoch) = previous_epoch {
-                    let owners = crate::leader::step_down(state);
-                    let resigned = Message::Resigned {
-                        epoch: previous_epoch,
-                        owners,
-                    };
-                    let leader = state.leader_address().unwrap_or(from);
-                    send(socket, leader, &resigned).await;
+                if previous_epoch.is_some() {
+                    crate::leader::step_down(state);
                 }
             }
             if epoch >= state.leadership.borrow().highest_epoch() {
+                if let Some(report) = crate::leader::repeat_report(state, epoch) {
+                    let leader = state.leader_address().unwrap_or(from);
+                    send(socket, leader, &report).await;
+                }
                 for (topic, progress) in &topic_progress {
                     if state.feed(*topic).observe_reader(now, progress) {
                         state.record_store_contact();
@@ -150,13 +150,13 @@
                 missed::request_owners(state, socket, from, revision).await;
             }
         }
-        Message::Resigned { epoch, owners } => {
+        Message::Resigned { epoch, snapshot } => {
             state
                 .leadership
                 .borrow_mut()
                 .observe_resignation(now, epoch);
-            if let (Some(ledger), Some(owners)) = (state.ledger.borrow_mut().as_mut(), owners) {
-                ledger.handle_predecessor_stop(epoch, now, &owners);
+            if let (Some(ledger), Some(snapshot)) = (state.ledger.borrow_mut().as_mut(), snapshot) {
+                ledger.handle_predecessor_stop(epoch, now, &snapshot);
             }
         }
         Message::Transfer {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -67,6 +67,18 @@
     pub transfer: PendingTransfer,
 }
 
+/// Report of a leader that has stepped down, for those after it.
+#[derive(Debug)]
+pub struct FinalReport {
+    /// Epoch that has ended.
+    pub epoch: u64,
+    /// Grants of this leader and its predecessors. Their times count from a later moment
+    /// when it is sent again, which is safe.
+    pub snapshot: LedgerSnapshot,
+    /// Latest epoch to whose leader the report was sent, and how often.
+    pub sent: (u64, u32),
+}
+
 /// Minimum interval between two full owner maps or snapshots that an instance sends on
 /// request. For hundreds of upstreams they take 30 to 50 kB, and the smallest links carry
 /// 20 Mbit/s.
@@ -135,6 +147,8 @@
     pub leadership: RefCell<Leadership>,
     /// Ledger of key ownership; `Some` while this instance leads.
     pub ledger: RefCell<Option<Ledger>>,
+    /// What this instance knew of grants when it last stepped down as leader.
+    pub last_report: RefCell<Option<FinalReport>>,
     /// Orders in flight to upstreams.
     pub orders: RefCell<JoinSet<()>>,
     /// Nonce of this instance's records in the leader's topic, and end offset of the
@@ -199,6 +213,7 @@
             metrics: Metrics::default(),
             leadership: RefCell::new(Leadership::new(now)),
             ledger: RefCell::default(),
+            last_report: RefCell::default(),
             orders: RefCell::default(),
             leader_topic: Cell::default(),
             pending_transfer: RefCell::default(),
--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_standin::platform::upstream::ResponseMode;
 use medlarreel_standin::server::any_port;
 use tokio::io::AsyncWriteExt;
@@ -133,10 +134,11 @@
     let cluster = start_cluster().await;
     let second = start_instance(cluster.store.address()).await;
     let metrics = request_text("GET", "/metrics", "m", "");
+    let first_epoch = format!("medlarreel_epoch {}\n", Era::FIRST.epoch_at(0));
 
     wait_until("the second instance knows the first leader", async || {
         let text = send_request(second.metrics, &metrics).await;
-        text.contains("medlarreel_epoch 1\n") && text.contains("medlarreel_leads 0\n")
+        text.contains(&first_epoch) && text.contains("medlarreel_leads 0\n")
     })
     .await;
 }
