Release keys everywhere instead of waiting after a restore

Cause: the wait covers a former leader that goes on renewing and upstreams that nobody knows. An instance that has read the registrations before the restore knows all upstreams that can hold keys, once those that the copy lacks have registered again (2.1 s).

Change: such a leader asks each of them to release all keys, with its higher fence, so that grants of former leaders are refused from then on. When all have answered, the last known owners get their keys back with their tokens. An upstream that does not answer is waited for as before. An instance that has just started leaves the lead to the others for 2.5 s while the record is incomplete; without this a killed leader, which claims its own record at once, led without that knowledge.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -118,6 +118,12 @@
         Some((key, &self.records[key.0 as usize]))
     }
 
+    /// Latest incarnations of all upstreams, also of those that were removed.
+    pub fn latest(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        let keys = self.current.values();
+        keys.map(|key| &self.records[key.0 as usize])
+    }
+
     /// Usable upstreams of all services.
     pub fn usable(&self) -> impl Iterator<Item = (Upstream, &UpstreamRecord)> {
         let keys = self.current.values();
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -22,8 +22,8 @@
 
 pub use order::{LedgerSnapshot, Order, OrderKind, Reply};
 use range::{Lease, LeasedRange, State};
-use recovery::Recovery;
 pub use recovery::{CONFIRMATION_TIME, unknown_grants_end};
+use recovery::{Recovery, Sweep};
 
 use super::map::{KeyRange, Owner, OwnerMap};
 use super::plan::{self, Candidate, KeyWeights, PlannedRange};
@@ -87,6 +87,8 @@
     /// otherwise 0.
     predecessor: u64,
     recovery: Recovery,
+    /// Release of all keys while the recovery waits for unknown grants to end.
+    sweep: Option<Sweep>,
     services: BTreeMap<String, Vec<LeasedRange>>,
     /// Consecutive unanswered calls, and the time at which the last one failed.
     failures: HashMap<Owner, (u32, Time)>,
@@ -104,6 +106,7 @@
             view_version: 0,
             predecessor: 0,
             recovery: Recovery::Complete,
+            sweep: None,
             services: BTreeMap::new(),
             failures: HashMap::new(),
         }
@@ -204,7 +207,7 @@
     /// unless it is not the recorded predecessor. Takes its grants over if this ledger does
     /// not know them.
     pub fn handle_predecessor_stop(&mut self, epoch: u64, now: Time, snapshot: &LedgerSnapshot) {
-        if self.lacks_grants_of(epoch) {
+        if self.lacks_grants_of(epoch, now) {
             self.predecessor = epoch;
             self.take_over(snapshot, now);
             return;
@@ -263,11 +266,15 @@
     /// The upstream that serves each key now, or the expected wait until one does, to be
     /// published to the instances. `writable` tells whether the store can be written.
     pub fn view(&self, now: Time, writable: bool) -> OwnerMap {
+        let recovery_time = match &self.sweep {
+            Some(sweep) => sweep.time_left(now),
+            None => self.recovery.time_left(now),
+        };
         self.build_map(self.view_version, |state| match state {
             State::Held { owner, .. } => (Some(owner.clone()), 0),
             State::Free { .. } | State::Granting { .. } => {
                 let wait = if writable { GRANT_TIME } else { STORE_WAIT };
-                (None, millis(wait + self.recovery.time_left(now)))
+                (None, millis(wait + recovery_time))
             }
             State::Releasing { lease, sent, .. } => {
                 // A live upstream answers once its requests for the keys have ended.
@@ -396,7 +403,9 @@
         max_orders: usize,
         newer_incarnation: impl Fn(&Owner) -> Option<Owner>,
     ) -> Vec<Order> {
-        self.finish_recovery(now);
+        if matches!(self.recovery, Recovery::Waiting { .. }) {
+            return self.take_sweep_orders(now, max_orders);
+        }
         self.take_back_ended_ranges(now, newer_incarnation);
         let renewals_only = self.recovery != Recovery::Complete;
         let mut due: Vec<(Time, &str, &mut LeasedRange)> = Vec::new();
@@ -458,6 +467,7 @@
                 self.failures.remove(&order.owner);
             }
             Reply::Misdirected => {
+                self.handle_sweep_reply(order, reply);
                 self.free_ranges_of(&order.owner);
                 let failure = (UNREACHABLE_FAILURES, now);
                 self.failures.insert(order.owner.clone(), failure);
@@ -469,6 +479,7 @@
             }
             Reply::Fenced => {}
         }
+        self.handle_sweep_reply(order, reply);
         if *reply == Reply::Fenced && self.contradicts_confirmation(order) {
             self.wait_for_unknown_grants(now);
             return;
--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -5,19 +5,29 @@
 //! it and whose record is lost. It first renews its grants with fencing tokens of its former
 //! epoch: if another leader has taken over since, upstreams refuse them. A leader that knows
 //! of no grants waits until all have expired, or until the leader before it reports them.
+//! It need not wait if every upstream that may hold keys releases them (`Sweep`).
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::order::Order;
-use super::range::State;
-use super::{CALL_TIMEOUT, Ledger, first_fence, max_lease_duration, range};
+use super::order::{Order, OrderKind, Reply};
+use super::range::{self, Lease, LeasedRange, State, is_due, next_fence};
+use super::{CALL_TIMEOUT, Ledger, RESEND_INTERVAL, first_fence, max_lease_duration};
 use crate::entry::leadership::LEADER_LEASE;
+use crate::entry::map::{KeyRange, Owner, OwnerMap};
 use crate::time::{Time, max_with_drift};
 
 /// Time within which a leader renews all grants once and learns of refusals: a third of a
 /// lease, which lasts up to 4 s, and the timeout of a call.
 pub const CONFIRMATION_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for the report of the leader before to arrive, before upstreams are asked to release
+/// their keys. It is sent in reply to the first heartbeat.
+const REPORT_TIME: Duration = Duration::from_millis(300);
+
+/// Typical time for the replies to the releases of a sweep.
+const SWEEP_TIME: Duration = Duration::from_millis(500);
+
 /// Stage of a leader's recovery after the store has lost records.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Recovery {
@@ -30,6 +40,111 @@
     Waiting { until: Time },
 }
 
+/// Release of all keys by every upstream that may hold some. Each refuses later grants of
+/// former leaders by their lower fences.
+#[derive(Debug)]
+pub(super) struct Sweep {
+    /// Time of the first releases.
+    start: Time,
+    /// Time until which upstreams may be missing from the directory.
+    earliest_end: Time,
+    /// Last known owners, which get their keys back.
+    known_owners: OwnerMap,
+    /// Upstreams by service.
+    targets: BTreeMap<(String, Owner), Target>,
+}
+
+/// Upstream that may hold keys.
+#[derive(Debug)]
+enum Target {
+    /// It has not released its keys. The last order was sent at this time.
+    Pending(Option<Time>),
+    /// It has released them, with this token for the next holder.
+    Released(Option<String>),
+    /// Its process has ended.
+    Ended,
+}
+
+impl Sweep {
+    /// Typical time until it is done.
+    pub(super) fn time_left(&self, now: Time) -> Duration {
+        self.earliest_end.max(self.start + SWEEP_TIME).since(now)
+    }
+
+    /// Whether no upstream holds keys of former leaders any more.
+    fn is_done(&self, now: Time) -> bool {
+        let is_pending = |target: &Target| matches!(target, Target::Pending(_));
+        now >= self.earliest_end
+            && !self.targets.is_empty()
+            && !self.targets.values().any(is_pending)
+    }
+
+    /// Returns the releases that are due now, at most `max_orders`.
+    fn take_due_orders(
+        &mut self,
+        now: Time,
+        max_orders: usize,
+        last_fence: &mut u64,
+    ) -> Vec<Order> {
+        if now < self.start {
+            return Vec::new();
+        }
+        let due = self.targets.iter_mut().filter_map(|(key, target)| {
+            let Target::Pending(sent) = target else {
+                return None;
+            };
+            is_due(*sent, now, RESEND_INTERVAL).then_some((key, sent))
+        });
+        due.take(max_orders)
+            .map(|((service, owner), sent)| {
+                *sent = Some(now);
+                Order {
+                    service: service.clone(),
+                    first: 0,
+                    last: u16::MAX,
+                    owner: owner.clone(),
+                    fence: next_fence(last_fence),
+                    kind: OrderKind::Release,
+                }
+            })
+            .collect()
+    }
+
+    fn handle_reply(&mut self, order: &Order, reply: &Reply) {
+        let key = (order.service.clone(), order.owner.clone());
+        let Some(target) = self.targets.get_mut(&key) else {
+            return;
+        };
+        match reply {
+            Reply::Done { handover } => *target = Target::Released(handover.clone()),
+            Reply::Misdirected => *target = Target::Ended,
+            Reply::Fenced | Reply::NotSent | Reply::Unknown => {}
+        }
+    }
+
+    /// State of a range after the sweep: its last known owner gets the keys back.
+    fn state_after(&self, now: Time, service: &str, key_range: &KeyRange) -> State {
+        let released = key_range.owner.as_ref().and_then(|owner| {
+            let target = self.targets.get(&(service.to_owned(), owner.clone()))?;
+            match target {
+                Target::Released(handover) => Some((owner.clone(), handover.clone())),
+                Target::Pending(_) | Target::Ended => None,
+            }
+        });
+        match released {
+            Some((owner, handover)) => State::Granting {
+                owner,
+                fence: 0,
+                handover,
+                version: 0,
+                sent: None,
+                lease: Lease::until(now),
+            },
+            None => State::Free { handover: None },
+        }
+    }
+}
+
 impl Recovery {
     /// Time until keys can be granted to new holders.
     pub(super) fn time_left(self, now: Time) -> Duration {
@@ -59,6 +174,69 @@
         ledger
     }
 
+    /// Whether upstreams are asked to release all keys.
+    pub fn is_sweeping(&self) -> bool {
+        self.sweep.is_some()
+    }
+
+    /// Releases all keys soon at the upstreams named by `add_possible_holders`, which must
+    /// name all that former leaders may have known. From `earliest_end` on none is missing.
+    /// `known_owners` says who served the keys before.
+    pub fn start_sweep(&mut self, now: Time, earliest_end: Time, known_owners: OwnerMap) {
+        self.sweep = Some(Sweep {
+            start: now + REPORT_TIME,
+            earliest_end,
+            known_owners,
+            targets: BTreeMap::new(),
+        });
+    }
+
+    /// Adds upstreams that may hold keys of a service to the sweep, if there is one.
+    pub fn add_possible_holders(&mut self, service: &str, owners: impl Iterator<Item = Owner>) {
+        let Some(sweep) = self.sweep.as_mut() else {
+            return;
+        };
+        for owner in owners {
+            let target = sweep.targets.entry((service.to_owned(), owner));
+            target.or_insert(Target::Pending(None));
+        }
+    }
+
+    /// Releases of the sweep that are due.
+    pub(super) fn take_sweep_orders(&mut self, now: Time, max_orders: usize) -> Vec<Order> {
+        let last_fence = &mut self.last_fence;
+        let sweep = self.sweep.as_mut();
+        sweep.map_or_else(Vec::new, |sweep| {
+            sweep.take_due_orders(now, max_orders, last_fence)
+        })
+    }
+
+    /// Passes a reply to the sweep, if there is one.
+    pub(super) fn handle_sweep_reply(&mut self, order: &Order, reply: &Reply) {
+        if let Some(sweep) = self.sweep.as_mut() {
+            sweep.handle_reply(order, reply);
+        }
+    }
+
+    /// Gives the keys back to their last known owners if the sweep is done. Returns whether
+    /// it is.
+    fn finish_sweep(&mut self, now: Time) -> bool {
+        let Some(sweep) = self.sweep.take_if(|sweep| sweep.is_done(now)) else {
+            return false;
+        };
+        for (service, key_ranges) in &sweep.known_owners.services {
+            let range = |key_range: &KeyRange| LeasedRange {
+                first: key_range.first,
+                last: key_range.last,
+                state: sweep.state_after(now, service, key_range),
+            };
+            let ranges = key_ranges.iter().map(range).collect();
+            self.services.insert(service.clone(), ranges);
+        }
+        self.view_version += 1;
+        true
+    }
+
     /// Stops moves of keys because the store has lost records, until leadership has been
     /// claimed again.
     pub fn suspend_moves(&mut self) {
@@ -78,6 +256,7 @@
     }
 
     pub(super) fn start_confirming(&mut self, now: Time) {
+        self.sweep = None;
         let until = Some(now + CONFIRMATION_TIME);
         self.recovery = Recovery::Confirming { until };
     }
@@ -86,6 +265,7 @@
     pub(super) fn wait_for_unknown_grants(&mut self, now: Time) {
         let until = unknown_grants_end(now, self.hold);
         self.recovery = Recovery::Waiting { until };
+        self.sweep = None;
         self.services.clear();
         self.last_fence = self.last_fence.max(first_fence(self.epoch));
         self.view_version += 1;
@@ -93,14 +273,16 @@
 
     /// Ends the recovery if its time has come. All owners are then recorded again.
     pub(super) fn finish_recovery(&mut self, now: Time) {
-        let until = match self.recovery {
-            Recovery::Confirming { until: Some(until) } | Recovery::Waiting { until } => until,
-            Recovery::Complete | Recovery::Confirming { until: None } => return,
+        let is_over = match self.recovery {
+            Recovery::Complete | Recovery::Confirming { until: None } => false,
+            Recovery::Confirming { until: Some(until) } => now >= until,
+            Recovery::Waiting { until } => self.finish_sweep(now) || now >= until,
         };
-        if now < until {
+        if !is_over {
             return;
         }
         self.recovery = Recovery::Complete;
+        self.sweep = None;
         self.last_fence = self.last_fence.max(first_fence(self.epoch));
         self.acknowledged_version = 0;
         self.record_version += 1;
@@ -112,8 +294,11 @@
     }
 
     /// Whether this ledger lacks the grants of the leader of `epoch`, which may still be in
-    /// force.
-    pub(super) fn lacks_grants_of(&self, epoch: u64) -> bool {
+    /// force. Once upstreams are asked to release them, they cannot be taken over.
+    pub(super) fn lacks_grants_of(&self, epoch: u64, now: Time) -> bool {
+        if self.sweep.as_ref().is_some_and(|sweep| now >= sweep.start) {
+            return false;
+        }
         match self.recovery {
             Recovery::Complete => false,
             Recovery::Confirming { .. } => epoch > self.predecessor && epoch < self.epoch,
--- a/crates/core/tests/entry/recovery.rs
+++ b/crates/core/tests/entry/recovery.rs
@@ -138,3 +138,65 @@
     }
     assert!(ledger.is_settled(SERVICE));
 }
+
+/// Ledger that asks upstreams 1 and 2, the owners before, to release all keys. They are
+/// known to be the only ones from 2 s on.
+fn sweeping_ledger() -> Ledger {
+    let mut ledger = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(0));
+    let known_owners = held_ledger(at(0)).view(at(0), true);
+    ledger.start_sweep(at(0), at(2_000), known_owners);
+    let owners = candidates(2).into_iter().map(|candidate| candidate.owner);
+    ledger.add_possible_holders(SERVICE, owners);
+    ledger
+}
+
+/// Guards against keys without an owner for many seconds although all upstreams that may
+/// hold them have released them.
+#[test]
+fn released_keys_go_back_to_their_owners() {
+    let mut ledger = sweeping_ledger();
+    let token = Reply::Done {
+        handover: Some("token".into()),
+    };
+
+    let releases = reply_to_all(&mut ledger, at(500), &token);
+    rebalance(&mut ledger, at(1_900), 2);
+    let early = ledger.needs_record();
+    rebalance(&mut ledger, at(2_000), 2);
+    ledger.acknowledge_record(ledger.record_version());
+    let grants = due_orders(&mut ledger, at(2_000));
+
+    let is_release = |order: &Order| order.kind == OrderKind::Release;
+    assert_eq!(releases.len(), 2);
+    assert!(releases.iter().all(is_release));
+    assert!(!early);
+    let granted: Vec<_> = grants.iter().map(|order| &order.owner).collect();
+    let former: Vec<_> = candidates(2).into_iter().map(|one| one.owner).collect();
+    assert_eq!(granted, former.iter().collect::<Vec<_>>());
+    let handover = Some("token".to_owned());
+    let kind = OrderKind::Grant {
+        hold: LEASE_DURATION,
+        handover,
+    };
+    assert!(grants.iter().all(|order| order.kind == kind));
+}
+
+/// Guards against two holders of a key: an upstream that does not answer may hold any.
+#[test]
+fn upstream_that_does_not_release_its_keys_is_waited_for() {
+    let mut ledger = sweeping_ledger();
+    let end = unknown_grants_end(at(0), LEASE_DURATION);
+
+    let releases = due_orders(&mut ledger, at(500));
+    let done = Reply::Done { handover: None };
+    ledger.handle_reply(at(510), at(500), &releases[0], &done);
+    ledger.handle_reply(at(510), at(500), &releases[1], &Reply::NotSent);
+    rebalance(&mut ledger, end - ms(1), 2);
+    let early = due_orders(&mut ledger, end - ms(1));
+    rebalance(&mut ledger, end, 2);
+    let needs_record = ledger.needs_record();
+
+    assert!(early.iter().all(|order| order.owner == releases[1].owner));
+    assert!(early.iter().all(|order| order.kind == OrderKind::Release));
+    assert!(needs_record);
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -8,11 +8,14 @@
 mod record;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::iter;
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::Registration;
+use medlarreel_core::entry::directory::{
+    Directory, REREGISTRATION_GRACE, Registration, UpstreamRecord,
+};
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::ledger::{self, Ledger};
@@ -70,6 +73,10 @@
 /// Another instance may claim it `STALE_RECORD_AGE` after the store responds again.
 const CLAIM_AGAIN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after its start for which an instance leaves the lead to others while the record of
+/// owners is incomplete. Those that were running before know which upstreams may hold keys.
+const NEW_INSTANCE_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Delay after a failed attempt to become leader or to write to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -78,6 +85,8 @@
 pub struct LeaderTask {
     state: Rc<State>,
     socket: Rc<UdpSocket>,
+    /// Time at which the task was created, after this instance had joined the others.
+    created: Time,
     /// Writer for the leader's topic; `None` while a write is in progress.
     writer: Option<RecordWriter>,
     /// Writer and result of the last completed write, until it has been processed.
@@ -95,6 +104,8 @@
     /// current epoch.
     first_seen: HashMap<String, Time>,
     demand: Demand,
+    /// Owners that were known when this instance became leader without a complete record.
+    former_owners: OwnerMap,
     /// Epoch and version of the last owner map that was broadcast.
     broadcast_revision: (u64, u64),
     last_broadcast: Time,
@@ -107,6 +118,7 @@
     pub fn new(state: Rc<State>, socket: Rc<UdpSocket>) -> LeaderTask {
         let store = StoreClient::new(state.settings.borrow().store);
         LeaderTask {
+            created: state.clock.now(),
             state,
             socket,
             writer: Some(RecordWriter {
@@ -123,6 +135,7 @@
             last_campaign_check: Time(0),
             first_seen: HashMap::new(),
             demand: Demand::default(),
+            former_owners: OwnerMap::default(),
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
             broadcast_messages: 0,
@@ -280,13 +293,20 @@
                 return Ok(());
             }
         }
+        let is_complete = is_complete(owners.as_ref(), era);
+        let is_new = now.since(self.created) < NEW_INSTANCE_DELAY;
+        if !is_complete && is_new && !self.state.knows_former_upstreams.get() {
+            return Ok(());
+        }
         let sent_at = self.state.clock.now();
         let epoch = writer.claim(&self.state.name(), latest.next_offset).await?;
-        self.become_leader(epoch, predecessor, sent_at, owners);
+        let complete_owners = is_complete.then(|| owners.unwrap_or_default());
+        self.become_leader(epoch, predecessor, sent_at, complete_owners);
         Ok(())
     }
 
-    /// Starts leading in a newly claimed epoch.
+    /// Starts leading in a newly claimed epoch. `owners` is the record of owners; `None` if
+    /// it does not name all possible holders.
     fn become_leader(
         &mut self,
         epoch: u64,
@@ -296,18 +316,25 @@
     ) {
         let now = self.state.clock.now();
         let lease_duration = self.state.settings.borrow().lease_duration;
-        let is_complete = is_complete(owners.as_ref(), Era::of_epoch(epoch));
         let recorded = owners.as_ref().map_or(0, |owners| owners.epoch);
+        let is_complete = owners.is_some();
         tracing::info!(epoch, predecessor, recorded, is_complete, "leader now");
-        let ledger = if is_complete {
+        let ledger = if let Some(owners) = owners {
             let mut ledger = Ledger::new(epoch, lease_duration);
             let until = ledger::unknown_grants_end(now, lease_duration);
-            ledger.adopt(&owners.unwrap_or_default(), predecessor, now, until);
+            ledger.adopt(&owners, predecessor, now, until);
             ledger
         } else {
             // The record of the last leader may be lost as well.
             let predecessor = predecessor.max(self.state.leadership.borrow().highest_epoch());
-            Ledger::without_record(epoch, lease_duration, predecessor, now)
+            let mut ledger = Ledger::without_record(epoch, lease_duration, predecessor, now);
+            self.former_owners = self.state.owner_map.borrow().clone();
+            if self.state.knows_former_upstreams.get() {
+                let recovered_at = self.state.store_health.get().recovered_at;
+                let registered_by = recovered_at.unwrap_or(now) + REREGISTRATION_GRACE;
+                ledger.start_sweep(now, registered_by, self.former_owners.clone());
+            }
+            ledger
         };
         (self.last_append, self.last_confirmed_write) = (now, now);
         *self.state.ledger.borrow_mut() = Some(ledger);
@@ -358,12 +385,19 @@
         }
         let mut candidates: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
         let directory = state.directory.borrow();
+        let is_keyed = |service: &str| table.service(service).is_some_and(|found| found.keyed);
+        if ledger.is_sweeping() {
+            for record in possible_holders(&directory, &self.former_owners) {
+                let service = &record.registration.service;
+                if is_keyed(service) {
+                    let owner = owner_of(&record.registration);
+                    ledger.add_possible_holders(service, iter::once(owner));
+                }
+            }
+        }
         for (_, record) in directory.usable() {
             let registration = &record.registration;
-            if table
-                .service(&registration.service)
-                .is_some_and(|service| service.keyed)
-            {
+            if is_keyed(&registration.service) {
                 candidates
                     .entry(&registration.service)
                     .or_default()
@@ -520,6 +554,18 @@
     }
 }
 
+/// Upstreams that former leaders may have granted keys to: all that are registered, and
+/// those that have left while they owned keys.
+fn possible_holders<'a>(
+    directory: &'a Directory,
+    owners: &OwnerMap,
+) -> impl Iterator<Item = &'a UpstreamRecord> {
+    let ranges = owners.services.values().flatten();
+    let named: HashSet<Owner> = ranges.filter_map(|range| range.owner.clone()).collect();
+    let records = directory.latest();
+    records.filter(move |record| !record.removed || named.contains(&owner_of(&record.registration)))
+}
+
 /// The incarnation that a registration describes.
 fn owner_of(registration: &Registration) -> Owner {
     Owner {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -147,6 +147,9 @@
     pub leadership: RefCell<Leadership>,
     /// Ledger of key ownership; `Some` while this instance leads.
     pub ledger: RefCell<Option<Ledger>>,
+    /// Whether the registrations were read before the store was last restored, so that all
+    /// upstreams that may hold keys are known once they have registered again.
+    pub knows_former_upstreams: Cell<bool>,
     /// What this instance knew of grants when it last stepped down as leader.
     pub last_report: RefCell<Option<FinalReport>>,
     /// Orders in flight to upstreams.
@@ -213,6 +216,7 @@
             metrics: Metrics::default(),
             leadership: RefCell::new(Leadership::new(now)),
             ledger: RefCell::default(),
+            knows_former_upstreams: Cell::default(),
             last_report: RefCell::default(),
             orders: RefCell::default(),
             leader_topic: Cell::default(),
@@ -314,6 +318,7 @@
             return;
         }
         tracing::info!(era = era.0, before = before.0, "store restored from a copy");
+        self.knows_former_upstreams.set(self.is_directory_loaded());
         self.metrics.store_restores.inc();
         // Upstreams register again even if the outage was too short to be noticed.
         let mut health = self.store_health.get();
