Wait for a reported grant whatever incarnation of its holder is named

Cause: a leader that has stopped reports how long its grants last. Its successor compared the whole holder, start included.

Change: a report counts for the holder with the same id or address.

Evidence: report_about_another_incarnation_of_the_holder_is_waited_for failed before, with the earlier and with the later incarnation.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -224,9 +224,14 @@
                 let Some(holder) = range::owner(&range.state) else {
                     continue;
                 };
+                // Leaders may know different incarnations of a holder, and their grants reach
+                // whichever has the address.
                 let overlaps = |key_range: &&KeyRange| {
-                    let same_holder = key_range.owner.as_ref() == Some(holder);
-                    same_holder && key_range.first <= range.last && range.first <= key_range.last
+                    let is_holder =
+                        |owner: &Owner| owner.id == holder.id || owner.address == holder.address;
+                    key_range.owner.as_ref().is_some_and(is_holder)
+                        && key_range.first <= range.last
+                        && range.first <= key_range.last
                 };
                 let waits = reported.iter().filter(overlaps).map(|range| range.wait_ms);
                 let end = now + from_millis(waits.max().unwrap_or(0));
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::ledger::{
-    CALL_TIMEOUT, Ledger, Order, OrderKind, Reply, max_lease_duration,
+    CALL_TIMEOUT, Ledger, LedgerSnapshot, Order, OrderKind, Reply, max_lease_duration,
 };
 use medlarreel_core::entry::map::{KeyRange, Owner, OwnerMap};
 use medlarreel_core::entry::plan::KeyWeights;
@@ -479,3 +479,54 @@
     let mut released = orders.iter().filter(|order| order.first == 0);
     assert!(released.all(|order| order.kind == OrderKind::Release));
 }
+
+/// Snapshot of a leader of epoch 3 in which `owner` holds all keys for `wait_ms`.
+fn report(owner: Owner, wait_ms: u32) -> LedgerSnapshot {
+    let range = KeyRange {
+        first: 0,
+        last: u16::MAX,
+        owner: Some(owner),
+        wait_ms,
+        releasing: false,
+    };
+    let owners = OwnerMap {
+        epoch: 3,
+        version: 1,
+        services: BTreeMap::from([(SERVICE.to_owned(), vec![range])]),
+    };
+    LedgerSnapshot {
+        owners,
+        highest_fence: 4 << 20,
+        is_confirmed: true,
+    }
+}
+
+/// Guards against two holders of a key: the predecessor may name an earlier or a later
+/// incarnation of the holder than this leader knows.
+#[test]
+fn report_about_another_incarnation_of_the_holder_is_waited_for() {
+    let restarted = Owner {
+        born: 2,
+        ..owner(1)
+    };
+    let newer = |holder: &Owner| (*holder == owner(1)).then(|| restarted.clone());
+    for reported in [owner(1), restarted.clone()] {
+        let mut ledger = Ledger::new(9, LEASE_DURATION);
+        ledger.adopt(&report(owner(1), 0).owners, 3, at(0), at(10_000));
+        let release = ledger.take_due_orders(at(0), usize::MAX, newer);
+        assert_eq!(release[0].kind, OrderKind::Release);
+
+        ledger.handle_predecessor_stop(3, at(10), &report(reported, 4_000));
+        ledger.take_due_orders(at(50), usize::MAX, newer);
+        ledger.rebalance(
+            at(100),
+            SERVICE,
+            &candidates(2)[1..],
+            &KeyWeights::default(),
+        );
+        ledger.acknowledge_record(ledger.record_version());
+        let orders = ledger.take_due_orders(at(100), usize::MAX, newer);
+
+        assert!(!orders.iter().any(|order| order.owner == owner(2)));
+    }
+}
