Count an unanswered grant after a later one has failed

Cause: since each grant has a new fence, the late outcome of a grant no longer matches the one sent after it. The two overlap because an order could take 20 ms longer than the resend interval assumes: half a second each for connecting and for the call, and the check of a new connection between them.

Change: a grant counts as received as soon as the next one is sent, and an order that is not written within its time is not sent.

Evidence: unanswered_grant_counts_after_a_later_one_was_not_sent failed before.

--- a/crates/core/src/entry/ledger/range.rs
+++ b/crates/core/src/entry/ledger/range.rs
@@ -12,8 +12,8 @@
 /// Latest end of the grants that an upstream may have received for a range.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Lease {
-    /// Latest end of this leader's grants whose outcome is settled. It never decreases,
-    /// since an unanswered grant may arrive after a later one with the same fence.
+    /// Latest end of this leader's grants before the one in flight. It never decreases,
+    /// since an unanswered grant may be in force.
     settled: Time,
     /// Latest end of this leader's grant that is in flight, if there is one.
     pending: Option<Time>,
@@ -78,7 +78,10 @@
     /// Records that a grant is sent now which ends at `end` at the latest.
     pub(super) fn record_grant(&mut self, now: Time, end: Time) {
         self.arrived_by = now + CALL_TIMEOUT;
-        self.pending = Some(self.pending.unwrap_or(end).max(end));
+        // The outcome of an earlier grant may still be unknown, and its reply will not
+        // match the fence of this one.
+        self.settled = self.own_end();
+        self.pending = Some(end);
     }
 
     /// Records the outcome of the grant in flight. A grant that has arrived ends within
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -530,3 +530,76 @@
         assert!(!orders.iter().any(|order| order.owner == owner(2)));
     }
 }
+
+/// Guards against two holders of a key: a grant whose loss is noticed after the next one was
+/// sent may still be in force when that one fails.
+#[test]
+fn unanswered_grant_counts_after_a_later_one_was_not_sent() {
+    let mut ledger = Ledger::new(5, LEASE_DURATION);
+    ledger.rebalance(at(0), SERVICE, &candidates(2), &KeyWeights::default());
+    ledger.acknowledge_record(ledger.record_version());
+    let first = ledger.take_due_orders(at(0), usize::MAX, |_| None);
+    let second = ledger.take_due_orders(at(1_000), usize::MAX, |_| None);
+
+    for order in &first {
+        ledger.handle_reply(at(1_020), at(0), order, &Reply::Unknown);
+    }
+    for order in &second {
+        let reply = match order.owner == owner(1) {
+            true => Reply::NotSent,
+            false => done_reply(),
+        };
+        ledger.handle_reply(at(1_050), at(1_000), order, &reply);
+    }
+    let remaining = &candidates(2)[1..];
+    for now in [1_100, 1_200, 1_300] {
+        ledger.rebalance(at(now), SERVICE, remaining, &KeyWeights::default());
+        ledger.acknowledge_record(ledger.record_version());
+        let orders = ledger.take_due_orders(at(now), usize::MAX, |_| None);
+        let moved = |order: &Order| order.first == 0 && order.owner == owner(2);
+        assert!(!orders.iter().any(moved), "{now}: {orders:?}");
+    }
+}
+
+/// Guards against a grant for one of two ranges that arrives after they were merged, and
+/// after the upstream has restarted.
+#[test]
+fn ranges_are_not_merged_while_a_grant_is_in_flight() {
+    let mut ledger = held_ledger(at(0));
+    let only_first = &candidates(1);
+    ledger.rebalance(at(100), SERVICE, only_first, &KeyWeights::default());
+    reply_to_all(&mut ledger, at(100), &done_reply());
+    ledger.rebalance(at(200), SERVICE, only_first, &KeyWeights::default());
+    ledger.acknowledge_record(ledger.record_version());
+    reply_to_all(&mut ledger, at(200), &done_reply());
+    let in_flight = ledger.take_due_orders(at(2_000), usize::MAX, |_| None);
+    ledger.handle_reply(at(2_010), at(2_000), &in_flight[0], &done_reply());
+
+    ledger.rebalance(at(2_100), SERVICE, only_first, &KeyWeights::default());
+    let ranges_before = ledger.range_count();
+    ledger.handle_reply(at(2_200), at(2_000), &in_flight[1], &done_reply());
+    ledger.rebalance(at(2_600), SERVICE, only_first, &KeyWeights::default());
+
+    assert_eq!(in_flight.len(), 2);
+    assert_eq!((ranges_before, ledger.range_count()), (2, 1));
+}
+
+/// Guards against a later leader that does not wait for the new process of a restarted
+/// holder, since the record still names the former one.
+#[test]
+fn release_of_a_restarted_holder_is_recorded() {
+    let mut ledger = held_ledger(at(0));
+    let restarted = Owner {
+        born: 2,
+        ..owner(1)
+    };
+    let newer = |holder: &Owner| (*holder == owner(1)).then(|| restarted.clone());
+
+    let before = ledger.needs_record();
+    ledger.take_due_orders(at(100), usize::MAX, newer);
+    let record = ledger.ownership_record(at(100));
+
+    assert!(!before && ledger.needs_record());
+    assert_eq!(record.services[SERVICE][0].owner, Some(restarted));
+    assert!(record.services[SERVICE][0].releasing);
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -438,7 +438,7 @@
         while in_flight.try_join_next().is_some() {}
         for order in orders.into_iter().flatten() {
             let state = Rc::clone(&self.state);
-            in_flight.spawn_local(async move { execute_order(&state, order).await });
+            in_flight.spawn_local(async move { execute_order(&state, now, order).await });
         }
     }
 
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -7,6 +7,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 use medlarreel_core::entry::ledger::{CALL_TIMEOUT, Order, OrderKind, Reply};
+use medlarreel_core::time::Time;
 
 use crate::error::Error;
 use crate::platform::{grants, headers};
@@ -15,10 +16,10 @@
 /// Timeout of a release; the upstream waits for running requests before it answers.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Sends an order to an upstream and passes the reply to the ledger.
-pub(super) async fn execute_order(state: &Rc<State>, order: Order) {
-    let sent = state.clock.now();
-    let reply = match send_order(state, &order).await {
+/// Sends an order that the ledger has recorded as sent at `sent` to its upstream, and passes
+/// the reply to the ledger.
+pub(super) async fn execute_order(state: &Rc<State>, sent: Time, order: Order) {
+    let reply = match send_order(state, sent, &order).await {
         Ok(reply) => reply,
         Err(Error::NotSent(_) | Error::NotAccepted) => Reply::NotSent,
         Err(_) => Reply::Unknown,
@@ -56,15 +57,9 @@
     }
 }
 
-async fn send_order(state: &State, order: &Order) -> Result<Reply, Error> {
+async fn send_order(state: &State, sent: Time, order: &Order) -> Result<Reply, Error> {
     let (path, body) =
         grants::encode_order(order).map_err(|error| Error::NotSent(error.to_string()))?;
-    // A grant must arrive within `CALL_TIMEOUT` or not at all. Connecting may take half
-    // of that, so the call itself gets the other half.
-    let timeout = match order.kind {
-        OrderKind::Grant { .. } => CALL_TIMEOUT / 2,
-        OrderKind::Release => RELEASE_TIMEOUT,
-    };
     let upstream = {
         let directory = state.directory.borrow();
         let found = directory.find(&order.owner.id);
@@ -78,6 +73,14 @@
         .pool
         .get_or_connect(now, upstream, false, address, CALL_TIMEOUT / 2);
     let mut connection = connection.await?;
+    // A grant must arrive within `CALL_TIMEOUT` of `sent` or not at all.
+    let timeout = match order.kind {
+        OrderKind::Grant { .. } => (sent + CALL_TIMEOUT).since(state.clock.now()),
+        OrderKind::Release => RELEASE_TIMEOUT,
+    };
+    if timeout.is_zero() {
+        return Err(Error::NotSent("the order is too late".into()));
+    }
     let request = Request::post(path)
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
