Report a restore of the store between two pages as such

A read of the newest records takes several pages. If the store is restored between two of them, the pages belong to two eras, and the offset to read on from belongs to the earlier one. Since the client refuses such a result, but as a malformed response, and no test covered it: the stand-in answered in one page.

The error is now `Restored`, which callers can tell from a response that cannot be parsed. The stand-in answers in pages of at most 500 records, or fewer if a test sets that, and can restore a backup between two pages. Its limit of 1 MB a page is left out.

The test of the read failed before with Malformed("pages of two eras"). With the comparison of the eras taken out, it failed with a result of three records whose offset to read on from was 4, beyond the end (3) of the restored topic. Now it passes.

--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -112,11 +112,12 @@
         self.era
     }
 
-    /// Reads the latest record of each key of a topic.
+    /// Reads the latest record of each key of a topic, all in one era of the store.
     ///
     /// # Errors
     ///
-    /// Returns an error if the call fails or the response is invalid.
+    /// Returns `Restored` if a new era began between two pages, or another error if the
+    /// call fails or the response is invalid.
     pub async fn read_latest(&mut self, topic: &str) -> Result<LatestRecords, Error> {
         let mut latest = LatestRecords::default();
         let mut era = None;
@@ -129,7 +130,7 @@
             let response = self.call("GET", &query, Bytes::new(), CALL_TIMEOUT).await?;
             check_status(&response, &[StatusCode::OK])?;
             if *era.get_or_insert(self.era) != self.era {
-                return Err(Error::Malformed("pages of two eras".into()));
+                return Err(Error::Restored);
             }
             let page: RawLatestPage = serde_json::from_slice(&response.body).map_err(malformed)?;
             // The pages are not a consistent snapshot. Reading on from the end that the
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -11,3 +11,4 @@
 mod restarts;
 mod restored;
 mod settings;
+mod store_client;
--- /dev/null
+++ b/crates/entry/tests/path/store_client.rs
@@ -0,0 +1,56 @@
+//! Client of the store: results that take several responses.
+
+use medlarreel_entry::error::Error;
+use medlarreel_entry::platform::store::StoreClient;
+use medlarreel_standin::platform::store::{self, Store};
+use medlarreel_standin::server::{Server, any_port};
+use tokio::task::LocalSet;
+
+/// Topic that is read.
+const TOPIC: &str = "keyed.servers";
+
+/// Starts a store with one record for each key, which answers in pages of two records.
+async fn start_store(keys: &[&str]) -> Server<Store> {
+    let store = store::start(any_port()).await.unwrap();
+    for key in keys {
+        store.service().put(TOPIC, key, b"v");
+    }
+    store.service().set_page_items(2);
+    store
+}
+
+/// Guards against records that are left out because they are not in the first page.
+#[tokio::test]
+async fn latest_records_are_read_from_all_pages() {
+    let store = start_store(&["a", "b", "c", "d", "e"]).await;
+    let mut client = StoreClient::new(store.address());
+
+    let latest = LocalSet::new().run_until(client.read_latest(TOPIC)).await;
+
+    let latest = latest.unwrap();
+    let keys = latest.records.iter().map(|record| record.key.as_str());
+    assert_eq!(keys.collect::<Vec<_>>(), ["a", "b", "c", "d", "e"]);
+    assert_eq!(latest.next_offset, 5);
+}
+
+/// Guards against records of two eras in one result, whose offset belongs to the earlier
+/// era while the client is in the later one.
+#[tokio::test]
+async fn restore_between_two_pages_fails_the_read() {
+    let store = start_store(&["a", "b", "c"]).await;
+    let backup = store.service().backup();
+    store.service().put(TOPIC, "d", b"v");
+    store.service().restore_between_pages(backup);
+    let mut client = StoreClient::new(store.address());
+
+    let (failed, read_again) = LocalSet::new()
+        .run_until(async {
+            let failed = client.read_latest(TOPIC).await;
+            (failed, client.read_latest(TOPIC).await)
+        })
+        .await;
+
+    assert_eq!(failed, Err(Error::Restored));
+    assert_eq!(read_again.unwrap().next_offset, 3);
+    assert_eq!(client.era().0, 2);
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -26,6 +26,10 @@
 /// Maximum time that a read waits for a record.
 const MAX_WAIT_MS: u64 = 30_000;
 
+/// Maximum number of records in one page of the newest records, unless a test sets a
+/// lower one.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// First retained offset of every topic, since no record is ever dropped.
 const FIRST_OFFSET: u64 = 0;
 
@@ -42,6 +46,10 @@
 struct State {
     era: u64,
     topics: Topics,
+    /// Maximum number of records in one page of the newest records.
+    page_items: usize,
+    /// Topics to restore once a page that is not the last one has been answered.
+    restore_after_page: Option<Backup>,
 }
 
 /// The log store and its faults.
@@ -65,6 +73,8 @@
         state: Mutex::new(State {
             era: 1,
             topics: Topics::new(),
+            page_items: MAX_PAGE_ITEMS,
+            restore_after_page: None,
         }),
         changed: watch::channel(()).0,
         unavailable: AtomicBool::new(false),
@@ -106,13 +116,21 @@
     /// appended since the backup are lost, and their offsets are assigned again. Waiting
     /// reads are answered at once. Faults and counters stay as they are.
     pub fn restore(&self, backup: Backup) {
-        let mut state = self.state();
-        state.era += 1;
-        state.topics = backup.0;
-        drop(state);
+        self.state().restore(backup);
         self.changed.send_replace(());
     }
 
+    /// Restores a backup between two pages of the newest records: after the next page
+    /// that is not the last one of its topic. Replaces the backup of an earlier call.
+    pub fn restore_between_pages(&self, backup: Backup) {
+        self.state().restore_after_page = Some(backup);
+    }
+
+    /// Limits a page of the newest records to `items` records, at least one.
+    pub fn set_page_items(&self, items: usize) {
+        self.state().page_items = items.clamp(1, MAX_PAGE_ITEMS);
+    }
+
     /// Starts or ends an outage, during which every request gets status 503 and has no
     /// effect.
     pub fn set_unavailable(&self, unavailable: bool) {
@@ -198,10 +216,12 @@
         Ok(state.with_era(Response::new(Full::new(body.freeze()))))
     }
 
-    /// Responds with the newest record of each key that is not deleted.
+    /// Responds with a page of the newest records of all keys that are not deleted, from
+    /// the first key behind `after` on.
     fn newest_records(&self, query: Option<&str>) -> Result<Reply, Error> {
         let topic = text_param(query, "topic")?;
-        let state = self.state();
+        let after = text_param(query, "after")?;
+        let mut state = self.state();
         let records = state.records(&topic);
         let mut newest = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
@@ -216,9 +236,17 @@
             }
         }
         let item = |(key, (value, offset)): (String, (String, usize))| json!({"key": key, "value": value, "offset": offset});
-        let items: Vec<_> = newest.into_iter().map(item).collect();
-        let page = json!({"items": items, "hasMore": false, "end": records.len()});
-        Ok(state.with_era(server::json(200, &page)))
+        let following = newest.into_iter().filter(|(key, _)| *key > after);
+        let mut items: Vec<_> = following.map(item).collect();
+        let has_more = items.len() > state.page_items;
+        items.truncate(state.page_items);
+        let page = json!({"items": items, "hasMore": has_more, "end": records.len()});
+        let reply = state.with_era(server::json(200, &page));
+        if let Some(backup) = state.restore_after_page.take_if(|_| has_more) {
+            state.restore(backup);
+            self.changed.send_replace(());
+        }
+        Ok(reply)
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Reply, Error> {
@@ -253,6 +281,11 @@
         topic.extend(records);
     }
 
+    fn restore(&mut self, backup: Backup) {
+        self.era += 1;
+        self.topics = backup.0;
+    }
+
     /// Adds the header with the era to a response.
     fn with_era(&self, mut reply: Reply) -> Reply {
         let era = HeaderValue::from(self.era);
--- a/crates/standin/tests/platform_store.rs
+++ b/crates/standin/tests/platform_store.rs
@@ -217,3 +217,31 @@
     assert_eq!(responses[0].body, empty_body(1));
     assert_eq!(responses[1].body, one_record_body("b", "w", 2));
 }
+
+/// Guards against pages that skip or repeat a key, or of which the last one names a
+/// further one.
+#[tokio::test]
+async fn newest_records_are_answered_in_pages() {
+    let store = start_store().await;
+    for key in ["c", "a", "e", "b", "d"] {
+        store.service().put("keyed.status", key, b"v");
+    }
+    store.service().put("keyed.status", "b", b"");
+    store.service().set_page_items(2);
+
+    let mut pages = Vec::new();
+    for after in ["", "&after=c"] {
+        let path = format!("/medlarreel/log-newest?topic=keyed.status&part=0{after}");
+        let response = send(store.address(), ClientRequest::get(&path)).await;
+        let page: Value = response.json().expect("the response is JSON");
+        let items = page["items"].as_array().expect("a page has items");
+        let keys = items.iter().map(|item| item["key"].clone());
+        pages.push((keys.collect::<Vec<_>>(), page["hasMore"].clone()));
+    }
+
+    let expected = [
+        (vec![json!("a"), json!("c")], json!(true)),
+        (vec![json!("d"), json!("e")], json!(false)),
+    ];
+    assert_eq!(pages, expected);
+}
