Use an upstream again that a copy of the store shows after its removal

An upstream whose removal was read, and that a copy of the store shows again with the same sequence, was ignored until a higher sequence was read. If it was alive, that could be never: the store appends no record while only the sequence of a registration changes.

An upstream that is gone is removed by the store again after three heartbeat intervals of silence. Such a registration is therefore scheduled to count after three intervals and 2.1 s, the time within which registrations are written again after an outage. It counts only once records up to that time have been read, so that a removal which could not be read holds. A removal, a load without it or a later registration cancels the return; another load that shows it starts the delay again.

It now names those registrations with the delay that is left.

The tests of the directory use methods that did not exist before.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -8,6 +8,11 @@
 //! A registration can be seen again after its removal, since the store may come back from
 //! a copy. The removal holds if a record of it was read. If the registration was only
 //! missing from a load, it counts again, since upstreams write it again as it was.
+//!
+//! A removal that was read does not hold for good: the store may have removed an upstream
+//! that is alive, and it writes no record while only the sequence of a registration
+//! changes. A registration that is seen again counts again after a delay, unless another
+//! removal of it is read in that time, as it is if the upstream is gone.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -22,6 +27,16 @@
 /// expired during the outage.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_100);
 
+/// Number of heartbeat intervals of silence after which the store removes a registration.
+const EXPIRY_HEARTBEATS: u32 = 3;
+
+/// Delay after which a registration counts again that is seen after its removal was read.
+/// The store has removed the registration by then if its upstream is gone. The grace
+/// covers what is written again late after a restore, which restarts the store's wait.
+pub fn return_delay(heartbeat_interval: Duration) -> Duration {
+    heartbeat_interval * EXPIRY_HEARTBEATS + REREGISTRATION_GRACE
+}
+
 /// Registration that an upstream publishes about itself.
 #[data(value)]
 pub struct Registration {
@@ -76,6 +91,9 @@
     current: HashMap<String, Upstream>,
     /// Latest incarnation of any upstream at each address.
     by_address: HashMap<SocketAddr, Upstream>,
+    /// Registrations by id that were seen again after their removal, and the times from
+    /// which they count again.
+    returns: HashMap<String, (Registration, Time)>,
     version: u64,
 }
 
@@ -83,10 +101,16 @@
     /// Whether more is known than a registration of the same incarnation says. They can
     /// arrive out of order, or once more after their removal.
     fn is_newer_than(&self, registration: &Registration) -> bool {
-        let known = self.registration.sequence;
-        let is_known =
-            registration.sequence < known || (registration.sequence == known && self.removal_read);
-        registration.born == self.registration.born && is_known
+        let is_outdated = registration.born == self.registration.born
+            && registration.sequence < self.registration.sequence;
+        is_outdated || self.has_removed(registration)
+    }
+
+    /// Whether a removal of exactly this registration was read.
+    fn has_removed(&self, registration: &Registration) -> bool {
+        self.removal_read
+            && registration.born == self.registration.born
+            && registration.sequence == self.registration.sequence
     }
 
     fn schedule_removal(&mut self, since: Time, at: Time) {
@@ -165,6 +189,19 @@
                 || record.usable == registration.draining)
     }
 
+    /// Whether a removal of exactly this registration was read. It is to be scheduled by
+    /// `schedule_return` if it is seen again.
+    pub fn has_removed(&self, registration: &Registration) -> bool {
+        self.find(&registration.id)
+            .is_some_and(|(_, record)| record.has_removed(registration))
+    }
+
+    /// Registrations that are scheduled to count again, with the delays that are left now.
+    pub fn returns(&self, now: Time) -> impl Iterator<Item = (Registration, Duration)> {
+        let returns = self.returns.values();
+        returns.map(move |(registration, at)| (registration.clone(), at.since(now)))
+    }
+
     /// Whether another upstream that has started later is registered at the same address.
     /// Such a registration was delayed on its way; the process that sent it has ended.
     fn has_successor(&self, registration: &Registration) -> bool {
@@ -212,6 +249,7 @@
                 }
                 let changed =
                     record.usable != usable || record.registration.address != registration.address;
+                self.returns.remove(&registration.id);
                 record.registration = registration;
                 record.usable = usable;
                 record.removed = false;
@@ -228,6 +266,7 @@
             }
             record.usable = false;
         }
+        self.returns.remove(&registration.id);
         let key = Upstream(self.records.len() as u32);
         self.current.insert(registration.id.clone(), key);
         self.records.push(UpstreamRecord {
@@ -251,6 +290,7 @@
     /// After an outage of the store, `at` must leave the upstream time to register again,
     /// since its registration may have expired only because of the outage.
     pub fn schedule_removal(&mut self, id: &str, since: Time, at: Time) {
+        self.returns.remove(id);
         if let Some(key) = self.current.get(id) {
             let record = &mut self.records[key.0 as usize];
             record.removal_read = true;
@@ -262,6 +302,7 @@
     /// at `at`.
     pub fn schedule_removals_except(&mut self, present: &[&str], since: Time, at: Time) {
         let present: HashSet<&str> = present.iter().copied().collect();
+        self.returns.retain(|id, _| present.contains(id.as_str()));
         let absent = self.current.iter();
         for (_, key) in absent.filter(|(id, _)| !present.contains(id.as_str())) {
             self.records[key.0 as usize].schedule_removal(since, at);
@@ -287,4 +328,31 @@
         }
         expired.into_iter().map(|(_, key)| key).collect()
     }
+
+    /// Schedules a registration to count from `at` on. A removal or a later registration
+    /// that is read before that takes its place. Returns false if it was scheduled already,
+    /// and then replaces the time.
+    pub fn schedule_return(&mut self, at: Time, registration: Registration) -> bool {
+        let id = registration.id.clone();
+        self.returns.insert(id, (registration, at)).is_none()
+    }
+
+    /// Applies the scheduled registrations that are due; returns the upstreams that are
+    /// usable again. All records written before `as_of` have been read: one is due only
+    /// once a removal that precedes it would have been read.
+    pub fn apply_returns(&mut self, now: Time, as_of: Time) -> Vec<Upstream> {
+        let due = self.returns.extract_if(|_, (_, at)| *at <= as_of);
+        let due: Vec<Registration> = due.map(|(_, (registration, _))| registration).collect();
+        let mut returned = Vec::new();
+        for registration in due {
+            let id = registration.id.clone();
+            if self.has_removed(&registration) {
+                self.records[self.current[&id].0 as usize].removal_read = false;
+            }
+            if self.apply(now, as_of, registration) {
+                returned.push(self.current[&id]);
+            }
+        }
+        returned
+    }
 }
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -1,8 +1,26 @@
 //! Tests of the directory: incarnations, order of registrations, removals.
 
-use medlarreel_core::entry::directory::{Directory, REREGISTRATION_GRACE, Registration};
+use medlarreel_core::entry::directory::{
+    Directory, REREGISTRATION_GRACE, Registration, return_delay,
+};
 
-use crate::fixture::{at, registration};
+use crate::fixture::{at, ms, registration};
+
+/// Upstreams 1 to `count`, whose removals were read and whose registrations a copy of the
+/// store shows again. They are to count from `at(5_000)` on.
+fn directory_with_returns(count: u8) -> Directory {
+    let mut directory = Directory::default();
+    for number in 1..=count {
+        directory.apply(at(0), at(0), registration(number));
+        directory.schedule_removal(&format!("u{number}"), at(10), at(10));
+    }
+    directory.expire(at(10));
+    for number in 1..=count {
+        assert!(directory.has_removed(&registration(number)));
+        assert!(directory.schedule_return(at(5_000), registration(number)));
+    }
+    directory
+}
 
 /// Guards against sending requests to an upstream that has announced its shutdown.
 #[test]
@@ -285,3 +303,93 @@
     assert!(directory.expire(at(20)).is_empty());
     assert_eq!(directory.version(), version);
 }
+
+/// Guards against an upstream that is alive and stays removed for good: the store does not
+/// write its registration again while only its sequence changes.
+#[test]
+fn registration_shown_again_after_its_removal_counts_after_a_delay() {
+    let mut directory = directory_with_returns(1);
+    let (key, version) = (directory.find("u1").unwrap().0, directory.version());
+
+    // A removal between the last read and now is not known yet.
+    let early = directory.apply_returns(at(5_100), at(4_999));
+    assert!(early.is_empty());
+    assert_eq!(
+        (directory.usable().count(), directory.version()),
+        (0, version)
+    );
+    let returned = directory.apply_returns(at(5_200), at(5_000));
+
+    assert_eq!(returned, [key]);
+    assert!(directory.version() > version);
+    let (_, record) = directory.usable().next().unwrap();
+    assert!(!record.removed && record.leaving_since.is_none());
+    assert!(directory.apply_returns(at(9_000), at(9_000)).is_empty());
+}
+
+/// Guards against an upstream that has ended being used because a copy of the store showed
+/// it for some seconds.
+#[test]
+fn registration_that_is_removed_again_does_not_return() {
+    let mut directory = directory_with_returns(3);
+
+    directory.schedule_removal("u1", at(3_000), at(3_000));
+    directory.schedule_removals_except(&["u3"], at(4_000), at(4_000));
+    directory.expire(at(4_000));
+    directory.apply_returns(at(5_000), at(5_000));
+
+    let usable = directory.usable();
+    let ids: Vec<_> = usable.map(|(_, record)| &*record.registration.id).collect();
+    assert_eq!(ids, ["u3"]);
+}
+
+/// Guards against the return of a registration that undoes what its upstream has written
+/// since, or that delays it.
+#[test]
+fn later_registration_counts_at_once_in_place_of_a_return() {
+    let mut directory = directory_with_returns(2);
+    let later = Registration {
+        sequence: 2,
+        ..registration(1)
+    };
+    let restarted = Registration {
+        born: 2,
+        ..registration(2)
+    };
+    let draining = Registration {
+        draining: true,
+        sequence: 3,
+        ..registration(1)
+    };
+
+    assert!(directory.apply(at(20), at(10), later));
+    assert!(directory.apply(at(20), at(10), restarted));
+    directory.apply(at(30), at(20), draining);
+    assert!(directory.apply_returns(at(5_000), at(5_000)).is_empty());
+
+    let (_, drained) = directory.find("u1").unwrap();
+    let (_, restarted) = directory.find("u2").unwrap();
+    assert!(!drained.usable);
+    assert!(restarted.usable && restarted.registration.born == 2);
+}
+
+/// Guards against a return before the removal of an upstream that has ended: another
+/// restore starts the store's wait for its heartbeats again.
+#[test]
+fn return_is_delayed_by_another_copy() {
+    let mut directory = directory_with_returns(1);
+
+    assert!(!directory.schedule_return(at(8_000), registration(1)));
+
+    assert_eq!(directory.returns(at(6_000)).count(), 1);
+    assert_eq!(directory.returns(at(6_000)).next().unwrap().1, ms(2_000));
+    assert!(directory.apply_returns(at(7_999), at(7_999)).is_empty());
+    assert_eq!(directory.apply_returns(at(8_000), at(8_000)).len(), 1);
+}
+
+/// Guards against the return of an upstream that the store is still about to remove, after
+/// three heartbeat intervals of silence.
+#[test]
+fn return_waits_longer_than_the_store_waits_for_heartbeats() {
+    assert!(return_delay(ms(870)) >= ms(3 * 870) + REREGISTRATION_GRACE);
+}
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::REREGISTRATION_GRACE;
+use medlarreel_core::entry::directory::{self, REREGISTRATION_GRACE};
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::follow::{self, Fit, Position};
 use medlarreel_core::entry::routes::RouteTable;
@@ -142,6 +142,11 @@
         })
     }
 
+    /// All records written before this time have been applied.
+    pub fn as_of(&self) -> Time {
+        self.position.borrow().as_of()
+    }
+
     /// Records that records are missing.
     pub fn mark_behind(&self, now: Time) {
         self.position.borrow_mut().mark_behind(now);
@@ -410,7 +415,8 @@
 }
 
 /// Applies records and returns those that a leader forwards: all configurations, all
-/// removals of registrations, and the registrations that change the directory. Upstreams
+/// removals of registrations, and the registrations that change the directory, now or
+/// after a delay. Upstreams
 /// repeat their registrations about once a second; forwarding all of them would be most
 /// of the traffic between the instances of a large fleet.
 fn apply_records<'a>(
@@ -470,6 +476,13 @@
     earliest.max(now + grace)
 }
 
+/// Returns the time from which a registration counts that was just read although its
+/// removal was read before.
+fn return_time(state: &State) -> Time {
+    let heartbeat_interval = state.settings.borrow().heartbeat_interval;
+    state.clock.now() + directory::return_delay(heartbeat_interval)
+}
+
 fn apply_registrations<'a>(
     state: &State,
     records: &'a [KeyedRecord],
@@ -477,8 +490,9 @@
     grace: Duration,
 ) -> Vec<&'a KeyedRecord> {
     let now = state.clock.now();
-    let since = state.feed(Topic::Directory).position.borrow().as_of();
+    let since = state.feed(Topic::Directory).as_of();
     let at = removal_time(state, grace);
+    let return_at = return_time(state);
     let mut directory = state.directory.borrow_mut();
     if is_snapshot {
         let present = records.iter().filter(|record| record.value.is_some());
@@ -497,6 +511,13 @@
             tracing::debug!(upstream = record.key, "invalid registration, ignored");
             continue;
         };
+        if directory.has_removed(&registration) {
+            tracing::info!(upstream = record.key, "registered as before its removal");
+            if directory.schedule_return(return_at, registration) {
+                to_forward.push(record);
+            }
+            continue;
+        }
         if directory.is_changed_by(&registration) {
             to_forward.push(record);
         }
--- a/crates/entry/src/reader/bootstrap.rs
+++ b/crates/entry/src/reader/bootstrap.rs
@@ -46,8 +46,13 @@
 enum Content {
     /// Encoded configuration.
     Config(Vec<u8>),
-    /// Registrations of all registered upstreams.
-    Directory(Vec<Registration>),
+    /// Registrations of upstreams.
+    Directory {
+        /// Registrations of all registered upstreams.
+        registered: Vec<Registration>,
+        /// Registrations that count again after a delay.
+        returns: Vec<(Registration, Duration)>,
+    },
 }
 
 /// Requests snapshots of a topic until one has been applied, or until the topic, which has
@@ -104,11 +109,15 @@
         Topic::Config => Content::Config(state.config_record.borrow().clone()?),
         Topic::Directory => {
             let directory = state.directory.borrow();
-            let registrations: Vec<Registration> = directory.registered(now).collect();
-            if registrations.len() > MAX_REGISTRATIONS {
+            let registered: Vec<Registration> = directory.registered(now).collect();
+            let returns: Vec<(Registration, Duration)> = directory.returns(now).collect();
+            if registered.len() + returns.len() > MAX_REGISTRATIONS {
                 return None;
             }
-            Content::Directory(registrations)
+            Content::Directory {
+                registered,
+                returns,
+            }
         }
     };
     Some(Snapshot {
@@ -125,7 +134,7 @@
 pub fn receive_snapshot(state: &State, snapshot: Snapshot) {
     let topic = match &snapshot.content {
         Content::Config(_) => Topic::Config,
-        Content::Directory(_) => Topic::Directory,
+        Content::Directory { .. } => Topic::Directory,
     };
     let Progress { era, end, age_ms } = snapshot.progress;
     state.observe_store_era(era);
@@ -146,15 +155,26 @@
             };
             super::apply_config(state, &[record]);
         }
-        Content::Directory(registrations) => {
-            let since = feed.position.borrow().as_of();
+        Content::Directory {
+            registered,
+            returns,
+        } => {
+            let since = feed.as_of();
             let at = super::removal_time(state, Duration::ZERO);
-            let present = registrations.iter().map(|registration| &*registration.id);
+            let return_at = super::return_time(state);
+            let present = registered.iter().map(|registration| &*registration.id);
             let present: Vec<&str> = present.collect();
             let mut directory = state.directory.borrow_mut();
             directory.schedule_removals_except(&present, since, at);
-            for registration in registrations {
-                directory.apply(now, since, registration);
+            for registration in registered {
+                if directory.has_removed(&registration) {
+                    directory.schedule_return(return_at, registration);
+                } else {
+                    directory.apply(now, since, registration);
+                }
+            }
+            for (registration, delay) in returns {
+                directory.schedule_return(now + delay, registration);
             }
         }
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -58,7 +58,7 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Interval at which upstreams renew their registrations. Validated but not used.
+    /// Interval at which upstreams renew their registrations.
     pub heartbeat_interval: Duration,
     /// Time that a shutdown may take: `grace` less a safety margin.
     pub shutdown_grace: Duration,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -334,15 +334,24 @@
             .record_request(now);
     }
 
-    /// Removes all registrations whose removal is due.
+    /// Removes all registrations whose removal is due, and applies those that count again
+    /// from now on.
     pub fn expire_registrations(&self) {
-        let removed = self.directory.borrow_mut().expire(self.clock.now());
-        if removed.is_empty() {
+        let now = self.clock.now();
+        let as_of = self.directory_feed.as_of();
+        let mut directory = self.directory.borrow_mut();
+        let removed = directory.expire(now);
+        let returned = directory.apply_returns(now, as_of);
+        drop(directory);
+        if removed.is_empty() && returned.is_empty() {
             return;
         }
         for upstream in removed {
             tracing::info!(upstream = upstream.0, "upstream gone");
         }
+        for upstream in returned {
+            tracing::info!(upstream = upstream.0, "upstream registered again");
+        }
         self.dispatch_decisions();
     }
 
--- a/crates/entry/tests/path/restored.rs
+++ b/crates/entry/tests/path/restored.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarreel_standin::platform::upstream;
 use medlarreel_standin::server::any_port;
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
@@ -10,8 +11,8 @@
 use tokio::time::sleep;
 
 use crate::fixture::{
-    Instance, TestCluster, is_ready, metric, start_cluster, start_followers, start_instance,
-    start_instance_in, wait_until,
+    Instance, TestCluster, is_ready, metric, request_text, send_request, start_cluster,
+    start_followers, start_instance, start_instance_in, wait_until,
 };
 
 /// Topic of the configurations.
@@ -226,3 +227,40 @@
     wait_for_version(&cluster, &follower, 8).await;
     assert!(is_ready(&follower).await);
 }
+
+/// Guards against an upstream that is not used for good after its removal was read: the
+/// copy shows it as it was, and the store writes nothing while only its sequence changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_the_copy_shows_again_is_used_again() {
+    let (mut cluster, follower) = start_pair().await;
+    let upstream = upstream::start(any_port(), "p2", false).await.unwrap();
+    let is_used_by = async |instance: &Instance, attempt: &str| {
+        let request = request_text("GET", "/catalogue/x", attempt, "");
+        send_request(instance.callers, &request).await;
+        let runs = upstream.service().runs();
+        runs.iter().any(|run| run.attempt == attempt)
+    };
+    cluster.register_plain_upstream("p2", upstream.address());
+    for instance in [&cluster.instance, &follower] {
+        wait_until("the upstream is used", async || {
+            is_used_by(instance, "before").await
+        })
+        .await;
+    }
+    let store = cluster.store.service();
+    let backup = store.backup();
+    store.put("keyed.servers", "p2", b"");
+    sleep(Duration::from_secs(1)).await;
+    for _ in 0..10 {
+        assert!(!is_used_by(&cluster.instance, "removed").await);
+    }
+
+    store.restore(backup);
+
+    for (instance, attempt) in [(&cluster.instance, "leader"), (&follower, "follower")] {
+        wait_until("the upstream is used again", async || {
+            is_used_by(instance, attempt).await
+        })
+        .await;
+    }
+}
