Request missed records from the leader if the relay does not send them

An instance requested missed records only from the instance that had passed the heartbeat on, usually a relay of its own failure domain.

Every second request since records are known to be missing now goes to the leader. The first one still goes to the relay, so that a fleet that has lost one message does not ask the leader all at once.

leader_is_asked_for_records_that_the_relay_does_not_have failed before: the leader had received no request within 40 s. Now it passes in 0.8 s.

--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -69,6 +69,8 @@
     /// Since when records are known to be missing.
     behind_since: Option<Time>,
     last_request: Option<Time>,
+    /// Number of requests since records are known to be missing.
+    request_count: u32,
 }
 
 impl Position {
@@ -122,6 +124,7 @@
         (self.readable, self.loaded) = (true, true);
         self.as_of = self.as_of.max(as_of);
         self.behind_since = None;
+        self.request_count = 0;
     }
 
     /// Records that the topic cannot be read on from the offset: the store has dropped
@@ -180,10 +183,18 @@
         let due = self.is_behind() && self.readable && is_due;
         if due {
             self.last_request = Some(now);
+            self.request_count += 1;
         }
         due
     }
 
+    /// Whether the last request goes to the leader rather than to the instance that has
+    /// named the records. Every second one does: the other instance may have missed them
+    /// as well, and the store may refuse the calls of a whole failure domain.
+    pub fn should_ask_leader(&self) -> bool {
+        self.request_count > 0 && self.request_count.is_multiple_of(2)
+    }
+
     /// Whether this instance, which has had no offset for the time `waited`, should load the
     /// topic from the store now. Before that it requests a snapshot from other instances,
     /// unless it is the first of its failure domain; see `should_read` for `reader_position`, which is
--- a/crates/core/tests/entry/follow.rs
+++ b/crates/core/tests/entry/follow.rs
@@ -86,6 +86,26 @@
     assert!(!position.take_request(at(520)));
 }
 
+/// Guards against records that nobody sends: the instance that has named them may have
+/// missed them as well. The leader alone must not be asked by a whole fleet at once.
+#[test]
+fn every_second_request_for_missed_records_goes_to_the_leader() {
+    let mut position = loaded();
+    position.observe_reader(at(100), ERA, 105, ms(0));
+    assert!(!position.should_ask_leader());
+
+    let asked = [at(100), at(150), at(250), at(400)].map(|now| {
+        position.take_request(now);
+        position.should_ask_leader()
+    });
+    position.advance(105, at(510));
+    position.observe_reader(at(600), ERA, 106, ms(0));
+    position.take_request(at(600));
+
+    assert_eq!(asked, [false, false, true, false]);
+    assert!(!position.should_ask_leader(), "records were received");
+}
+
 /// Guards against trusting a leader that itself gets no responses from the store.
 #[test]
 fn outdated_reads_do_not_count() {
--- a/crates/entry/src/peers/missed.rs
+++ b/crates/entry/src/peers/missed.rs
@@ -2,7 +2,8 @@
 //!
 //! Any instance answers, usually the relay through which the receiver learned that it
 //! has missed something. The leader alone could not: after a change of the leader, every
-//! instance may need a full map.
+//! instance may need a full map. It is asked for records that the relay has missed as
+//! well.
 
 use std::net::SocketAddr;
 
@@ -13,12 +14,16 @@
 use crate::reader::Topic;
 use crate::state::State;
 
-/// Requests missed records from the instance at `source`, if a request is due.
+/// Requests missed records, if a request is due: from the instance at `source`, or from the
+/// leader if the request before was not answered.
 pub(super) async fn request_records(state: &State, socket: &UdpSocket, source: SocketAddr) {
     let now = state.clock.now();
     for topic in Topic::ALL {
-        if let Some(from) = state.feed(topic).take_request(now) {
-            send(socket, source, &Message::RecordsRequest { topic, from }).await;
+        let feed = state.feed(topic);
+        if let Some(from) = feed.take_request(now) {
+            let leader = state.leader_address().filter(|_| feed.should_ask_leader());
+            let receiver = leader.unwrap_or(source);
+            send(socket, receiver, &Message::RecordsRequest { topic, from }).await;
         }
     }
 }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -170,6 +170,11 @@
             .flatten()
     }
 
+    /// Whether the request that was last due goes to the leader.
+    pub fn should_ask_leader(&self) -> bool {
+        self.position.borrow().should_ask_leader()
+    }
+
     /// Batches that contain all records from offset `from` on; empty if some of them are
     /// no longer known.
     pub fn batches_from(&self, now: Time, from: u64) -> Vec<RecordBatch> {
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod history;
 mod messages;
+mod missed;
 mod requests;
 mod restarts;
 mod restored;
