Don't take a repeated answer for the reply to an order

Cause: grants and releases share kept connections with requests, and their replies were read by status alone. An upstream that repeats an answer late made a release look done while it still held the keys, and, since orders name their upstream, a repeated 421 freed all keys of a live one (OWNER).

Change: a response with the headers of an answer to a request leaves the outcome of the order unknown, and its connection is closed, so that the real reply can't meet the next request.

Evidence: answer_to_a_request_is_not_a_reply_to_an_order needs the new interface; a trial of the same exchange over a socket gave done and misdirected before.

--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -89,9 +89,13 @@
         .body(Full::new(Bytes::clone(&body)))
         .map_err(|error| Error::NotSent(error.to_string()))?;
     let response = connection.send_request(request, timeout).await?;
+    // The real reply may still follow an answer to a request, so that connection is closed.
+    let Some(reply) = grants::decode_reply(response.status, &response.headers) else {
+        return Ok(Reply::Unknown);
+    };
     if let Some(upstream) = upstream {
         let now = state.clock.now();
         state.return_connection(now, upstream, connection, &response.headers);
     }
-    Ok(grants::decode_reply(response.status, &response.headers))
+    Ok(reply)
 }
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod history;
 mod messages;
 mod missed;
+mod orders;
 mod requests;
 mod restarts;
 mod restored;
