--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -174,6 +174,16 @@
         ledger
     }
 
+    /// Name of the stage of the recovery, for logs.
+    pub fn recovery_stage(&self) -> &'static str {
+        match self.recovery {
+            Recovery::Complete => "complete",
+            Recovery::Confirming { .. } => "confirming grants",
+            Recovery::Waiting { .. } if self.is_sweeping() => "releasing all keys",
+            Recovery::Waiting { .. } => "waiting for unknown grants",
+        }
+    }
+
     /// Whether upstreams are asked to release all keys.
     pub fn is_sweeping(&self) -> bool {
         self.sweep.is_some()
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -104,6 +104,8 @@
     /// current epoch.
     first_seen: HashMap<String, Time>,
     demand: Demand,
+    /// Last logged stage of the ledger's recovery.
+    recovery_stage: &'static str,
     /// Owners that were known when this instance became leader without a complete record.
     former_owners: OwnerMap,
     /// Epoch and version of the last owner map that was broadcast.
@@ -135,6 +137,7 @@
             last_campaign_check: Time(0),
             first_seen: HashMap::new(),
             demand: Demand::default(),
+            recovery_stage: "complete",
             former_owners: OwnerMap::default(),
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
@@ -361,10 +364,25 @@
             }
             self.send_due_orders(now);
         }
+        self.log_recovery();
         self.broadcast_owners(now).await;
         self.maintain_record(now).await;
     }
 
+    /// Logs changes of what this leader knows of the grants in force.
+    fn log_recovery(&mut self) {
+        let ledger = self.state.ledger.borrow();
+        let Some(ledger) = ledger.as_ref() else {
+            return;
+        };
+        let stage = ledger.recovery_stage();
+        if stage != self.recovery_stage {
+            let (epoch, before) = (ledger.epoch(), self.recovery_stage);
+            tracing::info!(epoch, stage, before, "recovery of grants");
+            self.recovery_stage = stage;
+        }
+    }
+
     /// Whether the store has been restored since this leader claimed its epoch.
     fn must_claim_again(&self) -> bool {
         let epoch = self.state.leadership.borrow().epoch();
