Wait for fewer grants after a restore

Callers got no keyed answer for up to 17.4 s after a restore with a lost leader in two cases: one upstream that had left did not answer, so that no keys were given back; or all instances had been killed, so that none knew the upstreams.

Cause: an upstream without an answer was taken to hold any key, although no leader grants keys to one whose registration was removed. And a former leader was waited for that can't exist: instances say now in which era they have started, and if none is left from before, what was sent ends within a lease, 5.3 s.

--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -63,6 +63,9 @@
     Released(Option<String>),
     /// Its process has ended.
     Ended,
+    /// It has not released its keys, and its registration was removed. Leaders grant it no
+    /// further keys, so it holds those at most that it was known to own.
+    Removed,
 }
 
 impl Sweep {
@@ -122,25 +125,36 @@
         }
     }
 
-    /// State of a range after the sweep: its last known owner gets the keys back.
-    fn state_after(&self, now: Time, service: &str, key_range: &KeyRange) -> State {
-        let released = key_range.owner.as_ref().and_then(|owner| {
+    /// State of a range after the sweep: its last known owner gets the keys back. If it has
+    /// not answered, its grants may last until `until`.
+    fn state_after(
+        &self,
+        now: Time,
+        until: Time,
+        service: &str,
+        key_range: &KeyRange,
+        last_fence: &mut u64,
+    ) -> State {
+        let target = key_range.owner.clone().and_then(|owner| {
             let target = self.targets.get(&(service.to_owned(), owner.clone()))?;
-            match target {
-                Target::Released(handover) => Some((owner.clone(), handover.clone())),
-                Target::Pending(_) | Target::Ended => None,
-            }
+            Some((owner, target))
         });
-        match released {
-            Some((owner, handover)) => State::Granting {
+        match target {
+            Some((owner, Target::Released(handover))) => State::Granting {
                 owner,
-                fence: 0,
-                handover,
+                fence: next_fence(last_fence),
+                handover: handover.clone(),
                 version: 0,
                 sent: None,
                 lease: Lease::until(now),
             },
-            None => State::Free { handover: None },
+            Some((owner, Target::Pending(_) | Target::Removed)) => State::Releasing {
+                owner,
+                fence: next_fence(last_fence),
+                sent: None,
+                lease: Lease::inherited(until),
+            },
+            Some((_, Target::Ended)) | None => State::Free { handover: None },
         }
     }
 }
@@ -189,7 +203,16 @@
         self.sweep.is_some()
     }
 
-    /// Releases all keys soon at the upstreams named by `add_possible_holders`, which must
+    /// Shortens the wait for unknown grants, since no process that may have led before is
+    /// left: what it has sent ends within a lease.
+    pub fn expect_no_former_leader(&mut self, now: Time) {
+        let end = now + CALL_TIMEOUT + max_lease_duration(self.hold);
+        if let Recovery::Waiting { until } = &mut self.recovery {
+            *until = (*until).min(end);
+        }
+    }
+
+    /// Releases all keys soon at the upstreams named by `add_possible_holder`, which must
     /// name all that former leaders may have known. From `earliest_end` on none is missing.
     /// `known_owners` says who served the keys before.
     pub fn start_sweep(&mut self, now: Time, earliest_end: Time, known_owners: OwnerMap) {
@@ -201,14 +224,16 @@
         });
     }
 
-    /// Adds upstreams that may hold keys of a service to the sweep, if there is one.
-    pub fn add_possible_holders(&mut self, service: &str, owners: impl Iterator<Item = Owner>) {
+    /// Adds an upstream that may hold keys of a service to the sweep, if there is one, or
+    /// records that its registration was removed.
+    pub fn add_possible_holder(&mut self, service: &str, owner: Owner, is_registered: bool) {
         let Some(sweep) = self.sweep.as_mut() else {
             return;
         };
-        for owner in owners {
-            let target = sweep.targets.entry((service.to_owned(), owner));
-            target.or_insert(Target::Pending(None));
+        let target = sweep.targets.entry((service.to_owned(), owner));
+        let target = target.or_insert(Target::Pending(None));
+        if !is_registered && matches!(target, Target::Pending(_)) {
+            *target = Target::Removed;
         }
     }
 
@@ -230,15 +255,16 @@
 
     /// Gives the keys back to their last known owners if the sweep is done. Returns whether
     /// it is.
-    fn finish_sweep(&mut self, now: Time) -> bool {
+    fn finish_sweep(&mut self, now: Time, until: Time) -> bool {
         let Some(sweep) = self.sweep.take_if(|sweep| sweep.is_done(now)) else {
             return false;
         };
+        let last_fence = &mut self.last_fence;
         for (service, key_ranges) in &sweep.known_owners.services {
             let range = |key_range: &KeyRange| LeasedRange {
                 first: key_range.first,
                 last: key_range.last,
-                state: sweep.state_after(now, service, key_range),
+                state: sweep.state_after(now, until, service, key_range, last_fence),
             };
             let ranges = key_ranges.iter().map(range).collect();
             self.services.insert(service.clone(), ranges);
@@ -286,7 +312,7 @@
         let is_over = match self.recovery {
             Recovery::Complete | Recovery::Confirming { until: None } => false,
             Recovery::Confirming { until: Some(until) } => now >= until,
-            Recovery::Waiting { until } => self.finish_sweep(now) || now >= until,
+            Recovery::Waiting { until } => self.finish_sweep(now, until) || now >= until,
         };
         if !is_over {
             return;
--- a/crates/core/tests/entry/recovery.rs
+++ b/crates/core/tests/entry/recovery.rs
@@ -4,7 +4,8 @@
 
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::ledger::{
-    CONFIRMATION_TIME, Ledger, Order, OrderKind, Reply, unknown_grants_end,
+    CALL_TIMEOUT, CONFIRMATION_TIME, Ledger, Order, OrderKind, Reply, max_lease_duration,
+    unknown_grants_end,
 };
 use medlarreel_core::entry::plan::KeyWeights;
 use medlarreel_core::time::Time;
@@ -139,14 +140,31 @@
     assert!(ledger.is_settled(SERVICE));
 }
 
+/// Guards against a wait for a leader that cannot exist, and against one that is too short
+/// for what it has sent.
+#[test]
+fn grants_of_a_leader_that_has_ended_last_for_a_lease() {
+    let mut ledger = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(0));
+    let end = at(1_000) + CALL_TIMEOUT + max_lease_duration(LEASE_DURATION);
+
+    ledger.expect_no_former_leader(at(1_000));
+    ledger.expect_no_former_leader(at(3_000));
+    rebalance(&mut ledger, end - ms(1), 2);
+    let early = ledger.needs_record();
+    rebalance(&mut ledger, end, 2);
+
+    assert!(!early && ledger.needs_record());
+}
+
 /// Ledger that asks upstreams 1 and 2, the owners before, to release all keys. They are
 /// known to be the only ones from 2 s on.
 fn sweeping_ledger() -> Ledger {
     let mut ledger = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(0));
     let known_owners = held_ledger(at(0)).view(at(0), true);
     ledger.start_sweep(at(0), at(2_000), known_owners);
-    let owners = candidates(2).into_iter().map(|candidate| candidate.owner);
-    ledger.add_possible_holders(SERVICE, owners);
+    for candidate in candidates(2) {
+        ledger.add_possible_holder(SERVICE, candidate.owner, true);
+    }
     ledger
 }
 
@@ -200,3 +218,32 @@
     assert!(early.iter().all(|order| order.kind == OrderKind::Release));
     assert!(needs_record);
 }
+
+/// Guards against waiting with all keys for an upstream that has left without an answer, and
+/// against granting those that it owned.
+#[test]
+fn only_the_keys_of_a_removed_upstream_are_waited_for() {
+    let mut ledger = sweeping_ledger();
+    let releases = due_orders(&mut ledger, at(500));
+    let done = Reply::Done { handover: None };
+    ledger.handle_reply(at(510), at(500), &releases[0], &done);
+
+    ledger.add_possible_holder(SERVICE, releases[1].owner.clone(), false);
+    rebalance(&mut ledger, at(2_000), 1);
+    ledger.acknowledge_record(ledger.record_version());
+    let orders = due_orders(&mut ledger, at(2_000));
+    rebalance(&mut ledger, at(2_100), 1);
+    ledger.acknowledge_record(ledger.record_version());
+    let later = due_orders(&mut ledger, at(2_100));
+
+    let is_grant = |order: &&Order| order.kind != OrderKind::Release;
+    let granted: Vec<_> = orders.iter().filter(is_grant).collect();
+    assert_eq!(granted.len(), 1);
+    assert_eq!(granted[0].owner, releases[0].owner);
+    assert!(
+        later
+            .iter()
+            .filter(is_grant)
+            .all(|order| order.last < u16::MAX)
+    );
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -8,14 +8,11 @@
 mod record;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::iter;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarreel_core::entry::directory::{
-    Directory, REREGISTRATION_GRACE, Registration, UpstreamRecord,
-};
+use medlarreel_core::entry::directory::{REREGISTRATION_GRACE, Registration};
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::ledger::{self, Ledger};
@@ -106,8 +103,6 @@
     demand: Demand,
     /// Last logged stage of the ledger's recovery.
     recovery_stage: &'static str,
-    /// Owners that were known when this instance became leader without a complete record.
-    former_owners: OwnerMap,
     /// Epoch and version of the last owner map that was broadcast.
     broadcast_revision: (u64, u64),
     last_broadcast: Time,
@@ -138,7 +133,6 @@
             first_seen: HashMap::new(),
             demand: Demand::default(),
             recovery_stage: "complete",
-            former_owners: OwnerMap::default(),
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
             broadcast_messages: 0,
@@ -331,11 +325,11 @@
             // The record of the last leader may be lost as well.
             let predecessor = predecessor.max(self.state.leadership.borrow().highest_epoch());
             let mut ledger = Ledger::without_record(epoch, lease_duration, predecessor, now);
-            self.former_owners = self.state.owner_map.borrow().clone();
             if self.state.knows_former_upstreams.get() {
                 let recovered_at = self.state.store_health.get().recovered_at;
                 let registered_by = recovered_at.unwrap_or(now) + REREGISTRATION_GRACE;
-                ledger.start_sweep(now, registered_by, self.former_owners.clone());
+                let known_owners = self.state.owner_map.borrow().clone();
+                ledger.start_sweep(now, registered_by, known_owners);
             }
             ledger
         };
@@ -404,12 +398,15 @@
         let mut candidates: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
         let directory = state.directory.borrow();
         let is_keyed = |service: &str| table.service(service).is_some_and(|found| found.keyed);
+        if state.have_all_started_in(Era::of_epoch(ledger.epoch())) {
+            ledger.expect_no_former_leader(now);
+        }
         if ledger.is_sweeping() {
-            for record in possible_holders(&directory, &self.former_owners) {
-                let service = &record.registration.service;
+            for record in directory.latest() {
+                let (service, owner) =
+                    (&record.registration.service, owner_of(&record.registration));
                 if is_keyed(service) {
-                    let owner = owner_of(&record.registration);
-                    ledger.add_possible_holders(service, iter::once(owner));
+                    ledger.add_possible_holder(service, owner, !record.removed);
                 }
             }
         }
@@ -572,18 +569,6 @@
     }
 }
 
-/// Upstreams that former leaders may have granted keys to: all that are registered, and
-/// those that have left while they owned keys.
-fn possible_holders<'a>(
-    directory: &'a Directory,
-    owners: &OwnerMap,
-) -> impl Iterator<Item = &'a UpstreamRecord> {
-    let ranges = owners.services.values().flatten();
-    let named: HashSet<Owner> = ranges.filter_map(|range| range.owner.clone()).collect();
-    let records = directory.latest();
-    records.filter(move |record| !record.removed || named.contains(&owner_of(&record.registration)))
-}
-
 /// The incarnation that a registration describes.
 fn owner_of(registration: &Registration) -> Owner {
     Owner {
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -68,6 +68,8 @@
     pub(super) cpu_percent: u32,
     /// Failure domain of the instance.
     pub(super) domain: String,
+    /// Era in which the process has joined the others; not known in the first era.
+    pub(super) first_era: Era,
 }
 
 /// Appends records to the leader's topic.
@@ -118,6 +120,7 @@
             started: state.started,
             cpu_percent: settings.cpu_percent,
             domain: settings.domain,
+            first_era: Era::default(),
         },
         era: Era::default(),
     };
@@ -192,13 +195,12 @@
     }
 
     async fn announce(&mut self) -> Result<Vec<(String, InstanceRecord)>, Error> {
-        let value = encode(&self.record)?;
-        let store = &mut self.store;
-        store
-            .append(INSTANCES_TOPIC, &self.name, &value, None)
-            .await?;
-        self.era = store.era();
-        let latest = store.read_latest(INSTANCES_TOPIC).await?;
+        self.append_record().await?;
+        if !self.record.first_era.is_known() && self.era > Era::FIRST {
+            self.record.first_era = self.era;
+            self.append_record().await?;
+        }
+        let latest = self.store.read_latest(INSTANCES_TOPIC).await?;
         let items = latest.records.into_iter();
         Ok(items
             .filter_map(|item| {
@@ -209,6 +211,18 @@
     }
 }
 
+impl Membership {
+    async fn append_record(&mut self) -> Result<(), Error> {
+        let value = encode(&self.record)?;
+        let store = &mut self.store;
+        store
+            .append(INSTANCES_TOPIC, &self.name, &value, None)
+            .await?;
+        self.era = store.era();
+        Ok(())
+    }
+}
+
 impl From<InstanceRecord> for Member {
     fn from(record: InstanceRecord) -> Member {
         Member {
@@ -216,6 +230,7 @@
             started: record.started,
             cpu_percent: record.cpu_percent,
             domain: record.domain,
+            first_era: record.first_era,
             last_heard: None,
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::fragments::{self, Fragment, Reassembler};
 use medlarreel_core::entry::ledger::LedgerSnapshot;
 use medlarreel_core::entry::map::{OwnerMap, OwnerMapChange};
@@ -57,6 +58,8 @@
         cpu_percent: u32,
         /// Failure domain of the instance.
         domain: String,
+        /// Era of the store in which the process has joined the others.
+        first_era: Era,
     },
     /// Periodic heartbeat of the leader.
     Heartbeat {
@@ -291,6 +294,7 @@
         started: state.started,
         cpu_percent: settings.cpu_percent,
         domain: settings.domain.clone(),
+        first_era: state.first_era.get(),
     }
 }
 
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -47,12 +47,14 @@
             started,
             cpu_percent,
             domain,
+            first_era,
         } => {
             let member = Member {
                 address: from,
                 started,
                 cpu_percent,
                 domain,
+                first_era,
                 last_heard: Some(now),
             };
             let previous = state.add_member(name.clone(), member);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -147,6 +147,8 @@
     pub leadership: RefCell<Leadership>,
     /// Ledger of key ownership; `Some` while this instance leads.
     pub ledger: RefCell<Option<Ledger>>,
+    /// Era of the store in which this process has first reached it.
+    pub first_era: Cell<Era>,
     /// Whether the registrations were read before the store was last restored, so that all
     /// upstreams that may hold keys are known once they have registered again.
     pub knows_former_upstreams: Cell<bool>,
@@ -216,6 +218,7 @@
             metrics: Metrics::default(),
             leadership: RefCell::new(Leadership::new(now)),
             ledger: RefCell::default(),
+            first_era: Cell::default(),
             knows_former_upstreams: Cell::default(),
             last_report: RefCell::default(),
             orders: RefCell::default(),
@@ -315,6 +318,7 @@
             self.feed(topic).observe_era(era);
         }
         if !before.is_known() {
+            self.first_era.set(era);
             return;
         }
         tracing::info!(era = era.0, before = before.0, "store restored from a copy");
--- a/crates/entry/src/state/members.rs
+++ b/crates/entry/src/state/members.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::relay::{self, Branch, Receiver};
 use medlarreel_core::time::Time;
 
@@ -23,6 +24,8 @@
     pub cpu_percent: u32,
     /// Failure domain that it runs in.
     pub domain: String,
+    /// Era of the store in which its process has joined the others.
+    pub first_era: Era,
     /// Time of the last message from it; `None` if this instance has received none.
     pub last_heard: Option<Time>,
 }
@@ -59,6 +62,13 @@
         is_new
     }
 
+    /// Whether this instance and all others have started in `era`, so that no process is left
+    /// that may have led before.
+    pub fn have_all_started_in(&self, era: Era) -> bool {
+        let members = self.members.borrow();
+        self.first_era.get() == era && members.values().all(|member| member.first_era == era)
+    }
+
     /// Address of the leader of the highest known epoch, if it is another instance.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let leadership = self.leadership.borrow();
--- a/crates/entry/tests/path/missed.rs
+++ b/crates/entry/tests/path/missed.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_entry::peers::{self, Message};
 use medlarreel_entry::reader::{self, Progress, Topic};
 use medlarreel_entry::settings::Settings;
@@ -55,6 +56,7 @@
         cpu_percent: 100,
         domain: "b".into(),
         last_heard: None,
+        first_era: Era::FIRST,
     };
     state.add_member("leader".into(), member);
 
