Don't hold up all keys for an upstream that is leaving

After a restore an upstream that had drained and ended was listed as draining for 16 s, since the report of its end was lost. It did not answer, and no keys were given back until then. No leader grants keys to an upstream that drains, so only those that it was known to own wait.

--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -57,15 +57,18 @@
 /// Upstream that may hold keys.
 #[derive(Debug)]
 enum Target {
-    /// It has not released its keys. The last order was sent at this time.
-    Pending(Option<Time>),
+    /// It has not released its keys.
+    Pending {
+        /// Time of the last order.
+        sent: Option<Time>,
+        /// Whether it shuts down or its registration was removed. Leaders grant it no
+        /// further keys, so it holds those at most that it was known to own.
+        is_leaving: bool,
+    },
     /// It has released them, with this token for the next holder.
     Released(Option<String>),
     /// Its process has ended.
     Ended,
-    /// It has not released its keys, and its registration was removed. Leaders grant it no
-    /// further keys, so it holds those at most that it was known to own.
-    Removed,
 }
 
 impl Sweep {
@@ -74,12 +77,21 @@
         self.earliest_end.max(self.start + SWEEP_TIME).since(now)
     }
 
-    /// Whether no upstream holds keys of former leaders any more.
+    /// Whether no upstream holds other keys of former leaders than those that it was known
+    /// to own.
     fn is_done(&self, now: Time) -> bool {
-        let is_pending = |target: &Target| matches!(target, Target::Pending(_));
+        let may_hold_any = |target: &Target| {
+            matches!(
+                target,
+                Target::Pending {
+                    is_leaving: false,
+                    ..
+                }
+            )
+        };
         now >= self.earliest_end
             && !self.targets.is_empty()
-            && !self.targets.values().any(is_pending)
+            && !self.targets.values().any(may_hold_any)
     }
 
     /// Returns the releases that are due now, at most `max_orders`.
@@ -93,7 +105,7 @@
             return Vec::new();
         }
         let due = self.targets.iter_mut().filter_map(|(key, target)| {
-            let Target::Pending(sent) = target else {
+            let Target::Pending { sent, .. } = target else {
                 return None;
             };
             is_due(*sent, now, RESEND_INTERVAL).then_some((key, sent))
@@ -148,7 +160,7 @@
                 sent: None,
                 lease: Lease::until(now),
             },
-            Some((owner, Target::Pending(_) | Target::Removed)) => State::Releasing {
+            Some((owner, Target::Pending { .. })) => State::Releasing {
                 owner,
                 fence: next_fence(last_fence),
                 sent: None,
@@ -225,15 +237,18 @@
     }
 
     /// Adds an upstream that may hold keys of a service to the sweep, if there is one, or
-    /// records that its registration was removed.
-    pub fn add_possible_holder(&mut self, service: &str, owner: Owner, is_registered: bool) {
+    /// records that it is leaving.
+    pub fn add_possible_holder(&mut self, service: &str, owner: Owner, leaving: bool) {
         let Some(sweep) = self.sweep.as_mut() else {
             return;
         };
         let target = sweep.targets.entry((service.to_owned(), owner));
-        let target = target.or_insert(Target::Pending(None));
-        if !is_registered && matches!(target, Target::Pending(_)) {
-            *target = Target::Removed;
+        let target = target.or_insert(Target::Pending {
+            sent: None,
+            is_leaving: leaving,
+        });
+        if let Target::Pending { is_leaving, .. } = target {
+            *is_leaving = leaving;
         }
     }
 
--- a/crates/core/tests/entry/recovery.rs
+++ b/crates/core/tests/entry/recovery.rs
@@ -163,7 +163,7 @@
     let known_owners = held_ledger(at(0)).view(at(0), true);
     ledger.start_sweep(at(0), at(2_000), known_owners);
     for candidate in candidates(2) {
-        ledger.add_possible_holder(SERVICE, candidate.owner, true);
+        ledger.add_possible_holder(SERVICE, candidate.owner, false);
     }
     ledger
 }
@@ -219,16 +219,16 @@
     assert!(needs_record);
 }
 
-/// Guards against waiting with all keys for an upstream that has left without an answer, and
+/// Guards against waiting with all keys for an upstream that leaves without an answer, and
 /// against granting those that it owned.
 #[test]
-fn only_the_keys_of_a_removed_upstream_are_waited_for() {
+fn only_the_keys_of_a_leaving_upstream_are_waited_for() {
     let mut ledger = sweeping_ledger();
     let releases = due_orders(&mut ledger, at(500));
     let done = Reply::Done { handover: None };
     ledger.handle_reply(at(510), at(500), &releases[0], &done);
 
-    ledger.add_possible_holder(SERVICE, releases[1].owner.clone(), false);
+    ledger.add_possible_holder(SERVICE, releases[1].owner.clone(), true);
     rebalance(&mut ledger, at(2_000), 1);
     ledger.acknowledge_record(ledger.record_version());
     let orders = due_orders(&mut ledger, at(2_000));
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -406,7 +406,7 @@
                 let (service, owner) =
                     (&record.registration.service, owner_of(&record.registration));
                 if is_keyed(service) {
-                    ledger.add_possible_holder(service, owner, !record.removed);
+                    ledger.add_possible_holder(service, owner, !record.usable);
                 }
             }
         }
