Test that keys have one holder after the store was restored

Two process tests: the leader is killed while the store comes back from a copy that lacks the last move of keys, and the leader survives the restore and is killed 6 s later.

--- a/crates/entry/tests/path/restored.rs
+++ b/crates/entry/tests/path/restored.rs
@@ -1,5 +1,6 @@
 //! A store that comes back from a copy: offsets go back and are assigned again.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,11 +9,11 @@
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::fixture::{
-    Instance, TestCluster, is_ready, metric, request_text, send_request, start_cluster,
-    start_followers, start_instance, start_instance_in, wait_until,
+    Instance, TEST_TIMEOUT, TestCluster, is_ready, metric, request_text, send_request,
+    start_cluster, start_followers, start_instance, start_instance_in, wait_until,
 };
 
 /// Topic of the configurations.
@@ -21,6 +22,21 @@
 /// Topic in which instances announce themselves.
 const INSTANCES_TOPIC: &str = "keyed.medlarreel-instances";
 
+/// Number of keys of a service.
+const KEY_COUNT: usize = 1 << 16;
+
+/// Distance between two keys whose holders are checked.
+const SAMPLE_STEP: usize = 512;
+
+/// Time between two checks of the holders.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for which an upstream holds keys after its last renewal, and some more.
+const LEASE_DURATION: Duration = Duration::from_millis(4_500);
+
+/// Time in which a leader confirms its grants after a restore and records all owners.
+const RECORDING_TIME: Duration = Duration::from_secs(6);
+
 /// Starts a leader and a follower.
 async fn start_pair() -> (TestCluster, Instance) {
     let cluster = start_cluster().await;
@@ -54,6 +70,68 @@
     (address, cut)
 }
 
+/// Makes the second keyed upstream take the keys of the first.
+async fn move_keys(cluster: &mut TestCluster) {
+    cluster.register_upstreams(0, "draining");
+    wait_until("the second upstream holds all keys", async || {
+        cluster.keyed[1].service().held_key_count() == KEY_COUNT
+            && cluster.keyed[0].service().held_key_count() == 0
+    })
+    .await;
+}
+
+/// Numbers of the keyed upstreams that hold each sampled key.
+fn sampled_holders(cluster: &TestCluster) -> Vec<(u16, Vec<usize>)> {
+    let sampled = (0..=u16::MAX).step_by(SAMPLE_STEP);
+    sampled
+        .map(|key| {
+            let upstreams = 0..cluster.keyed.len();
+            let holds = |number: &usize| cluster.keyed[*number].service().holds(key);
+            (key, upstreams.filter(holds).collect())
+        })
+        .collect()
+}
+
+/// Sampled keys that two upstreams hold at the same time. The upstreams are read one after
+/// the other, so a key that moves in between appears twice in one reading, but not in two.
+fn keys_held_twice(cluster: &TestCluster) -> Vec<(u16, Vec<usize>)> {
+    let readings = sampled_holders(cluster)
+        .into_iter()
+        .zip(sampled_holders(cluster));
+    readings
+        .filter(|((_, before), (_, holders))| holders.len() > 1 && before == holders)
+        .map(|(_, reading)| reading)
+        .collect()
+}
+
+/// Checks until `is_over` returns true that no key is held by two upstreams.
+async fn check_holders_until(cluster: &TestCluster, is_over: impl Fn(Duration) -> bool) {
+    let start = Instant::now();
+    while !is_over(start.elapsed()) {
+        let twice = keys_held_twice(cluster);
+        let elapsed = start.elapsed();
+        assert!(twice.is_empty(), "held twice after {elapsed:?}: {twice:?}");
+        assert!(elapsed < TEST_TIMEOUT, "timed out");
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Checks that each fence was accepted by one upstream only.
+fn check_fences(cluster: &TestCluster) {
+    let [first, second] = [0, 1].map(|number| cluster.keyed[number].service().accepted_grants());
+    let repeated = first
+        .iter()
+        .find(|grant| second.iter().any(|other| other.fence == grant.fence));
+    assert_eq!(repeated, None);
+}
+
+/// Whether an instance serves a request of the keyed service.
+async fn serves_keyed(instance: &Instance) -> bool {
+    let probe = request_text("GET", "/status/x", "probe", "");
+    let response = send_request(instance.callers, &probe).await;
+    response.starts_with("HTTP/1.1 200")
+}
+
 /// Waits until both instances use a version of the configuration.
 async fn wait_for_version(cluster: &TestCluster, follower: &Instance, version: u64) {
     for instance in [&cluster.instance, follower] {
@@ -264,3 +342,58 @@
         .await;
     }
 }
+
+/// Guards against two holders of a key: the copy's record of owners lacks the last move,
+/// and the leader that knows of it is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_have_one_holder_after_a_restore_without_the_leader() {
+    let (mut cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    move_keys(&mut cluster).await;
+
+    cluster.store.service().set_unavailable(true);
+    cluster.instance.signal("-KILL");
+    cluster.store.service().restore(backup);
+    cluster.register_upstreams(0, "ready");
+    cluster.store.service().set_unavailable(false);
+    // The grants of the leader that was lost end in this time.
+    check_holders_until(&cluster, |elapsed| elapsed >= LEASE_DURATION).await;
+    check_holders_until(&cluster, |_| cluster.held_key_count() == KEY_COUNT).await;
+
+    check_fences(&cluster);
+    wait_until("requests are served", async || {
+        serves_keyed(&follower).await
+    })
+    .await;
+    check_holders_until(&cluster, |elapsed| elapsed >= LEASE_DURATION).await;
+    assert_eq!(cluster.held_key_count(), KEY_COUNT);
+}
+
+/// Guards against a leader that gives its keys up after a restore, or that does not record
+/// their owners again, so that its successor has to wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_held_after_a_restore_and_a_later_loss_of_the_leader() {
+    let (mut cluster, follower) = start_pair().await;
+    let backup = cluster.store.service().backup();
+    move_keys(&mut cluster).await;
+
+    cluster.store.service().set_unavailable(true);
+    cluster.store.service().restore(backup);
+    cluster.register_upstreams(0, "draining");
+    sleep(Duration::from_millis(500)).await;
+    cluster.store.service().set_unavailable(false);
+    let holder = cluster.keyed[1].service();
+    let has_lapsed = Cell::new(false);
+    check_holders_until(&cluster, |elapsed| {
+        has_lapsed.set(has_lapsed.get() || holder.held_key_count() < KEY_COUNT);
+        elapsed >= RECORDING_TIME
+    })
+    .await;
+    cluster.instance.signal("-KILL");
+    check_holders_until(&cluster, |elapsed| elapsed >= LEASE_DURATION * 3 / 2).await;
+
+    assert!(!has_lapsed.get(), "keys were not held all the time");
+    assert_eq!(holder.held_key_count(), KEY_COUNT);
+    assert!(serves_keyed(&follower).await);
+    check_fences(&cluster);
+}
