--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -258,6 +258,29 @@
     );
 }
 
+/// Guards against two holders of a key: the report names the former incarnation of an
+/// upstream that has restarted with the same id, and the new one may have received its grants.
+#[test]
+fn report_about_a_former_incarnation_does_not_end_the_wait() {
+    let record = held_ledger(at(0)).ownership_record(at(0));
+    let stopped = held_ledger(at(0)).snapshot(at(0)).unwrap();
+    let mut ledger = Ledger::new(9, LEASE_DURATION);
+    ledger.adopt(&record, 5, at(0), at(20_000));
+    let restarted = Owner {
+        born: 2,
+        ..owner(1)
+    };
+    let newer = |owner: &Owner| (*owner == self::owner(1)).then(|| restarted.clone());
+
+    for order in ledger.take_due_orders(at(0), usize::MAX, newer) {
+        ledger.handle_reply(at(0), at(0), &order, &Reply::NotSent);
+    }
+    ledger.handle_predecessor_stop(5, at(100), &stopped);
+    ledger.take_due_orders(at(200), usize::MAX, newer);
+
+    assert!(ledger.holders(SERVICE).contains(&restarted));
+}
+
 /// Guards against shortening the wait because a later leader has stopped, while the
 /// recorded predecessor may still act.
 #[test]
--- a/crates/core/tests/entry/recovery.rs
+++ b/crates/core/tests/entry/recovery.rs
@@ -247,3 +247,46 @@
             .all(|order| order.last < u16::MAX)
     );
 }
+
+/// Guards against a successor that replaces its grants by the older report of a leader whose
+/// grants its predecessor has taken over, and uses the predecessor's fences again.
+#[test]
+fn resumed_leader_has_the_grants_that_its_predecessor_took_over() {
+    let stopped = held_ledger(at(0));
+    let report = stopped.snapshot(at(2_000)).unwrap();
+    let mut predecessor = Ledger::without_record(AFTER, LEASE_DURATION, BEFORE, at(2_000));
+    predecessor.handle_predecessor_stop(BEFORE, at(2_100), &report);
+    let used = reply_to_all(&mut predecessor, at(2_100), &Reply::Done { handover: None });
+
+    let snapshot = predecessor.snapshot(at(2_200)).unwrap();
+    let mut ledger = Ledger::resume(&snapshot, LEASE_DURATION, at(2_300));
+    ledger.handle_predecessor_stop(BEFORE, at(2_400), &report);
+    let renewals = due_orders(&mut ledger, at(2_400));
+
+    let highest = used.iter().map(|order| order.fence).max().unwrap();
+    assert_eq!(renewals.len(), 2);
+    assert!(
+        renewals.iter().all(|order| order.fence > highest),
+        "{highest}: {renewals:?}"
+    );
+}
+
+/// Guards against a successor to which keys seem free whose first grant was sent before the
+/// restore: their owner is recorded again, but may hold them already.
+#[test]
+fn snapshot_after_recovery_contains_grants_that_were_sent() {
+    let mut ledger = Ledger::new(BEFORE, LEASE_DURATION);
+    rebalance(&mut ledger, at(0), 1);
+    ledger.acknowledge_record(ledger.record_version());
+    let sent = due_orders(&mut ledger, at(0));
+    ledger.handle_reply(at(1_000), at(0), &sent[0], &Reply::Unknown);
+    ledger.suspend_moves();
+    ledger.continue_in(AFTER, at(1_000));
+
+    let end = at(1_000) + CONFIRMATION_TIME;
+    rebalance(&mut ledger, end, 1);
+    let snapshot = ledger.snapshot(end).unwrap();
+
+    let ranges = &snapshot.owners.services[SERVICE];
+    assert_eq!(ranges[0].owner.as_ref(), Some(&sent[0].owner));
+}
