Keep a resumed ledger when an earlier leader reports again

Cause: a ledger that was resumed from a transfer had no predecessor, so that while it confirmed its grants a repeated report of an earlier leader replaced it, and its predecessor's fences were used again.

Evidence: resumed_leader_has_the_grants_that_its_predecessor_took_over failed before.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -185,6 +185,8 @@
     pub fn resume(snapshot: &LedgerSnapshot, hold: Duration, now: Time) -> Ledger {
         let mut ledger = Ledger::new(snapshot.owners.epoch, hold);
         ledger.take_over(snapshot, now);
+        // The snapshot contains what earlier leaders have reported.
+        ledger.predecessor = ledger.epoch;
         ledger.view_version = snapshot.owners.version + 1;
         ledger
     }
