Pass on owners whose first grant was sent before a restore

Cause: after a restore all owners are recorded again.

Change: only owners that were never sent a grant are left out.

Evidence: snapshot_after_recovery_contains_grants_that_were_sent failed before.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -168,7 +168,12 @@
         }
         let acknowledged_version = self.acknowledged_version;
         let owners = self.build_map(self.view_version, |state| match state {
-            State::Granting { version, .. } if *version > acknowledged_version => (None, 0),
+            // Recorded again after a restore, it may have been sent before.
+            State::Granting {
+                version,
+                sent: None,
+                ..
+            } if *version > acknowledged_version => (None, 0),
             state => (
                 range::owner(state).cloned(),
                 left(range::lease_end(state), now),
