Wait longer until a test's upstreams have left

Its output was not kept, so the cause is inferred: the test took two resets in one probe as proof that no other upstream is used, but one probe can be sent to the full upstream twice while a second one is still in use, as registrations arrive in two reads.

It asks for ten such probes in a row now, and checks the same answer as before.

--- a/crates/entry/tests/path/faults.rs
+++ b/crates/entry/tests/path/faults.rs
@@ -259,10 +259,16 @@
     cluster.register_plain_upstream("full", address);
     cluster.register_upstreams(0, "draining");
     cluster.register_upstreams(1, "draining");
+    // A single probe may be sent to the full upstream twice while another one is still used.
     wait_until("only the full upstream is left", async || {
-        let before = resets.load(Ordering::SeqCst);
-        cluster.get("/catalogue/x", "probe").await;
-        resets.load(Ordering::SeqCst) >= before + 2
+        for _ in 0..10 {
+            let before = resets.load(Ordering::SeqCst);
+            cluster.get("/catalogue/x", "probe").await;
+            if resets.load(Ordering::SeqCst) < before + 2 {
+                return false;
+            }
+        }
+        true
     })
     .await;
     let response = cluster.get("/catalogue/x", "one").await;
