--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -467,9 +467,12 @@
         }
     }
 
-    /// Number of ranges in the ledger.
-    pub fn range_count(&self) -> usize {
-        self.services.values().map(Vec::len).sum()
+    /// Number of orders that a round of renewals takes, or of releases during a sweep.
+    pub fn round_size(&self) -> usize {
+        match &self.sweep {
+            Some(sweep) => sweep.size(),
+            None => self.services.values().map(Vec::len).sum(),
+        }
     }
 
     /// Handles the reply to an order that was sent at `sent`.
--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -72,6 +72,11 @@
 }
 
 impl Sweep {
+    /// Number of upstreams.
+    pub(super) fn size(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Typical time until it is done.
     pub(super) fn time_left(&self, now: Time) -> Duration {
         self.earliest_end.max(self.start + SWEEP_TIME).since(now)
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -599,12 +599,12 @@
     ledger.handle_reply(at(2_010), at(2_000), &in_flight[0], &done_reply());
 
     ledger.rebalance(at(2_100), SERVICE, only_first, &KeyWeights::default());
-    let ranges_before = ledger.range_count();
+    let ranges_before = ledger.round_size();
     ledger.handle_reply(at(2_200), at(2_000), &in_flight[1], &done_reply());
     ledger.rebalance(at(2_600), SERVICE, only_first, &KeyWeights::default());
 
     assert_eq!(in_flight.len(), 2);
-    assert_eq!((ranges_before, ledger.range_count()), (2, 1));
+    assert_eq!((ranges_before, ledger.round_size()), (2, 1));
 }
 
 /// Guards against a later leader that does not wait for the new process of a restarted
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -445,7 +445,7 @@
             };
             let mut ledger = self.state.ledger.borrow_mut();
             ledger.as_mut().map(|ledger| {
-                let max_orders = BASE_ORDERS_PER_TICK.max(ledger.range_count() / TICKS_PER_RENEWAL);
+                let max_orders = BASE_ORDERS_PER_TICK.max(ledger.round_size() / TICKS_PER_RENEWAL);
                 ledger.take_due_orders(now, max_orders, newer_incarnation)
             })
         };
