--- a/crates/core/src/entry/ledger/recovery.rs
+++ b/crates/core/src/entry/ledger/recovery.rs
@@ -36,7 +36,8 @@
     /// The holders are known unless another leader has replaced them. Grants are only
     /// renewed, until the given time; `None` before leadership was claimed again.
     Confirming { until: Option<Time> },
-    /// Grants that are not known may be in force until the given time. No order is sent.
+    /// Grants that are not known may be in force until the given time. Only the releases of a
+    /// sweep are sent.
     Waiting { until: Time },
 }
 
