--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -197,8 +197,8 @@
 
     /// Whether this instance, which has had no offset for the time `waited`, should load the
     /// topic from the store now. Before that it requests a snapshot from other instances,
-    /// unless it is the first of its failure domain; see `should_read` for `reader_position`, which is
-    /// `None` while the others are not known.
+    /// unless it is the first of its failure domain; see `should_read` for
+    /// `reader_position`, which is `None` while the others are not known.
     pub fn should_load(&self, waited: Duration, reader_position: Option<u32>) -> bool {
         !self.readable && waited >= stagger(reader_position.unwrap_or(u32::MAX))
     }
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -39,9 +39,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The limit of orders per tick grows with the number of ranges, or of upstreams that are
-/// asked to release their keys, so that orders for all of them can be sent within about this many ticks. 20 ticks take 1 s, which is less
-/// than the renewal interval: a third of a lease, which lasts 4 s unless `hold_max` is
-/// smaller.
+/// asked to release their keys, so that orders for all of them can be sent within about
+/// this many ticks. 20 ticks take 1 s, which is less than the renewal interval: a third of
+/// a lease, which lasts 4 s unless `hold_max` is smaller.
 const TICKS_PER_RENEWAL: usize = 20;
 
 /// Maximum number of orders per tick while the number of ranges is small. A new leader
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -297,8 +297,9 @@
     ///
     /// After `NotSent` and `Refused` the append had no effect and can be repeated.
     /// `Refused` is also returned if an earlier append of this writer, whose response was
-    /// lost, or a delayed one from an earlier era has moved the end of the topic. After `Restored`, leadership must be claimed
-    /// again. After any other error the append may take effect now or later.
+    /// lost, or a delayed one from an earlier era has moved the end of the topic. After
+    /// `Restored`, leadership must be claimed again. After any other error the append may
+    /// take effect now or later.
     pub(super) async fn write(
         &mut self,
         name: &str,
