Keep all instances together to the rate that an upstream names

An instance knows slots and load of an upstream, and sends whenever a slot seems free. Reading it at each instance alone would not be enough: eight instances at the full rate are eight times the limit, and a fixed part of it is a request in 12 s at a limit of 1 a second and 12 instances.

Change: the leader has a token bucket for each upstream that names a limit and grants permits for the requests that instances have queued, the most urgent rank first. A permit lasts 0.5 s. Instances that can't reach the leader share 0.3 of the rate. A keyed request whose permit would come too late is refused at once with the time until its turn; requests without a key go to other upstreams, and an idle limited one is probed every 2 s. The leader announces new limits, so that an instance that has not heard the upstream itself keeps to it too. A limit ends with a response without the field to a request that was sent after one with it. A new incarnation starts without a limit.

Ruled out: a fixed share per instance (unused at low rates), and admission by a published fraction of the demand (a window of 4 s then varies as chance does, and the bound is 3 deviations away).

--- /dev/null
+++ b/crates/core/src/entry/limiter.rs
@@ -0,0 +1,274 @@
+//! Division of the rate limits of upstreams among the instances, done by the leader.
+//!
+//! Each limited upstream has a token bucket. A token becomes a permit of the instance whose
+//! most urgent waiting request has the lowest rank and, among those, that has waited longest
+//! for a permit. Tokens are not divided in advance: at a few requests per second for
+//! hundreds of instances, the share of each would be less than a request in a minute.
+//!
+//! A new leader starts with empty buckets, so that its permits and the last ones of its
+//! predecessor stay within the rate.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::permit::{Announcement, Demand, Grant, Rate};
+use crate::time::Time;
+
+/// Time's worth of requests that an unused bucket collects, beyond one request.
+const BURST: Duration = Duration::from_millis(250);
+
+/// Lowest rate at which permits are granted, in requests per second. An upstream that gets
+/// no requests can't say that its limit has ended.
+const MIN_RATE: f64 = 0.25;
+
+/// Time after which a demand that was not repeated is dropped.
+const DEMAND_LIFETIME: Duration = Duration::from_millis(400);
+
+/// Time after which granted permits count as received, even if the instance has not
+/// confirmed them.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Number of times that a newly known limit is announced to all instances, since messages
+/// may be lost.
+const ANNOUNCEMENTS: u32 = 3;
+
+/// Interval between two announcements of a limit.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time without any demand after which an upstream's bucket is dropped.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Incarnation of an upstream: its id and start.
+type Incarnation = (String, u64);
+
+/// Token buckets of all limited upstreams.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    buckets: HashMap<Incarnation, Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    /// `None` if the upstream has stopped naming a limit.
+    limit: Option<Rate>,
+    observed_at: Time,
+    tokens: f64,
+    refilled_at: Time,
+    demanded_at: Time,
+    instances: BTreeMap<SocketAddr, Requester>,
+    /// Number of announcements so far, and the time from which the next one is due.
+    announced: (u32, Time),
+}
+
+#[derive(Debug)]
+struct Requester {
+    waiting: Vec<(u8, u32)>,
+    heard_at: Time,
+    /// Time since which it has waited for a permit.
+    waiting_since: Time,
+    /// Permits granted so far.
+    granted: u64,
+    /// Permits that it has confirmed.
+    confirmed: u64,
+    granted_at: Time,
+}
+
+impl Requester {
+    /// Waiting requests by rank, without those that unconfirmed permits are for.
+    fn unserved(&self, now: Time) -> impl Iterator<Item = (u8, u32)> + '_ {
+        let on_the_way = match now.since(self.granted_at) < CONFIRMATION_TIMEOUT {
+            true => self.granted.saturating_sub(self.confirmed) as u32,
+            false => 0,
+        };
+        let mut covered = match now.since(self.heard_at) < DEMAND_LIFETIME {
+            true => on_the_way,
+            false => u32::MAX,
+        };
+        let unserved = self.waiting.iter().map(move |(rank, count)| {
+            let served = covered.min(*count);
+            covered -= served;
+            (*rank, count - served)
+        });
+        unserved.filter(|(_, count)| *count > 0)
+    }
+}
+
+impl Bucket {
+    fn rate(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.per_second().max(MIN_RATE))
+    }
+
+    fn refill(&mut self, now: Time) {
+        let Some(rate) = self.rate() else {
+            return;
+        };
+        let accrued = rate * now.since(self.refilled_at).as_secs_f64();
+        let capacity = 1.0 + rate * BURST.as_secs_f64();
+        self.tokens = (self.tokens + accrued).min(capacity);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Grants a permit for each token, as long as requests wait. Returns the instances that
+    /// have received some.
+    fn issue(&mut self, now: Time) -> Vec<SocketAddr> {
+        self.refill(now);
+        let mut receivers = Vec::new();
+        while self.limit.is_some() && self.tokens >= 1.0 {
+            let waiting = self
+                .instances
+                .iter_mut()
+                .filter_map(|(address, requester)| {
+                    let (rank, _) = requester.unserved(now).next()?;
+                    Some((rank, requester.waiting_since, address, requester))
+                });
+            let first = waiting.min_by_key(|(rank, since, ..)| (*rank, *since));
+            let Some((_, _, address, requester)) = first else {
+                break;
+            };
+            requester.granted += 1;
+            requester.granted_at = now;
+            requester.waiting_since = now;
+            self.tokens -= 1.0;
+            if !receivers.contains(address) {
+                receivers.push(*address);
+            }
+        }
+        receivers
+    }
+
+    fn grant(&self, now: Time, incarnation: &Incarnation, receiver: SocketAddr) -> Grant {
+        let mut backlog: BTreeMap<u8, u32> = BTreeMap::new();
+        let others = self.instances.iter();
+        let others = others.filter(|(address, _)| **address != receiver);
+        for (rank, count) in others.flat_map(|(_, requester)| requester.unserved(now)) {
+            *backlog.entry(rank).or_default() += count;
+        }
+        let missing = (1.0 - self.tokens).max(0.0);
+        let next = self.rate().map_or(0.0, |rate| missing / rate);
+        let requester = self.instances.get(&receiver);
+        Grant {
+            id: incarnation.0.clone(),
+            born: incarnation.1,
+            limit: self.limit,
+            age_ms: now.since(self.observed_at).as_millis() as u64,
+            granted: requester.map_or(0, |requester| requester.granted),
+            backlog: backlog.into_iter().collect(),
+            next_ms: (next * 1_000.0) as u64,
+        }
+    }
+}
+
+impl Limiter {
+    /// Whether permits or announcements may be due without a further demand.
+    pub fn is_active(&self, now: Time) -> bool {
+        let mut buckets = self.buckets.values();
+        buckets.any(|bucket| {
+            let mut instances = bucket.instances.values();
+            bucket.limit.is_some() && bucket.announced.0 < ANNOUNCEMENTS
+                || instances.any(|requester| requester.unserved(now).next().is_some())
+        })
+    }
+
+    /// Limits that upstreams are known to name, by id and start.
+    pub fn limits(&self) -> impl Iterator<Item = (&str, u64, Rate)> {
+        let buckets = self.buckets.iter();
+        buckets.filter_map(|((id, born), bucket)| Some((id.as_str(), *born, bucket.limit?)))
+    }
+
+    /// Forgets everything, when this instance begins or ceases to lead.
+    pub fn clear(&mut self) {
+        self.buckets.clear();
+    }
+
+    /// Records the demand of an instance and returns the replies to it and to other
+    /// instances that have received permits.
+    pub fn handle_demand(
+        &mut self,
+        now: Time,
+        epoch: u64,
+        from: SocketAddr,
+        demand: Demand,
+    ) -> Vec<(SocketAddr, Grant)> {
+        self.buckets
+            .retain(|_, bucket| now.since(bucket.demanded_at) < IDLE_TIMEOUT);
+        let incarnation = (demand.id, demand.born);
+        let observed_at = now - Duration::from_millis(demand.age_ms);
+        let bucket = self
+            .buckets
+            .entry(incarnation.clone())
+            .or_insert_with(|| Bucket {
+                limit: demand.limit,
+                observed_at,
+                tokens: 0.0,
+                refilled_at: now,
+                demanded_at: now,
+                instances: BTreeMap::new(),
+                announced: (0, now),
+            });
+        bucket.refill(now);
+        bucket.demanded_at = now;
+        if observed_at > bucket.observed_at {
+            bucket.observed_at = observed_at;
+            if bucket.limit.is_none() {
+                bucket.announced = (0, now);
+            }
+            bucket.limit = demand.limit;
+        }
+        let requester = bucket.instances.entry(from).or_insert_with(|| Requester {
+            waiting: Vec::new(),
+            heard_at: now,
+            waiting_since: now,
+            granted: 0,
+            confirmed: 0,
+            granted_at: Time(0),
+        });
+        if requester.waiting.is_empty() {
+            requester.waiting_since = now;
+        }
+        requester.waiting = demand.waiting;
+        requester.heard_at = now;
+        let (granted_epoch, granted) = demand.granted;
+        if granted_epoch == epoch {
+            requester.confirmed = granted;
+        }
+        let mut receivers = bucket.issue(now);
+        if !receivers.contains(&from) {
+            receivers.push(from);
+        }
+        let replies = receivers.into_iter();
+        replies
+            .map(|receiver| (receiver, bucket.grant(now, &incarnation, receiver)))
+            .collect()
+    }
+
+    /// Limits that all instances are to be told now. An instance that has sent no request to
+    /// an upstream since it has named its limit would learn of it too late.
+    pub fn due_announcements(&mut self, now: Time) -> Vec<Announcement> {
+        let due = self.buckets.iter_mut().filter_map(|((id, born), bucket)| {
+            let (count, due_at) = bucket.announced;
+            if count >= ANNOUNCEMENTS || now < due_at {
+                return None;
+            }
+            bucket.announced = (count + 1, now + ANNOUNCEMENT_INTERVAL);
+            Some(Announcement {
+                id: id.clone(),
+                born: *born,
+                limit: bucket.limit?,
+                age_ms: now.since(bucket.observed_at).as_millis() as u64,
+            })
+        });
+        due.collect()
+    }
+
+    /// Grants the permits for which tokens have accrued.
+    pub fn issue(&mut self, now: Time) -> Vec<(SocketAddr, Grant)> {
+        let mut grants = Vec::new();
+        for (incarnation, bucket) in &mut self.buckets {
+            for receiver in bucket.issue(now) {
+                grants.push((receiver, bucket.grant(now, incarnation, receiver)));
+            }
+        }
+        grants
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/permit.rs
@@ -0,0 +1,475 @@
+//! Permits of one instance to send requests to upstreams that limit their rate.
+//!
+//! The limit is one for all instances together. The leader divides it (`limiter`): an
+//! instance requests permits for the requests that it has queued, and each permit allows
+//! one send. An instance that can't reach the leader keeps to a fixed share of a part of the
+//! rate, so that the leader's permits and the shares of all instances together stay within
+//! the bound that upstreams accept.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use medlarreel_macros::data;
+
+use crate::ids::Upstream;
+use crate::time::Time;
+
+/// Time for which a permit may be used. A request that it was meant for may have been
+/// refused or sent elsewhere meanwhile; late permits would add to those of the next window.
+const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
+
+/// Interval at which an unanswered or unchanged request for permits is repeated, since
+/// messages may be lost.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without a reply after which the leader counts as unreachable.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Fraction of the rate that all instances together may use without permits. The leader may
+/// grant all of the rate to others at the same time, and upstreams accept half as much
+/// again.
+const UNPERMITTED_FRACTION: f64 = 0.3;
+
+/// Upper bound of the part of a send that an instance has accrued when the leader falls
+/// silent.
+const MAX_PHASE: f64 = 0.99;
+
+/// Rate in requests per second above which a limit is ignored. No upstream runs that many.
+const MAX_MEANINGFUL_RATE: f64 = 100_000.0;
+
+/// Age of an observation after which an idle upstream of a service without keys gets a
+/// request, so that the end of its limit is noticed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for which a permit for such a request is asked for.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Requests per second, in thousandths.
+#[data(key)]
+pub struct Rate(pub u64);
+
+impl Rate {
+    /// Rate of `per_second` requests per second; `None` if it is negative or not a number.
+    pub fn from_per_second(per_second: f64) -> Option<Rate> {
+        (per_second >= 0.0).then_some(Rate((per_second * 1_000.0) as u64))
+    }
+
+    /// Requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+}
+
+/// What a response says about the rate that its upstream accepts.
+#[data(key)]
+pub enum Notice {
+    /// It names no limit.
+    Unlimited,
+    /// It names a limit.
+    Limited(Rate),
+    /// It names something that is not a rate.
+    Unreadable,
+}
+
+/// Request of an instance for permits of one upstream.
+#[data(value)]
+pub struct Demand {
+    /// Upstream id.
+    pub id: String,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Limit that it last named; `None` if it names none any more.
+    pub limit: Option<Rate>,
+    /// Age of that observation, in milliseconds.
+    pub age_ms: u64,
+    /// Number of requests that wait for a permit, by rank.
+    pub waiting: Vec<(u8, u32)>,
+    /// Epoch of the leader that has last granted permits, and the number that it had
+    /// granted to this instance.
+    pub granted: (u64, u64),
+}
+
+/// Limit of an upstream, which the leader tells all instances.
+#[data(value)]
+pub struct Announcement {
+    /// Upstream id.
+    pub id: String,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Limit that it has named.
+    pub limit: Rate,
+    /// Age of that observation, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Reply to a `Demand`, also sent when further permits are granted.
+#[data(value)]
+pub struct Grant {
+    /// Upstream id.
+    pub id: String,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Limit that the upstream is known to have named last.
+    pub limit: Option<Rate>,
+    /// Age of that observation, in milliseconds.
+    pub age_ms: u64,
+    /// Number of permits granted to the receiver in this epoch.
+    pub granted: u64,
+    /// Requests of other instances that wait for permits, by rank.
+    pub backlog: Vec<(u8, u32)>,
+    /// Time until the next permit accrues, in milliseconds.
+    pub next_ms: u64,
+}
+
+/// Limits that this instance knows, and its permits, by upstream.
+#[derive(Debug, Default)]
+pub struct Permits {
+    limited: HashMap<Upstream, Limited>,
+    /// Upstreams whose limit was seen to end, until the leader is told.
+    ended: Vec<Upstream>,
+    /// When the limit of an upstream has last ended.
+    ended_at: HashMap<Upstream, Time>,
+    /// Epoch of the leader that grants permits.
+    epoch: u64,
+}
+
+#[derive(Debug)]
+struct Limited {
+    rate: Rate,
+    observed_at: Time,
+    /// Times at which unused permits end.
+    permits: Vec<Time>,
+    /// Number of permits received in the current epoch.
+    granted: u64,
+    /// Requests that wait for permits, by rank.
+    waiting: BTreeMap<u8, u32>,
+    /// Demand that was last sent, and when.
+    asked: Option<(Vec<(u8, u32)>, Time)>,
+    /// Time of the first demand that was not replied to.
+    unanswered_since: Option<Time>,
+    /// Latest reply and when it was received.
+    reply: Option<(Grant, Time)>,
+    probe_until: Time,
+    /// Whether a probe has begun that the leader was not asked for yet.
+    is_probe_wanted: bool,
+    /// Sends that accrue while the leader is unreachable, up to 1, and the time up to which
+    /// they have accrued.
+    reserve: (f64, Time),
+}
+
+impl Limited {
+    fn new(now: Time, rate: Rate) -> Limited {
+        Limited {
+            rate,
+            observed_at: now,
+            permits: Vec::new(),
+            granted: 0,
+            waiting: BTreeMap::new(),
+            asked: None,
+            unanswered_since: None,
+            reply: None,
+            probe_until: Time(0),
+            is_probe_wanted: false,
+            reserve: (0.0, now),
+        }
+    }
+
+    fn is_leader_silent(&self, now: Time) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) >= REPLY_TIMEOUT)
+    }
+
+    fn live_permits(&self, now: Time) -> usize {
+        self.permits.iter().filter(|end| now < **end).count()
+    }
+
+    /// Requests for which permits are needed.
+    fn demand(&self, now: Time) -> Vec<(u8, u32)> {
+        let mut waiting = self.waiting.clone();
+        if waiting.is_empty() && now < self.probe_until {
+            waiting.insert(u8::MAX, 1);
+        }
+        let mut covered = self.live_permits(now) as u32;
+        let needed = waiting.into_iter().map(|(rank, count)| {
+            let used = covered.min(count);
+            covered -= used;
+            (rank, count - used)
+        });
+        needed.filter(|(_, count)| *count > 0).collect()
+    }
+}
+
+impl Permits {
+    /// Whether an upstream limits its rate, as far as known.
+    pub fn is_limited(&self, upstream: Upstream) -> bool {
+        self.limited.contains_key(&upstream)
+    }
+
+    /// Number of upstreams that limit their rate.
+    pub fn limited_count(&self) -> usize {
+        self.limited.len()
+    }
+
+    /// Records what a response says. `sent_at` is when its request was sent: one that names
+    /// no limit ends the limit only if its request was sent after a response had named it,
+    /// since responses on different connections can overtake each other. Returns whether
+    /// the known limit has changed.
+    pub fn observe(
+        &mut self,
+        now: Time,
+        upstream: Upstream,
+        sent_at: Time,
+        notice: Notice,
+    ) -> bool {
+        match notice {
+            Notice::Limited(rate) if rate.per_second() < MAX_MEANINGFUL_RATE => {
+                let known = self.limited.get_mut(&upstream);
+                let Some(known) = known else {
+                    self.limited.insert(upstream, Limited::new(now, rate));
+                    return true;
+                };
+                let changed = known.rate != rate;
+                known.rate = rate;
+                known.observed_at = now;
+                changed
+            }
+            Notice::Unlimited | Notice::Limited(_) => {
+                let known = self.limited.get(&upstream);
+                let ended = known.is_some_and(|known| sent_at >= known.observed_at);
+                if ended {
+                    self.limited.remove(&upstream);
+                    self.ended.push(upstream);
+                    self.ended_at.insert(upstream, now);
+                }
+                ended
+            }
+            Notice::Unreadable => false,
+        }
+    }
+
+    /// Drops what is known of upstreams for which `known` returns false.
+    pub fn retain(&mut self, known: impl Fn(Upstream) -> bool) {
+        self.limited.retain(|upstream, _| known(*upstream));
+        self.ended_at.retain(|upstream, _| known(*upstream));
+    }
+
+    /// Whether a request may be sent: the upstream has no limit, or there is a permit.
+    pub fn may_send(&self, now: Time, upstream: Upstream) -> bool {
+        let limited = self.limited.get(&upstream);
+        limited.is_none_or(|limited| limited.live_permits(now) > 0 || limited.reserve.0 >= 1.0)
+    }
+
+    /// Uses the permit that ends first, if the upstream limits its rate.
+    pub fn record_send(&mut self, now: Time, upstream: Upstream) {
+        let Some(limited) = self.limited.get_mut(&upstream) else {
+            return;
+        };
+        limited.permits.retain(|end| now < *end);
+        match limited.permits.is_empty() {
+            true => limited.reserve.0 = (limited.reserve.0 - 1.0).max(0.0),
+            false => drop(limited.permits.remove(0)),
+        }
+    }
+
+    /// Estimated time until a request is sent that `ahead` requests of this instance
+    /// precede, and whether none precedes it at any instance.
+    pub fn estimated_wait(
+        &self,
+        now: Time,
+        upstream: Upstream,
+        rank: u8,
+        ahead: u32,
+        instances: usize,
+    ) -> (Duration, bool) {
+        let Some(limited) = self.limited.get(&upstream) else {
+            return (Duration::ZERO, ahead == 0);
+        };
+        let wait = |requests: f64, rate: f64| {
+            Duration::from_secs_f64((requests / rate.max(0.001)).clamp(0.0, 60.0))
+        };
+        let rate = limited.rate.per_second();
+        if limited.is_leader_silent(now) {
+            let share = rate * UNPERMITTED_FRACTION / instances as f64;
+            let missing = 1.0 - limited.reserve.0;
+            return (wait(f64::from(ahead) + missing, share), ahead == 0);
+        }
+        let Some((reply, received)) = &limited.reply else {
+            return (wait(f64::from(ahead), rate), ahead == 0);
+        };
+        let age = now.since(*received);
+        // A reply soon goes out of date: each instance's requests leave the queue by
+        // permits or refusals.
+        let backlog: u32 = match age < REPLY_TIMEOUT {
+            true => {
+                let others = reply.backlog.iter().filter(|(other, _)| *other <= rank);
+                others.map(|(_, count)| *count).sum()
+            }
+            false => 0,
+        };
+        let next = Duration::from_millis(reply.next_ms).saturating_sub(age);
+        let precede = ahead + backlog;
+        let covered = limited.live_permits(now) as u32;
+        if ahead < covered {
+            return (Duration::ZERO, precede == 0);
+        }
+        let requests = f64::from(precede - covered);
+        (next + wait(requests, rate), precede == 0)
+    }
+
+    /// Replaces the numbers of requests that wait for permits, by upstream and rank.
+    pub fn set_waiting(&mut self, waiting: &BTreeMap<Upstream, BTreeMap<u8, u32>>) {
+        for (upstream, limited) in &mut self.limited {
+            limited.waiting = waiting.get(upstream).cloned().unwrap_or_default();
+        }
+    }
+
+    /// Asks for a permit if the upstream has not responded for `PROBE_INTERVAL`, so that
+    /// one that other upstreams stand in for does not count as limited for good.
+    pub fn probe_if_idle(&mut self, now: Time, upstream: Upstream) {
+        if let Some(limited) = self.limited.get_mut(&upstream)
+            && now.since(limited.observed_at) >= PROBE_INTERVAL
+            && now.since(limited.probe_until) >= PROBE_INTERVAL
+        {
+            limited.probe_until = now + PROBE_TIMEOUT;
+            limited.is_probe_wanted = true;
+        }
+    }
+
+    /// Whether a request should be sent to learn whether the limit still holds.
+    pub fn is_probe_due(&self, now: Time, upstream: Upstream) -> bool {
+        let limited = self.limited.get(&upstream);
+        limited.is_some_and(|limited| {
+            limited.live_permits(now) > 0 && now.since(limited.observed_at) >= PROBE_INTERVAL
+        })
+    }
+
+    /// Demands that are to be sent to the leader now, without their id and start.
+    pub fn due_demands(&mut self, now: Time) -> Vec<(Upstream, Demand)> {
+        let epoch = self.epoch;
+        let ended = std::mem::take(&mut self.ended).into_iter();
+        let mut due: Vec<(Upstream, Demand)> = ended
+            .map(|upstream| {
+                let demand = Demand {
+                    id: String::new(),
+                    born: 0,
+                    limit: None,
+                    age_ms: 0,
+                    waiting: Vec::new(),
+                    granted: (epoch, 0),
+                };
+                (upstream, demand)
+            })
+            .collect();
+        for (upstream, limited) in &mut self.limited {
+            let waiting = limited.demand(now);
+            limited.is_probe_wanted = false;
+            let repeat = limited
+                .asked
+                .as_ref()
+                .is_some_and(|(_, at)| now.since(*at) >= REPEAT_INTERVAL);
+            let before = limited.asked.as_ref().map(|(before, _)| before);
+            // The leader learns of a limit even if no request waits.
+            let changed = before.is_none_or(|before| *before != waiting);
+            // A silent leader is asked even if all requests were refused for its silence.
+            let is_pending = !waiting.is_empty() || limited.unanswered_since.is_some();
+            if !(changed || repeat && is_pending) {
+                continue;
+            }
+            if !waiting.is_empty() {
+                limited.unanswered_since = limited.unanswered_since.or(Some(now));
+            }
+            limited.asked = Some((waiting.clone(), now));
+            let demand = Demand {
+                id: String::new(),
+                born: 0,
+                limit: Some(limited.rate),
+                age_ms: now.since(limited.observed_at).as_millis() as u64,
+                waiting,
+                granted: (epoch, limited.granted),
+            };
+            due.push((*upstream, demand));
+        }
+        due
+    }
+
+    /// Whether demands may become due without a further event.
+    pub fn is_active(&self) -> bool {
+        !self.ended.is_empty()
+            || self.limited.values().any(|limited| {
+                let asked = limited.asked.as_ref();
+                !limited.waiting.is_empty()
+                    || limited.is_probe_wanted
+                    || asked.is_some_and(|(waiting, _)| !waiting.is_empty())
+            })
+    }
+
+    /// Adopts a limit that another instance has observed, unless this one is known to limit
+    /// its rate already or has responded since without a limit. Returns whether it did.
+    pub fn learn(&mut self, now: Time, upstream: Upstream, rate: Rate, age: Duration) -> bool {
+        let observed_at = now - age;
+        let ended = self.ended_at.get(&upstream);
+        let is_outdated = ended.is_some_and(|ended| *ended >= observed_at);
+        if is_outdated || self.is_limited(upstream) {
+            return false;
+        }
+        let mut limited = Limited::new(observed_at, rate);
+        // The leader knows already.
+        limited.asked = Some((Vec::new(), now));
+        limited.reserve = (0.0, now);
+        self.limited.insert(upstream, limited);
+        true
+    }
+
+    /// Adds the permits of a reply of the leader of `epoch`. Returns whether a request may
+    /// be sent or refused now.
+    pub fn receive(&mut self, now: Time, upstream: Upstream, epoch: u64, grant: Grant) -> bool {
+        if epoch < self.epoch {
+            return false;
+        }
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            for limited in self.limited.values_mut() {
+                limited.granted = 0;
+            }
+        }
+        let Some(limited) = self.limited.get_mut(&upstream) else {
+            return false;
+        };
+        let observed_at = now - Duration::from_millis(grant.age_ms);
+        if observed_at > limited.observed_at {
+            limited.observed_at = observed_at;
+            let Some(rate) = grant.limit else {
+                self.limited.remove(&upstream);
+                self.ended_at.insert(upstream, observed_at);
+                return true;
+            };
+            limited.rate = rate;
+        }
+        let further = grant.granted.saturating_sub(limited.granted);
+        limited.granted = limited.granted.max(grant.granted);
+        let end = now + PERMIT_LIFETIME;
+        limited.permits.retain(|end| now < *end);
+        let further = usize::try_from(further).unwrap_or(usize::MAX).min(1_000);
+        limited.permits.extend(std::iter::repeat_n(end, further));
+        limited.unanswered_since = None;
+        limited.reserve = (0.0, now);
+        limited.reply = Some((grant, now));
+        true
+    }
+
+    /// Lets sends accrue at this instance's share of limited upstreams while the leader does
+    /// not reply. `instances` is the number of instances, including this one. `phase`, from
+    /// 0 to 1, differs between instances, so that they do not all send at the same time.
+    pub fn refill_reserves(&mut self, now: Time, instances: usize, phase: f64) {
+        for limited in self.limited.values_mut() {
+            if !limited.is_leader_silent(now) {
+                limited.reserve = (phase.min(MAX_PHASE), now);
+                continue;
+            }
+            let share = limited.rate.per_second() * UNPERMITTED_FRACTION / instances as f64;
+            let (reserve, since) = limited.reserve;
+            let accrued = reserve + share * now.since(since).as_secs_f64();
+            limited.reserve = (accrued.min(1.0), now);
+        }
+    }
+}
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -15,6 +15,7 @@
 
 use medlarreel_macros::data;
 
+use super::permit::Permits;
 use super::upstream_state::{ReportedLoad, SendResult, UpstreamState};
 use crate::ids::Upstream;
 use crate::time::Time;
@@ -118,6 +119,9 @@
     NoRoom,
     /// The queue is full.
     Full,
+    /// The owner of the key limits its rate, and more urgent or newer requests will use
+    /// what it accepts.
+    RateLimited,
 }
 
 /// Decision on a queued request.
@@ -187,6 +191,19 @@
     response_rates: HashMap<String, Rate>,
     /// Time of the last request, by service and rank.
     rank_last_seen: HashMap<String, BTreeMap<u8, Time>>,
+    /// Permits for upstreams that limit their rate.
+    permits: Permits,
+    /// Number of instances, including this one; 0 counts as 1.
+    instances: usize,
+}
+
+/// What happens to a queued request.
+enum Evaluation {
+    Decided(Decision),
+    Wait {
+        /// Upstream that could run the request, but limits its rate.
+        permit_from: Option<Upstream>,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -231,6 +248,17 @@
         average.map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
     }
 
+    /// Permits for upstreams that limit their rate.
+    pub fn permits(&mut self) -> &mut Permits {
+        &mut self.permits
+    }
+
+    /// Sets the number of instances, including this one, which share the rate limits of
+    /// upstreams while the leader is unreachable.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
     /// Adds a request to the queue.
     ///
     /// # Errors
@@ -268,6 +296,12 @@
             if wait + required_time > remaining {
                 return refuse(Reason::NoRoom, wait);
             }
+            if let Some(owner) = self.limited_owner(&request, &availability.candidates) {
+                let ahead = self.requests_ahead(now, &request, owner, lookup);
+                if let Some(wait) = self.excess_permit_wait(now, &request, owner, ahead) {
+                    return refuse(Reason::RateLimited, wait);
+                }
+            }
             if self.waiting.len() >= MAX_QUEUED_REQUESTS {
                 return refuse(Reason::Full, wait);
             }
@@ -299,9 +333,18 @@
         let mut decisions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|request| self.sort_key(now, request));
+        // Requests that wait for permits, by upstream and rank.
+        let mut permit_demand: BTreeMap<Upstream, BTreeMap<u8, u32>> = BTreeMap::new();
         waiting.retain(|request| {
-            let Some(decision) = self.evaluate(now, request, lookup) else {
-                return true;
+            let decision = match self.evaluate(now, request, lookup, &permit_demand) {
+                Evaluation::Decided(decision) => decision,
+                Evaluation::Wait { permit_from } => {
+                    if let Some(upstream) = permit_from {
+                        let ranks = permit_demand.entry(upstream).or_default();
+                        *ranks.entry(request.rank).or_default() += 1;
+                    }
+                    return true;
+                }
             };
             if let Decision::Send {
                 upstream, slots, ..
@@ -311,14 +354,35 @@
                 state
                     .or_insert_with(|| UpstreamState::new(slots))
                     .record_send();
+                self.permits.record_send(now, upstream);
+                if request.key.is_none() {
+                    self.probe_idle_candidates(now, request, lookup);
+                }
             }
             decisions.push((request.ticket, decision));
             false
         });
         self.waiting = waiting;
+        self.permits.set_waiting(&permit_demand);
         decisions
     }
 
+    /// Asks for permits for limited upstreams that others stand in for.
+    fn probe_idle_candidates(
+        &mut self,
+        now: Time,
+        request: &QueuedRequest,
+        lookup: &dyn UpstreamLookup,
+    ) {
+        if self.permits.limited_count() == 0 {
+            return;
+        }
+        let availability = lookup.availability(&request.service, request.key);
+        for candidate in availability.candidates {
+            self.permits.probe_if_idle(now, candidate.upstream);
+        }
+    }
+
     /// Records the result of a send, which then no longer counts as in flight.
     pub fn record_finished(&mut self, now: Time, send: &FinishedSend<'_>) {
         let expected = self.expected_run_time(send.route);
@@ -345,15 +409,19 @@
     pub fn retain_upstreams(&mut self, known: impl Fn(Upstream) -> bool) {
         self.upstreams
             .retain(|key, state| state.in_flight() > 0 || known(*key));
+        self.permits.retain(known);
     }
 
-    /// Decision on a queued request, or `None` if it must keep waiting.
+    /// Decides on a queued request. `permit_demand` has the requests before it that wait
+    /// for permits.
     fn evaluate(
         &self,
         now: Time,
         request: &QueuedRequest,
         lookup: &dyn UpstreamLookup,
-    ) -> Option<Decision> {
+        permit_demand: &BTreeMap<Upstream, BTreeMap<u8, u32>>,
+    ) -> Evaluation {
+        let wait = Evaluation::Wait { permit_from: None };
         let remaining = request.deadline.since(now);
         let expected = self.expected_run_time(&request.route);
         let availability = lookup.availability(&request.service, request.key);
@@ -363,17 +431,33 @@
                 false => Reason::NoRoom,
             };
             let after = MIN_RETRY_AFTER;
-            return Some(Decision::Refuse { reason, after });
+            return Evaluation::Decided(Decision::Refuse { reason, after });
         }
         if self
             .owner_unreachable_until(now, request, &availability)
             .is_some()
         {
-            return None;
+            return wait;
+        }
+        if let Some(owner) = self.limited_owner(request, &availability.candidates)
+            && !self.permits.may_send(now, owner)
+        {
+            let ahead = permit_demand.get(&owner);
+            let ahead = ahead.map_or(0, |ranks| ranks.values().sum());
+            return match self.excess_permit_wait(now, request, owner, ahead) {
+                Some(after) => Evaluation::Decided(Decision::Refuse {
+                    reason: Reason::RateLimited,
+                    after: after.max(MIN_RETRY_AFTER),
+                }),
+                None => Evaluation::Wait {
+                    permit_from: Some(owner),
+                },
+            };
         }
         let outranked = self.is_outranked(now, request);
         let keyed = request.key.is_some();
         let mut best: Option<(f64, Candidate)> = None;
+        let mut best_limited: Option<(f64, Upstream)> = None;
         for candidate in &availability.candidates {
             let initial = UpstreamState::new(candidate.slots);
             let state = self.upstreams.get(&candidate.upstream).unwrap_or(&initial);
@@ -387,19 +471,82 @@
             {
                 continue;
             }
-            let score = score(now, state, candidate, expected);
+            let mut score = score(now, state, candidate, expected);
+            if !self.permits.may_send(now, candidate.upstream) {
+                if best_limited.is_none_or(|(lowest, _)| score < lowest) {
+                    best_limited = Some((score, candidate.upstream));
+                }
+                continue;
+            }
+            if self.permits.is_probe_due(now, candidate.upstream) {
+                score = 0.0;
+            }
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, *candidate));
             }
         }
-        let (_, candidate) = best?;
-        Some(Decision::Send {
+        let Some((_, candidate)) = best else {
+            return Evaluation::Wait {
+                permit_from: best_limited.map(|(_, upstream)| upstream),
+            };
+        };
+        Evaluation::Decided(Decision::Send {
             upstream: candidate.upstream,
             slots: candidate.slots,
             expected,
         })
     }
 
+    /// Owner of the request's key, if it limits its rate.
+    fn limited_owner(&self, request: &QueuedRequest, candidates: &[Candidate]) -> Option<Upstream> {
+        request.key?;
+        let owner = candidates.first()?.upstream;
+        self.permits.is_limited(owner).then_some(owner)
+    }
+
+    /// Estimated time until the request gets a permit of the owner of its key, if that is
+    /// too long for it to be kept in the queue; `None` if it may wait. Newer requests
+    /// overtake one that has waited for `DEMOTION_THRESHOLD_RUNS`, so that it would be
+    /// refused in the end. The first in line waits for as long as its deadline allows:
+    /// otherwise nobody would use the next permit of a slow upstream.
+    fn excess_permit_wait(
+        &self,
+        now: Time,
+        request: &QueuedRequest,
+        owner: Upstream,
+        ahead: u32,
+    ) -> Option<Duration> {
+        let instances = self.instances.max(1);
+        let (wait, is_first) =
+            self.permits
+                .estimated_wait(now, owner, request.rank, ahead, instances);
+        let is_late = wait + self.required_time(request) > request.deadline.since(now);
+        let threshold = self
+            .expected_run_time(&request.route)
+            .mul_f64(DEMOTION_THRESHOLD_RUNS);
+        let is_overtaken = !is_first && now.since(request.arrived) + wait > threshold;
+        (is_late || is_overtaken).then_some(wait)
+    }
+
+    /// Number of queued requests for the keys of `owner` that are sent before a request.
+    fn requests_ahead(
+        &self,
+        now: Time,
+        request: &QueuedRequest,
+        owner: Upstream,
+        lookup: &dyn UpstreamLookup,
+    ) -> u32 {
+        let key = self.sort_key(now, request);
+        let ahead = self.waiting.iter().filter(|other| {
+            other.service == request.service && self.sort_key(now, other) <= key && {
+                let availability = lookup.availability(&other.service, other.key);
+                let first = availability.candidates.first();
+                first.is_some_and(|candidate| candidate.upstream == owner)
+            }
+        });
+        ahead.count() as u32
+    }
+
     /// Time until which the owner of the request's key is considered unreachable from
     /// this instance; `None` if it is reachable, or if the request has no key or the key
     /// no owner.
@@ -436,13 +583,12 @@
         candidates: &[Candidate],
         lookup: &dyn UpstreamLookup,
     ) -> Duration {
-        let key = self.sort_key(now, request);
         let expected = self.expected_run_time(&request.route);
-        let before = self
-            .waiting
-            .iter()
-            .filter(|other| other.service == request.service && self.sort_key(now, other) <= key);
         if request.key.is_none() {
+            let key = self.sort_key(now, request);
+            let before = self.waiting.iter().filter(|other| {
+                other.service == request.service && self.sort_key(now, other) <= key
+            });
             let ahead = before.count();
             let slots: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
             let rate = self.response_rates.get(&request.service);
@@ -455,15 +601,10 @@
         let Some(owner) = candidates.first() else {
             return Duration::ZERO;
         };
-        let same_owner = |other: &&QueuedRequest| {
-            let availability = lookup.availability(&other.service, other.key);
-            let first = availability.candidates.first();
-            first.is_some_and(|candidate| candidate.upstream == owner.upstream)
-        };
-        let ahead = before.filter(same_owner).count();
+        let ahead = self.requests_ahead(now, request, owner.upstream, lookup);
         let initial = UpstreamState::new(owner.slots);
         let state = self.upstreams.get(&owner.upstream).unwrap_or(&initial);
-        state.estimated_wait(now, ahead, expected, QUEUE_DEPTH)
+        state.estimated_wait(now, ahead as usize, expected, QUEUE_DEPTH)
     }
 }
 
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod ownership;
 mod plan;
 mod queue;
+mod rate_limit;
 mod recovery;
 mod relay;
 mod routes;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::leader::{self, LeaderTask};
 use crate::listeners::{self, ConnectionTracker};
 use crate::peers;
+use crate::permits;
 use crate::platform::SETTINGS_ENV_VAR;
 use crate::reader::{self, Topic};
 use crate::settings::Settings;
@@ -92,6 +93,7 @@
     }
     spawn_local(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(peers::report(Rc::clone(&state), Rc::clone(&socket)));
+    spawn_local(permits::exchange(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(sweep_periodically(Rc::clone(&state), dropped));
     spawn_local({
         let (state, socket) = (Rc::clone(&state), Rc::clone(&socket));
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -30,6 +30,7 @@
     state.leadership.borrow_mut().step_down(now);
     // Closes the connections of unanswered orders, so that none arrives later.
     state.orders.borrow_mut().abort_all();
+    state.limiter.borrow_mut().clear();
     let ledger = state.ledger.borrow_mut().take()?;
     state.metrics.is_leader.set(0);
     let epoch = ledger.epoch();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod metrics;
 pub mod peers;
+pub mod permits;
 pub mod platform;
 pub mod pool;
 pub mod proxy;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,8 @@
     pub latency: Histogram,
     /// Queued requests.
     pub waiting_requests: Gauge,
+    /// Upstreams that are known to limit their rate.
+    pub limited_upstreams: Gauge,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
     /// Epoch of the leader.
@@ -67,6 +69,7 @@
             calls: Family::default(),
             latency,
             waiting_requests: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             epoch: Gauge::default(),
             is_leader: Gauge::default(),
@@ -95,6 +98,11 @@
             "Requests that wait",
             metrics.waiting_requests.clone(),
         );
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that limit the rate of requests",
+            metrics.limited_upstreams.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,6 +22,7 @@
 use medlarreel_core::entry::fragments::{self, Fragment, Reassembler};
 use medlarreel_core::entry::ledger::LedgerSnapshot;
 use medlarreel_core::entry::map::{OwnerMap, OwnerMapChange};
+use medlarreel_core::entry::permit::{Announcement, Demand, Grant};
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
@@ -160,6 +161,17 @@
         /// Drawn for this request, and echoed in the reply.
         nonce: u64,
     },
+    /// Requests for permits of upstreams that limit their rate, to the leader.
+    PermitDemands(Vec<Demand>),
+    /// Replies to `PermitDemands`.
+    PermitGrants {
+        /// Epoch of the leader.
+        epoch: u64,
+        /// One for each upstream.
+        grants: Vec<Grant>,
+    },
+    /// Upstreams that limit their rate.
+    RateLimits(Vec<Announcement>),
 }
 
 /// Sends a message. Errors are only logged: a message that cannot be sent counts as lost.
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use super::{Message, heartbeat, missed, send, send_to_each};
+use crate::permits;
 use crate::reader::bootstrap;
 use crate::state::{Member, PendingTransfer, State};
 
@@ -213,6 +214,11 @@
                 send(socket, from, &reply).await;
             }
         }
+        Message::PermitDemands(demands) => {
+            permits::handle_demands(state, socket, from, demands).await;
+        }
+        Message::PermitGrants { epoch, grants } => permits::receive(state, epoch, grants),
+        Message::RateLimits(announcements) => permits::learn(state, announcements),
         Message::Report {
             key_counts,
             run_times,
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -1,6 +1,7 @@
 //! Header fields of requests and responses.
 
 use http::{HeaderMap, HeaderName};
+use medlarreel_core::entry::permit::{Notice, Rate};
 use medlarreel_core::entry::upstream_state::ReportedLoad;
 
 /// Identifies one attempt of a caller. Upstreams echo it in their response.
@@ -16,6 +17,9 @@
 pub const BACKEND_LOAD: HeaderName = HeaderName::from_static("backend-load");
 /// Present if the upstream did not run the request.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+/// Requests per second that an upstream in need takes from all instances together, a
+/// decimal number. It holds until a response lacks the field.
+pub const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Shard key of a request, from 0 to 65535.
 pub const SHARD_KEY: HeaderName = HeaderName::from_static("shard-key");
 /// Opaque token that hands state over from one owner of a key range to the next.
@@ -42,3 +46,14 @@
         slots: numbers.next()??,
     })
 }
+
+/// Parses what a response says about the rate that its upstream accepts.
+pub fn parse_rate_limit(headers: &HeaderMap) -> Notice {
+    let Some(value) = headers.get(&SERVER_LIMIT) else {
+        return Notice::Unlimited;
+    };
+    let text = value.to_str().ok();
+    let per_second = text.and_then(|text| text.trim().parse().ok());
+    let rate = per_second.and_then(Rate::from_per_second);
+    rate.map_or(Notice::Unreadable, Notice::Limited)
+}
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -126,6 +126,7 @@
             return SendOutcome::NotRun("request can't be passed on");
         }
     };
+    let sent_at = now;
     progress.in_flight = true;
     progress.sends += 1;
     if !progress.tried.contains(&upstream) {
@@ -148,6 +149,12 @@
     progress.in_flight = false;
     in_flight_send.load = headers::parse_load(&response.headers);
     let ran = validate_response(request, &response);
+    if response.status != StatusCode::MISDIRECTED_REQUEST
+        && let Ok(ran) = ran
+    {
+        let notice = headers::parse_rate_limit(&response.headers);
+        state.observe_rate_limit(upstream, sent_at, ran, notice);
+    }
     in_flight_send.result = match &ran {
         Ok(true) => SendResult::Ran,
         Ok(false) => SendResult::Refused,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,6 +13,7 @@
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
+use medlarreel_core::entry::limiter::Limiter;
 use medlarreel_core::entry::map::{ChangeLog, OwnerMap, OwnerMapChange};
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, Queue, Ticket, UpstreamLookup,
@@ -22,7 +23,7 @@
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinSet;
 
 pub use members::Member;
@@ -135,6 +136,10 @@
     pub owner_map_received: Cell<Time>,
     /// Waiting requests and free capacity of upstreams.
     pub queue: RefCell<Queue>,
+    /// Division of the rate limits of upstreams; empty unless this instance leads.
+    pub limiter: RefCell<Limiter>,
+    /// Wakes the task that exchanges permits.
+    pub permits_wanted: Notify,
     /// Channels to the tasks that wait for a queue decision.
     pub waiters: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     /// Retry budget of each service.
@@ -212,6 +217,8 @@
             broadcasts: Cell::default(),
             owner_map_received: Cell::default(),
             queue: RefCell::default(),
+            limiter: RefCell::default(),
+            permits_wanted: Notify::new(),
             waiters: RefCell::default(),
             retry_budgets: RefCell::new(ServiceBudgets::new(percent)),
             pool: Pool::default(),
@@ -408,6 +415,9 @@
     pub fn dispatch_decisions(&self) {
         let now = self.clock.now();
         let decisions = self.queue.borrow_mut().decide(now, self);
+        if self.queue.borrow_mut().permits().is_active() {
+            self.permits_wanted.notify_one();
+        }
         let mut waiters = self.waiters.borrow_mut();
         for (ticket, decision) in decisions {
             if let Some(waiter) = waiters.remove(&ticket) {
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod missed;
 mod orders;
+mod rate_limit;
 mod requests;
 mod restarts;
 mod restored;
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -99,6 +99,10 @@
     accepted_grants: Vec<AcceptedGrant>,
     runs: Vec<Run>,
     finished_count: usize,
+    /// Times of arrival of all requests, also of refused ones.
+    arrivals: Vec<Instant>,
+    /// Header fields that are added to all responses to requests.
+    extra_headers: Vec<(&'static str, String)>,
 }
 
 /// An upstream.
@@ -128,6 +132,8 @@
             accepted_grants: Vec::new(),
             runs: Vec::new(),
             finished_count: 0,
+            arrivals: Vec::new(),
+            extra_headers: Vec::new(),
         }),
     };
     server::start(listen, upstream, gate).await
@@ -139,6 +145,20 @@
         self.state().mode = mode;
     }
 
+    /// Sets the header fields that are added to all responses to requests from now on.
+    /// Grants and releases are not affected.
+    pub fn set_extra_headers(&self, fields: &[(&'static str, &str)]) {
+        let fields = fields.iter();
+        let fields = fields.map(|(name, value)| (*name, (*value).to_owned()));
+        self.state().extra_headers = fields.collect();
+    }
+
+    /// Times of arrival of all requests, also of refused ones. Grants and releases are not
+    /// included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state().arrivals.clone()
+    }
+
     /// Restarts the process as another incarnation, whose id may be the same. It holds no
     /// keys and knows no fences; open connections are closed and their requests
     /// cancelled. The mode and the records of runs and grants are kept.
@@ -299,12 +319,21 @@
         if path == "/medlarreel/grant" || path == "/medlarreel/release" {
             return self.apply_lease_update(&parts.headers, &body);
         }
-        if let Some(status) = self.refusal_status(&parts.headers) {
-            let mut reply = server::text(status.as_u16(), "not run");
-            let not_executed = HeaderValue::from_static("1");
-            reply.headers_mut().insert("not-executed", not_executed);
-            return Ok(reply);
+        self.state().arrivals.push(Instant::now());
+        let mut reply = match self.refusal_status(&parts.headers) {
+            Some(status) => {
+                let mut reply = server::text(status.as_u16(), "not run");
+                let not_executed = HeaderValue::from_static("1");
+                reply.headers_mut().insert("not-executed", not_executed);
+                reply
+            }
+            None => self.run_request(&parts.headers, path, body).await?,
+        };
+        for (name, value) in &self.state().extra_headers {
+            if let Ok(value) = HeaderValue::try_from(value) {
+                reply.headers_mut().insert(*name, value);
+            }
         }
-        self.run_request(&parts.headers, path, body).await
+        Ok(reply)
     }
 }
