Plan keys by the rate limits of upstreams

Callers were refused at owners that limit their rate while other upstreams of the service had free slots.

Cause: the leader's plan weighs an upstream by its slots and its speed, so that it stays owner of keys whose requests it does not take.

Change: the capacity of a limited upstream is what its rate keeps busy of its slots, at the average run time of its service. It keeps a few keys, since it could not tell the end of its limit otherwise.

--- a/crates/core/src/entry/limiter.rs
+++ b/crates/core/src/entry/limiter.rs
@@ -170,10 +170,9 @@
         })
     }
 
-    /// Limits that upstreams are known to name, by id and start.
-    pub fn limits(&self) -> impl Iterator<Item = (&str, u64, Rate)> {
-        let buckets = self.buckets.iter();
-        buckets.filter_map(|((id, born), bucket)| Some((id.as_str(), *born, bucket.limit?)))
+    /// Limit that an incarnation of an upstream is known to name.
+    pub fn limit_of(&self, id: &str, born: u64) -> Option<Rate> {
+        self.buckets.get(&(id.to_owned(), born))?.limit
     }
 
     /// Forgets everything, when this instance begins or ceases to lead.
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -6,10 +6,12 @@
 //! owner's share gets that owner to itself.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use medlarreel_macros::data;
 
 use super::map::Owner;
+use super::permit::Rate;
 
 /// Number of keys in a service.
 const KEY_COUNT: f64 = 65_536.0;
@@ -39,6 +41,10 @@
 /// keys without a measured weight.
 const EVEN_WEIGHT_FRACTION: f64 = 0.25;
 
+/// Lowest capacity of an upstream that limits its rate. It keeps some keys, since it could
+/// not say otherwise that its limit has ended.
+const MIN_CAPACITY: f64 = 0.05;
+
 /// An upstream that may own keys.
 #[data(plain)]
 pub struct Candidate {
@@ -48,6 +54,20 @@
     pub capacity: f64,
 }
 
+/// Capacity of an upstream with `slots` whose runs take `relative_run_time` times as long as
+/// the average of `run_time`. One that limits its rate to `limit` requests per second can
+/// keep no more slots busy than that many runs take.
+pub fn capacity(
+    slots: u32,
+    relative_run_time: f64,
+    limit: Option<Rate>,
+    run_time: Duration,
+) -> f64 {
+    let by_slots = f64::from(slots.max(1)) / relative_run_time;
+    let by_rate = limit.map(|limit| limit.per_second() * run_time.as_secs_f64());
+    by_rate.map_or(by_slots, |by_rate| by_rate.clamp(MIN_CAPACITY, by_slots))
+}
+
 /// Keys from `first` to `last`, both inclusive, and their current or planned owner.
 #[data(plain)]
 pub struct PlannedRange {
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -187,6 +187,8 @@
     upstreams: HashMap<Upstream, UpstreamState>,
     /// Average run time in seconds, by route.
     run_times: HashMap<String, f64>,
+    /// Average run time in seconds over all routes, by service.
+    service_run_times: HashMap<String, f64>,
     /// Recent responses per second, by service.
     response_rates: HashMap<String, Rate>,
     /// Time of the last request, by service and rank.
@@ -248,6 +250,12 @@
         average.map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
     }
 
+    /// Average run time over all routes of a service, or a default before its first run.
+    pub fn service_run_time(&self, service: &str) -> Duration {
+        let average = self.service_run_times.get(service).copied();
+        average.map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
+    }
+
     /// Permits for upstreams that limit their rate.
     pub fn permits(&mut self) -> &mut Permits {
         &mut self.permits
@@ -393,6 +401,9 @@
             let took = send.took.as_secs_f64();
             let average = self.run_times.entry(send.route.to_owned()).or_insert(took);
             *average += (took - *average) * RUN_TIME_SMOOTHING;
+            let average = self.service_run_times.entry(send.service.to_owned());
+            let average = average.or_insert(took);
+            *average += (took - *average) * RUN_TIME_SMOOTHING;
             let rate = self
                 .response_rates
                 .entry(send.service.to_owned())
--- a/crates/core/tests/entry/plan.rs
+++ b/crates/core/tests/entry/plan.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use medlarreel_core::entry::plan::{Candidate, KeyWeights, PlannedRange, assign_ranges};
+use medlarreel_core::entry::permit::Rate;
+use medlarreel_core::entry::plan::{self, Candidate, KeyWeights, PlannedRange, assign_ranges};
 use proptest::prelude::*;
 
-use crate::fixture::{candidates, owner};
+use crate::fixture::{candidates, ms, owner};
 
 /// Maximum ratio of an upstream's load to its share that the requirements allow.
 const MAX_IMBALANCE: f64 = 1.15;
@@ -158,3 +159,20 @@
 
     assert_eq!(planned, current);
 }
+
+/// Guards against keys that stay with an owner that limits its rate, while others have room.
+#[test]
+fn owner_that_limits_its_rate_gives_keys_up() {
+    let mut upstreams = candidates(3);
+    let weights = KeyWeights::new(BTreeMap::new());
+    let before = assign_ranges(&unassigned(), &upstreams, &weights);
+    let run_time = ms(200);
+
+    // 3 requests per second of 200 ms keep 0.6 of its 6 slots busy.
+    upstreams[0].capacity = plan::capacity(6, 1.0, Rate::from_per_second(3.0), run_time);
+    let after = assign_ranges(&before, &upstreams, &weights);
+
+    let share = load(&after, &upstreams[0], &weights);
+    assert!(load(&before, &upstreams[0], &weights) > 0.3);
+    assert!(share > 0.0 && share < 0.1, "{share}");
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -17,7 +17,7 @@
 use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::ledger::{self, Ledger};
 use medlarreel_core::entry::map::{Owner, OwnerMap};
-use medlarreel_core::entry::plan::Candidate;
+use medlarreel_core::entry::plan::{self, Candidate};
 use medlarreel_core::time::Time;
 use rand::Rng;
 use tokio::net::UdpSocket;
@@ -410,16 +410,23 @@
                 }
             }
         }
+        let limiter = state.limiter.borrow();
+        let queue = state.queue.borrow();
         for (_, record) in directory.usable() {
             let registration = &record.registration;
             if is_keyed(&registration.service) {
+                let capacity = plan::capacity(
+                    registration.slots,
+                    self.demand.relative_run_time(&registration.id),
+                    limiter.limit_of(&registration.id, registration.born),
+                    queue.service_run_time(&registration.service),
+                );
                 candidates
                     .entry(&registration.service)
                     .or_default()
                     .push(Candidate {
                         owner: owner_of(registration),
-                        capacity: f64::from(registration.slots.max(1))
-                            / self.demand.relative_run_time(&registration.id),
+                        capacity,
                     });
             }
         }
