Don't take a copy of a refusal for the answer to the next send

Callers were told 'not run, try again' (503) for a request that an upstream was running: a faulty upstream wrote its refusal of the first send once more on the kept connection, and the second send had the same attempt id.

Change: a request is not sent again on a connection on which the upstream has refused it, and a refusal that names no attempt counts only on a connection without an earlier one; else the outcome is unknown.

Measured: copy_of_a_refusal_does_not_make_a_request_run_twice and its twin without an id failed (503 and one run each) and pass.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -22,6 +22,10 @@
 /// Maximum size of a response body in bytes. Instances have at least 160 MB of memory.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Number of refusals after which a connection is not used again, so that the list of
+/// refused attempts stays short.
+const MAX_REFUSED_ATTEMPTS: usize = 32;
+
 /// Bounds of the time for which a new connection is watched in `confirm_accepted`. The
 /// lower one leaves time to handle a reset that has arrived, the upper one limits the
 /// delay on a busy instance, where connecting seems to take longer than it does.
@@ -45,6 +49,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Time that connecting took, about one round trip.
     connect_time: Duration,
+    /// Ids of the attempts that were refused on this connection.
+    refused_attempts: Vec<String>,
 }
 
 impl Connection {
@@ -70,6 +76,7 @@
             Ok(Connection {
                 sender,
                 connect_time: started.elapsed(),
+                refused_attempts: Vec::new(),
             })
         };
         let connected = tokio::time::timeout(timeout, connecting).await;
@@ -97,6 +104,25 @@
         !self.sender.is_closed() && self.sender.is_ready()
     }
 
+    /// Whether the server has refused a request on this connection. A further refusal that
+    /// names no attempt may be a copy of that one.
+    pub fn has_refused(&self) -> bool {
+        !self.refused_attempts.is_empty()
+    }
+
+    /// Whether the server has refused an attempt on this connection. A copy of that refusal
+    /// could be taken for the answer if the attempt were sent on it again.
+    pub fn has_refused_attempt(&self, attempt: &str) -> bool {
+        self.refused_attempts.iter().any(|id| id == attempt)
+    }
+
+    /// Records that the server has refused an attempt. Returns false if the connection has
+    /// had so many refusals that it should not be used again.
+    pub fn record_refusal(&mut self, attempt: &str) -> bool {
+        self.refused_attempts.push(attempt.to_owned());
+        self.refused_attempts.len() < MAX_REFUSED_ATTEMPTS
+    }
+
     /// Sends a request and reads the complete response within `timeout`.
     ///
     /// # Errors
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -11,6 +11,7 @@
 
 use crate::error::Error;
 use crate::platform::{grants, headers};
+use crate::pool::Usage;
 use crate::state::State;
 
 /// Timeout of a release; the upstream waits for running requests before it answers.
@@ -69,9 +70,14 @@
     };
     let now = state.clock.now();
     let address = order.owner.address;
+    let usage = upstream.map(|upstream| Usage {
+        upstream,
+        idempotent: false,
+        attempt: "",
+    });
     let connection = state
         .pool
-        .get_or_connect(now, upstream, false, address, CALL_TIMEOUT / 2);
+        .get_or_connect(now, usage, address, CALL_TIMEOUT / 2);
     let mut connection = connection.await?;
     // A grant must arrive within `CALL_TIMEOUT` of `sent` or not at all.
     let timeout = match order.kind {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -25,6 +25,18 @@
 /// outcome would be unknown.
 const MAX_NON_IDEMPOTENT_IDLE_TIME: Duration = Duration::from_secs(3);
 
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage<'a> {
+    /// Upstream that the request is sent to.
+    pub upstream: Upstream,
+    /// Whether the request may run more than once. For one that may not, connections that
+    /// have been idle for `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used.
+    pub idempotent: bool,
+    /// Id of the attempt. A connection on which the upstream has refused it is not used.
+    pub attempt: &'a str,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -39,10 +51,8 @@
 }
 
 impl Pool {
-    /// Returns the most recently used idle connection to `upstream`, or connects to
-    /// `address` within `connect_timeout`. Without an `upstream`, it always connects. For
-    /// a request that is not `idempotent`, connections that have been idle for
-    /// `MAX_NON_IDEMPOTENT_IDLE_TIME` are not used. A new connection is used only once the
+    /// Returns the most recently used idle connection that suits the use, or connects to
+    /// `address` within `connect_timeout`. Without a `usage`, it always connects. A new connection is used only once the
     /// server has kept it for a round trip.
     ///
     /// # Errors
@@ -52,12 +62,11 @@
     pub async fn get_or_connect(
         &self,
         now: Time,
-        upstream: Option<Upstream>,
-        idempotent: bool,
+        usage: Option<Usage<'_>>,
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, Error> {
-        let idle = upstream.and_then(|upstream| self.take_idle(now, upstream, idempotent));
+        let idle = usage.and_then(|usage| self.take_idle(now, usage));
         if let Some(connection) = idle {
             return Ok(connection);
         }
@@ -66,23 +75,23 @@
         Ok(connection)
     }
 
-    /// Takes the most recently used idle connection; `None` if all are closed or idle for
-    /// too long.
-    fn take_idle(&self, now: Time, upstream: Upstream, idempotent: bool) -> Option<Connection> {
+    /// Takes the most recently used idle connection that suits the use; `None` if there is
+    /// none. Closed connections and those that have been idle for too long are dropped.
+    fn take_idle(&self, now: Time, usage: Usage<'_>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&upstream)?;
+        let connections = idle.get_mut(&usage.upstream)?;
         let is_usable = |candidate: &IdleConnection| {
             let age = now.since(candidate.since);
-            candidate.connection.is_open()
-                && age < candidate.max_idle_time
-                && (idempotent || age < MAX_NON_IDEMPOTENT_IDLE_TIME)
+            candidate.connection.is_open() && age < candidate.max_idle_time
         };
-        while let Some(candidate) = connections.pop() {
-            if is_usable(&candidate) {
-                return Some(candidate.connection);
-            }
-        }
-        None
+        connections.retain(is_usable);
+        let is_suitable = |candidate: &IdleConnection| {
+            let age = now.since(candidate.since);
+            (usage.idempotent || age < MAX_NON_IDEMPOTENT_IDLE_TIME)
+                && !candidate.connection.has_refused_attempt(usage.attempt)
+        };
+        let position = connections.iter().rposition(is_suitable)?;
+        Some(connections.remove(position).connection)
     }
 
     /// Returns a connection to the pool, which keeps at most `max_idle` of them for each
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -18,6 +18,7 @@
 use crate::crashes;
 use crate::error::Error;
 use crate::platform::headers;
+use crate::pool::Usage;
 use crate::state::State;
 
 /// Timeout for establishing a connection to an upstream. Connecting takes a few
@@ -100,11 +101,14 @@
     };
     let now = state.clock.now();
     let connect_timeout = CONNECT_TIMEOUT.min(request.deadline.since(now));
-    let idempotent = request.route.idempotent;
-    let connection =
-        state
-            .pool
-            .get_or_connect(now, Some(upstream), idempotent, address, connect_timeout);
+    let usage = Usage {
+        upstream,
+        idempotent: request.route.idempotent,
+        attempt: &request.id,
+    };
+    let connection = state
+        .pool
+        .get_or_connect(now, Some(usage), address, connect_timeout);
     let mut connection = match connection.await {
         Ok(connection) => connection,
         Err(error) => {
@@ -160,7 +164,7 @@
     };
     progress.in_flight = false;
     in_flight_send.load = headers::parse_load(&response.headers);
-    let ran = validate_response(request, &response);
+    let ran = validate_response(request, &response, connection.has_refused());
     if response.status != StatusCode::MISDIRECTED_REQUEST
         && let Ok(ran) = ran
     {
@@ -184,8 +188,10 @@
             SendOutcome::Responded(response)
         }
         Ok(false) => {
-            let now = state.clock.now();
-            state.return_connection(now, upstream, connection, &response.headers);
+            if connection.record_refusal(&request.id) {
+                let now = state.clock.now();
+                state.return_connection(now, upstream, connection, &response.headers);
+            }
             match response.status {
                 StatusCode::MISDIRECTED_REQUEST => {
                     progress.refused_by_owner += u32::from(request.key.is_some());
@@ -209,7 +215,8 @@
     }
 }
 
-/// Whether a response shows that the upstream ran the request.
+/// Whether a response shows that the upstream ran the request. `has_refused` is whether the
+/// upstream has refused another request on the connection.
 ///
 /// # Errors
 ///
@@ -217,6 +224,7 @@
 fn validate_response(
     request: &RoutedRequest,
     response: &BufferedResponse,
+    has_refused: bool,
 ) -> Result<bool, &'static str> {
     let id = response.headers.get(&headers::ATTEMPT_ID);
     let is_signed = response.headers.contains_key(&headers::RESPONSE_SIGNATURE);
@@ -226,6 +234,9 @@
     if response.headers.contains_key(&headers::NOT_EXECUTED)
         || response.status == StatusCode::MISDIRECTED_REQUEST
     {
+        if id.is_none() && has_refused {
+            return Err("refusal that may be a copy");
+        }
         return Ok(false);
     }
     if response.status.is_success() && !(is_signed && id.is_some()) {
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -158,6 +158,11 @@
         self.register("plain", id, address, "ready");
     }
 
+    /// Registers a further upstream of the keyed service.
+    pub fn register_keyed_upstream(&mut self, id: &str, address: SocketAddr) {
+        self.register("keyed", id, address, "ready");
+    }
+
     fn register(&mut self, service: &str, id: &str, address: SocketAddr, state: &str) {
         self.sequence += 1;
         let registration = json!({
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod missed;
 mod orders;
 mod rate_limit;
+mod refusals;
 mod requests;
 mod restarts;
 mod restored;
