Answer every request that is read during a shutdown

Cause: shut_down ends the process when the time is over, whatever is in flight, and nothing asked whether an answer could still come in time.

Change: once connections are being closed, a request is refused as soon as it was read, with 503 and Connection: close. One that waits in the queue is refused when fewer than three average run times remain, and one in flight gets 504 just before the end. Connections that wait to be accepted are accepted before the listener closes, and a new connection gets 300 ms to deliver its first request.

That no connection is reset around the close of the listener was not measured.

--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -119,6 +119,8 @@
     NoRoom,
     /// The queue is full.
     Full,
+    /// The instance is shutting down.
+    Stopping,
     /// The owner of the key limits its rate, and more urgent or newer requests will use
     /// what it accepts.
     RateLimited,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -28,6 +28,9 @@
 /// once a second and removes an instance after two failed probes.
 const READINESS_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Part of the shutdown's time in which responses are still sent, but none is waited for.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
+
 /// Interval between checks whether all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -162,8 +165,11 @@
     let shutdown_grace = state.settings.borrow().shutdown_grace;
     tracing::info!(connections = connections.open_count(), "shutdown started");
     state.stopping.set(true);
+    let stop_at = state.clock.now() + shutdown_grace.saturating_sub(RESPONSE_RESERVE);
+    state.stop_at.send_replace(Some(stop_at));
     let drained = async {
         tokio::time::sleep(READINESS_DELAY).await;
+        state.refusing.set(true);
         stop.send_replace(true);
         connections.close_gracefully();
         while connections.open_count() > 0 {
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -36,6 +36,9 @@
 /// Time that a caller gets to close its end of a connection after this end was closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that a new connection gets to deliver its first request during a shutdown.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Idle timeout of connections to the readiness and metrics addresses.
 const STATUS_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -91,6 +94,8 @@
 ) {
     loop {
         let accepted = tokio::select! {
+            // Connections that wait to be accepted are reset when the listener is closed.
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => return,
         };
@@ -118,7 +123,9 @@
     }
     let limits = state.route_table.borrow().config().limits.clone();
     let socket = ReadAheadStream::new(stream);
+    let has_request = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
+        has_request.set(true);
         let (state, socket) = (Rc::clone(&state), socket.clone());
         // Boxed because `poll_without_shutdown` requires the future to be `Unpin`. That
         // call leaves the stream open for `close_with_linger`.
@@ -135,7 +142,7 @@
     let mut connection = connection;
     let ended = tokio::select! {
         ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
-        _ = close.wait_for(|close| *close) => {
+        () = wait_for_close(&mut close, &has_request) => {
             Pin::new(&mut connection).graceful_shutdown();
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
@@ -146,6 +153,16 @@
     }
 }
 
+/// Waits until a connection is to be closed. On a new one, waits a little longer for its
+/// first request, which may be on its way.
+async fn wait_for_close(close: &mut watch::Receiver<bool>, has_request: &Cell<bool>) {
+    // The tracker outlives its connections, so waiting cannot fail.
+    close.wait_for(|close| *close).await.ok();
+    if !has_request.get() {
+        tokio::time::sleep(FIRST_REQUEST_TIMEOUT).await;
+    }
+}
+
 /// Serves a request, or drops it once its caller has closed the connection.
 ///
 /// # Errors
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -20,7 +20,7 @@
 use tokio::sync::oneshot;
 
 use request::{RoutedRequest, count_keyed_request, read_request};
-use response::{empty_response, forwarded_response, refusal_response};
+use response::{empty_response, forwarded_response, refusal_response, with_connection_close};
 use send::{SendOutcome, send_to_upstream};
 
 use crate::crashes::trials::{self, Clearance};
@@ -34,6 +34,14 @@
 /// keep them there.
 const MAX_CLOSED_CONNECTS: u32 = 1;
 
+/// `Retry-After` of a request that is refused because this instance is shutting down. Other
+/// instances can serve it at once.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Number of average run times that must remain before the end of a shutdown for a request to
+/// be sent.
+const STOP_LEAD_RUNS: u32 = 3;
+
 /// `Retry-After` is at most the remaining time of the caller divided by this number.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
@@ -47,6 +55,11 @@
         Ok(request) => request,
         Err(response) => return *response,
     };
+    if state.refusing.get() {
+        tracing::info!(id = request.id, reason = "shutdown", "request refused");
+        state.metrics.count_request(&request.route.name, "stopping");
+        return with_connection_close(refusal_response(Some(STOPPED_RETRY_AFTER)));
+    }
     state.earn_retry_budget(arrived, &request.service);
     count_keyed_request(state, &request);
     let mut open_request = OpenRequest {
@@ -56,13 +69,16 @@
         answered: false,
     };
     let remaining = request.deadline.since(arrived);
-    let result = tokio::time::timeout(
+    let served = tokio::time::timeout(
         remaining,
         send_with_retries(state, &request, &mut open_request.progress),
-    )
-    .await;
+    );
+    let result = tokio::select! {
+        result = served => result.ok(),
+        () = state.wait_for_stop(Duration::ZERO) => None,
+    };
     let mut response =
-        result.unwrap_or_else(|_| deadline_response(state, &request, &open_request.progress));
+        result.unwrap_or_else(|| deadline_response(state, &request, &open_request.progress));
     open_request.answered = true;
     let elapsed = state.clock.now().since(arrived);
     state.metrics.latency.observe(elapsed.as_secs_f64());
@@ -219,10 +235,16 @@
         decided: false,
     };
     state.dispatch_decisions();
+    // A request that is sent too late in a shutdown would be cut off.
+    let lead = state.queue.borrow().expected_run_time(&request.route.name) * STOP_LEAD_RUNS;
     // Checked first: the request may be blocked after it was assigned, but not sent yet.
     let decision = tokio::select! {
         biased;
         until = state.wait_until_blocked(fingerprint) => return Err(until),
+        () = state.wait_for_stop(lead) => return Ok(Decision::Refuse {
+            reason: Reason::Stopping,
+            after: STOPPED_RETRY_AFTER,
+        }),
         decision = &mut entry.receiver => decision,
     };
     entry.decided = true;
@@ -435,7 +457,7 @@
     }
 }
 
-/// Returns the response for a request whose deadline has passed.
+/// Returns the response for a request whose deadline, or the time of a shutdown, has passed.
 fn deadline_response(
     state: &State,
     request: &RoutedRequest,
@@ -446,6 +468,7 @@
         route = request.route.name,
         key = request.key,
         sends = progress.sends,
+        stopping = state.stopping.get(),
         "deadline passed"
     );
     state.metrics.count_request(&request.route.name, "late");
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -25,7 +25,7 @@
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 
 pub use members::Member;
@@ -202,6 +202,10 @@
     pub store_era: Cell<Era>,
     /// Whether the instance is shutting down.
     pub stopping: Cell<bool>,
+    /// Whether requests are refused as soon as they have been read, late in a shutdown.
+    pub refusing: Cell<bool>,
+    /// Time by which all requests must have a response, once the instance is shutting down.
+    pub stop_at: watch::Sender<Option<Time>>,
     /// Request counts by service and key since the last report to the leader. On the
     /// leader they include the reports received since its last rebalancing pass.
     pub key_counts: RefCell<HashMap<String, HashMap<u16, u32>>>,
@@ -269,12 +273,25 @@
             store_health: Cell::default(),
             store_era: Cell::default(),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
+            stop_at: watch::channel(None).0,
             key_counts: RefCell::default(),
             run_times: RefCell::default(),
             next_ticket: Cell::new(0),
         })
     }
 
+    /// Waits until `lead` before the time by which all requests must have a response. Does
+    /// not return unless the instance is shutting down.
+    pub async fn wait_for_stop(&self, lead: Duration) {
+        let mut stop_at = self.stop_at.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let stop_at = stop_at.wait_for(Option::is_some).await;
+        let stop_at = stop_at.ok().and_then(|stop_at| *stop_at);
+        let until = stop_at.map_or(Time(0), |stop_at| stop_at - lead);
+        tokio::time::sleep(until.since(self.clock.now())).await;
+    }
+
     /// Returns the name of this instance.
     pub fn name(&self) -> String {
         self.settings.borrow().name.clone()
--- a/crates/entry/tests/path/connection.rs
+++ b/crates/entry/tests/path/connection.rs
@@ -67,7 +67,7 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut request = [0; 1024];
-        stream.read(&mut request).await.unwrap();
+        assert!(stream.read(&mut request).await.unwrap() > 0);
         // The client may have closed its end.
         stream.write_all(&response).await.ok();
         if reset {
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -16,4 +16,5 @@
 mod restarts;
 mod restored;
 mod settings;
+mod shutdown;
 mod store_client;
