Send nothing to upstreams that have said that they are leaving

Upstreams that leave now say so in all their responses (Server-Leaving). The field was not read, so that an upstream whose registration still says ready, or can't be read, got requests until its registration changed (DRAIN, which binds an instance out of touch too).

Change: such an incarnation counts as leaving from the response on, until its end, whatever its registration says. Requests without a key go elsewhere at once, those of its keys until the drain limit. Instances report it to the leader, which moves its keys.

Measured: upstream_that_says_it_is_leaving_gets_no_requests_after_the_drain_limit and its twin in the directory; the first fails when the field is not read.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -80,6 +80,9 @@
     /// Earliest time at which the upstream may have started to shut down; `None` unless
     /// it is draining or its registration was removed.
     pub leaving_since: Option<Time>,
+    /// Whether the upstream has said in a response that it is leaving. Its registration may
+    /// not say so yet, or not at all.
+    pub said_leaving: bool,
     /// Time at which the upstream's warm-up ends.
     pub warm_at: Time,
 }
@@ -197,7 +200,7 @@
         !record.is_newer_than(registration)
             && (unchanged != *registration
                 || record.removal_at.is_some()
-                || record.usable == registration.draining)
+                || record.usable == (registration.draining || record.said_leaving))
     }
 
     /// Whether a removal of exactly this registration was read. It is to be scheduled by
@@ -258,6 +261,7 @@
                 if record.is_newer_than(&registration) {
                     return false;
                 }
+                let usable = usable && !record.said_leaving;
                 let changed =
                     record.usable != usable || record.registration.address != registration.address;
                 self.returns.remove(&registration.id);
@@ -287,6 +291,7 @@
             removal_read: false,
             removal_at: None,
             leaving_since: leaving,
+            said_leaving: false,
             warm_at,
         });
         self.occupy_address(key);
@@ -294,6 +299,22 @@
         true
     }
 
+    /// Records that an upstream has said in a response that it is leaving, which holds until
+    /// the end of this incarnation. Returns whether that was not known.
+    pub fn record_leaving(&mut self, now: Time, upstream: Upstream) -> bool {
+        let Some(record) = self.records.get_mut(upstream.0 as usize) else {
+            return false;
+        };
+        if record.said_leaving {
+            return false;
+        }
+        record.said_leaving = true;
+        record.leaving_since = record.leaving_since.or(Some(now));
+        self.version += u64::from(record.usable);
+        record.usable = false;
+        true
+    }
+
     /// Records that the removal of a registration was read, with effect at `at` or at the time of a
     /// removal already scheduled, whichever is earlier. `since` is the earliest time at
     /// which the upstream may have started to shut down.
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -393,3 +393,32 @@
 fn return_waits_longer_than_the_store_waits_for_heartbeats() {
     assert!(return_delay(ms(870)) >= ms(3 * 870) + REREGISTRATION_GRACE);
 }
+
+/// Guards against an upstream that is used again, since its registration does not say what it
+/// has said in a response: that it is leaving.
+#[test]
+fn upstream_that_says_it_is_leaving_is_not_used_again() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), registration(1));
+    let (upstream, _) = directory.find("u1").unwrap();
+
+    let is_new = directory.record_leaving(at(1_000), upstream);
+    let repeated = directory.record_leaving(at(1_500), upstream);
+    let ready = Registration {
+        sequence: 2,
+        ..registration(1)
+    };
+    let is_change = directory.is_changed_by(&ready);
+    directory.apply(at(2_000), at(1_000), ready);
+    let record = directory.get(upstream).unwrap().clone();
+    let next = Registration {
+        born: 2,
+        ..registration(1)
+    };
+    directory.apply(at(3_000), at(2_000), next);
+
+    assert_eq!((is_new, repeated, is_change), (true, false, false));
+    assert!(!record.usable);
+    assert_eq!(record.leaving_since, Some(at(1_000)));
+    assert!(directory.find("u1").unwrap().1.usable);
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -118,6 +118,8 @@
         /// Upstream ID, number of runs, and sum of their relative run times in
         /// thousandths.
         run_times: Vec<(String, u32, u64)>,
+        /// Id and start of upstreams that have said that they are leaving.
+        leaving: Vec<(String, u64)>,
     },
     /// Message that the receiver handles and passes on to other instances.
     Relay {
@@ -390,6 +392,7 @@
                 &Message::Report {
                     key_counts,
                     run_times,
+                    leaving: state.leaving_upstreams.take(),
                 },
             )
             .await;
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -247,7 +247,13 @@
         Message::Report {
             key_counts,
             run_times,
+            leaving,
         } => {
+            for (id, born) in leaving {
+                if let Some(upstream) = state.find_incarnation(&id, born) {
+                    state.record_leaving(upstream);
+                }
+            }
             for (id, runs, sum) in run_times {
                 let upstream = state.directory.borrow().find(&id).map(|found| found.0);
                 if let Some(upstream) = upstream {
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -157,7 +157,8 @@
 }
 
 impl State {
-    fn find_incarnation(&self, id: &str, born: u64) -> Option<Upstream> {
+    /// Finds an incarnation of an upstream, if it is the latest one under its id.
+    pub fn find_incarnation(&self, id: &str, born: u64) -> Option<Upstream> {
         let directory = self.directory.borrow();
         let (upstream, record) = directory.find(id)?;
         (record.registration.born == born).then_some(upstream)
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -20,6 +20,8 @@
 /// Requests per second that an upstream in need takes from all instances together, a
 /// decimal number. It holds until a response lacks the field.
 pub const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` in all responses of an upstream that is leaving.
+pub const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Shard key of a request, from 0 to 65535.
 pub const SHARD_KEY: HeaderName = HeaderName::from_static("shard-key");
 /// Opaque token that hands state over from one owner of a key range to the next.
@@ -57,3 +59,10 @@
     let rate = per_second.and_then(Rate::from_per_second);
     rate.map_or(Notice::Unreadable, Notice::Limited)
 }
+
+/// Whether a response says that its upstream is leaving.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    headers
+        .get(&SERVER_LEAVING)
+        .is_some_and(|value| value == "1")
+}
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -170,6 +170,9 @@
     {
         let notice = headers::parse_rate_limit(&response.headers);
         state.observe_rate_limit(upstream, sent_at, ran, notice);
+        if headers::is_leaving(&response.headers) {
+            state.record_leaving(upstream);
+        }
     }
     in_flight_send.result = match &ran {
         Ok(true) => SendResult::Ran,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -213,6 +213,8 @@
     /// the sum of their run times relative to the average of the route, in thousandths.
     /// On the leader they include received reports, as in `key_counts`.
     pub run_times: RefCell<HashMap<Upstream, (u32, u64)>>,
+    /// Id and start of upstreams that have said that they are leaving since the last report.
+    pub leaving_upstreams: RefCell<Vec<(String, u64)>>,
     next_ticket: Cell<u64>,
 }
 
@@ -277,6 +279,7 @@
             stop_at: watch::channel(None).0,
             key_counts: RefCell::default(),
             run_times: RefCell::default(),
+            leaving_upstreams: RefCell::default(),
             next_ticket: Cell::new(0),
         })
     }
@@ -393,6 +396,25 @@
             .record_request(now);
     }
 
+    /// Records that an upstream has said that it is leaving, here or at another instance.
+    pub fn record_leaving(&self, upstream: Upstream) {
+        let now = self.clock.now();
+        let mut directory = self.directory.borrow_mut();
+        if !directory.record_leaving(now, upstream) {
+            return;
+        }
+        let record = directory.get(upstream);
+        let registration = record.map(|record| &record.registration);
+        if let Some(registration) = registration {
+            tracing::info!(
+                upstream = registration.id,
+                "upstream says that it is leaving"
+            );
+            let incarnation = (registration.id.clone(), registration.born);
+            self.leaving_upstreams.borrow_mut().push(incarnation);
+        }
+    }
+
     /// Removes all registrations whose removal is due, and applies those that count again
     /// from now on.
     pub fn expire_registrations(&self) {
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod fleet;
 mod history;
+mod leaving;
 mod messages;
 mod missed;
 mod orders;
