Keep what is known of upstreams until they end, not until they leave

The queue dropped its state of an upstream, with its rate limit, each second while the upstream was leaving, though its keys' requests still go there until the drain limit. A limited upstream that drains would have got requests without permits until its next response.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -133,7 +133,7 @@
 }
 
 /// Periodically closes stale idle connections, drops the queue's state of upstreams that
-/// are no longer usable, and counts dropped log lines.
+/// have ended, and counts dropped log lines.
 async fn sweep_periodically(state: Rc<State>, dropped: ErrorCounter) {
     let mut counted = 0;
     loop {
@@ -150,7 +150,13 @@
             directory.get(upstream).is_some_and(|record| record.usable)
         };
         state.pool.close_stale(now, usable);
-        state.queue.borrow_mut().retain_upstreams(usable);
+        // A leaving owner still gets requests, and its rate limit holds until its end.
+        let exists = |upstream| {
+            let directory = state.directory.borrow();
+            let record = directory.get(upstream);
+            record.is_some_and(|record| !record.removed) && !directory.has_ended(upstream)
+        };
+        state.queue.borrow_mut().retain_upstreams(exists);
     }
 }
 
