Tell all instances which upstreams have said that they are leaving

An instance that had no response from a leaving upstream itself went on sending to it until its registration changed. A run of upstream_that_says_it_is_leaving_gets_no_requests_after_the_drain_limit failed with two such requests: one had reached neither instance before.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -167,6 +167,8 @@
         /// Drawn for this request, and echoed in the reply.
         nonce: u64,
     },
+    /// Id and start of upstreams that have said that they are leaving, from the leader.
+    Leaving(Vec<(String, u64)>),
     /// Requests for permits of upstreams that limit their rate, to the leader.
     PermitDemands(Vec<Demand>),
     /// Replies to `PermitDemands`.
@@ -366,6 +368,10 @@
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         if state.leadership.borrow().epoch().is_some() {
+            let leaving = state.leaving_upstreams.take();
+            if !leaving.is_empty() {
+                broadcast(&state, &socket, &Message::Leaving(leaving)).await;
+            }
             continue;
         }
         let address = state.leader_address();
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -218,6 +218,7 @@
                 send(socket, from, &reply).await;
             }
         }
+        Message::Leaving(upstreams) => state.record_all_leaving(&upstreams),
         Message::PermitDemands(demands) => {
             permits::handle_demands(state, socket, from, demands).await;
         }
@@ -249,11 +250,7 @@
             run_times,
             leaving,
         } => {
-            for (id, born) in leaving {
-                if let Some(upstream) = state.find_incarnation(&id, born) {
-                    state.record_leaving(upstream);
-                }
-            }
+            state.record_all_leaving(&leaving);
             for (id, runs, sum) in run_times {
                 let upstream = state.directory.borrow().find(&id).map(|found| found.0);
                 if let Some(upstream) = upstream {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -396,6 +396,15 @@
             .record_request(now);
     }
 
+    /// Records that upstreams, named by id and start, have said that they are leaving.
+    pub fn record_all_leaving(&self, upstreams: &[(String, u64)]) {
+        for (id, born) in upstreams {
+            if let Some(upstream) = self.find_incarnation(id, *born) {
+                self.record_leaving(upstream);
+            }
+        }
+    }
+
     /// Records that an upstream has said that it is leaving, here or at another instance.
     pub fn record_leaving(&self, upstream: Upstream) {
         let now = self.clock.now();
