Send nothing to an upstream for as long as its refusal says

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from that instance for so long.

Change: the upstream is paused for that time at this instance, also if a later refusal names a shorter one. A keyed request whose owner is paused beyond its deadline is refused at once with the time that is left, and so is any other when all upstreams are; requests without a key go elsewhere.

--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -293,7 +293,9 @@
         let remaining = request.deadline.since(now);
         let required_time = self.required_time(&request);
         let availability = lookup.availability(&request.service, request.key);
-        let unreachable_until = self.owner_unreachable_until(now, &request, &availability);
+        let unreachable_until = self
+            .owner_unreachable_until(now, &request, &availability)
+            .or_else(|| self.all_paused_until(now, &availability.candidates));
         if availability.candidates.is_empty() || unreachable_until.is_some() {
             let retry_at = unreachable_until
                 .or(availability.available_at)
@@ -417,6 +419,14 @@
         }
     }
 
+    /// Records that an upstream has turned a request away and wants none from this instance
+    /// until `until`.
+    pub fn record_pause(&mut self, upstream: Upstream, until: Time) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.record_pause(until);
+        }
+    }
+
     /// Drops the state of upstreams for which `known` returns false, unless requests of
     /// this instance are in flight to them.
     pub fn retain_upstreams(&mut self, known: impl Fn(Upstream) -> bool) {
@@ -480,6 +490,7 @@
                 (_, false) => QUEUE_DEPTH,
             };
             if !state.has_capacity(now, depth)
+                || state.paused_until(now).is_some()
                 || (!keyed && request.tried.contains(&candidate.upstream))
             {
                 continue;
@@ -571,7 +582,19 @@
     ) -> Option<Time> {
         request.key?;
         let owner = availability.candidates.first()?;
-        self.upstreams.get(&owner.upstream)?.unreachable_until(now)
+        let owner = self.upstreams.get(&owner.upstream)?;
+        owner.unreachable_until(now).max(owner.paused_until(now))
+    }
+
+    /// Time at which the first of the candidates takes requests of this instance again, if
+    /// all of them have turned one away and want none until then.
+    fn all_paused_until(&self, now: Time, candidates: &[Candidate]) -> Option<Time> {
+        let paused_until = |candidate: &Candidate| {
+            let state = self.upstreams.get(&candidate.upstream)?;
+            state.paused_until(now)
+        };
+        // `None`, for one that takes requests, is the least.
+        candidates.iter().map(paused_until).min().flatten()
     }
 
     fn required_time(&self, request: &QueuedRequest) -> Duration {
--- a/crates/core/src/entry/upstream_state.rs
+++ b/crates/core/src/entry/upstream_state.rs
@@ -76,6 +76,8 @@
     penalized_until: Time,
     /// Consecutive failed connection attempts.
     failed_connects: u32,
+    /// Time until which the upstream wants no requests from this instance.
+    paused_until: Time,
 }
 
 impl UpstreamState {
@@ -90,6 +92,7 @@
             consecutive_failures: 0,
             penalized_until: Time(0),
             failed_connects: 0,
+            paused_until: Time(0),
         }
     }
 
@@ -155,6 +158,17 @@
         (self.failed_connects >= UNREACHABLE_CONNECT_FAILURES && until > now).then_some(until)
     }
 
+    /// Time until which the upstream wants no requests from this instance; `None` if it
+    /// takes them.
+    pub fn paused_until(&self, now: Time) -> Option<Time> {
+        (self.paused_until > now).then_some(self.paused_until)
+    }
+
+    /// Records that the upstream has turned a request away and wants none until `until`.
+    pub fn record_pause(&mut self, until: Time) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
     /// Records that a request is sent.
     pub fn record_send(&mut self) {
         self.in_flight += 1;
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -342,3 +342,27 @@
         "{prompt} of {served}"
     );
 }
+
+/// Guards against requests to an upstream that has turned one away and wants none for some
+/// time, and against waiting for one that wants none until after the deadline.
+#[test]
+fn paused_upstream_gets_no_requests() {
+    let (mut queue, upstreams) = (Queue::default(), upstreams(1));
+    queue
+        .enqueue(at(0), request(1, 1, at(0), ms(900)), &upstreams)
+        .unwrap();
+    queue.decide(at(0), &upstreams);
+    queue.record_pause(Upstream(0), at(3_000));
+    queue.record_pause(Upstream(0), at(500));
+
+    let refused = queue.enqueue(at(10), request(2, 1, at(10), ms(900)), &upstreams);
+    let patient = queue.enqueue(at(10), request(3, 1, at(10), ms(5_000)), &upstreams);
+    let paused = queue.decide(at(2_900), &upstreams);
+    let resumed = queue.decide(at(3_001), &upstreams);
+
+    let (reason, after) = (Reason::NoUpstream, ms(2_990));
+    assert_eq!(refused, Err(Decision::Refuse { reason, after }));
+    assert_eq!(patient, Ok(()));
+    assert_eq!(sent_tickets(&paused), Vec::<u64>::new());
+    assert_eq!(sent_tickets(&resumed), [3]);
+}
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -1,6 +1,8 @@
 //! Header fields of requests and responses.
 
-use http::{HeaderMap, HeaderName};
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, header};
 use medlarreel_core::entry::permit::{Notice, Rate};
 use medlarreel_core::entry::upstream_state::ReportedLoad;
 
@@ -66,3 +68,10 @@
         .get(&SERVER_LEAVING)
         .is_some_and(|value| value == "1")
 }
+
+/// Parses the time for which an upstream wants no requests after it has turned one away, in
+/// seconds with an optional fraction; `None` if it names none, or one that is malformed.
+pub fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok()
+}
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -173,6 +173,13 @@
         if headers::is_leaving(&response.headers) {
             state.record_leaving(upstream);
         }
+        if response.status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(pause) = headers::parse_retry_after(&response.headers)
+        {
+            tracing::info!(upstream = upstream_id, ?pause, "upstream wants no requests");
+            let until = state.clock.now() + pause;
+            state.queue.borrow_mut().record_pause(upstream, until);
+        }
     }
     in_flight_send.result = match &ran {
         Ok(true) => SendResult::Ran,
--- a/crates/entry/tests/path/leaving.rs
+++ b/crates/entry/tests/path/leaving.rs
@@ -1,12 +1,15 @@
-//! Upstreams that say in their responses that they are leaving.
+//! Upstreams that say in their responses that they are leaving, or that an instance shall send
+//! them nothing for some time.
 
 use std::time::Duration;
 
-use medlarreel_standin::platform::upstream::Upstream;
+use medlarreel_standin::platform::upstream::{ResponseMode, Upstream};
 use medlarreel_standin::server::Server;
 use tokio::time::{Instant, sleep};
 
-use crate::fixture::{TestCluster, request_text, send_request, start_cluster, start_followers};
+use crate::fixture::{
+    TestCluster, request_text, send_request, start_cluster, start_followers, wait_until,
+};
 
 /// `drain` in the settings of the instances.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
@@ -39,6 +42,23 @@
     arrivals.iter().filter(|at| **at >= start).count()
 }
 
+/// Sends requests until one has reached each of the upstreams.
+async fn send_until_reached(
+    cluster: &TestCluster,
+    callers: &[std::net::SocketAddr],
+    upstreams: &[&Server<Upstream>],
+) {
+    let start = Instant::now();
+    wait_until("all upstreams are reached", async || {
+        for path in ["/status/x", "/catalogue/x"] {
+            send_requests(cluster, callers, path, Duration::from_millis(100)).await;
+        }
+        let mut upstreams = upstreams.iter();
+        upstreams.all(|upstream| arrivals_since(upstream, start) > 0)
+    })
+    .await;
+}
+
 /// Guards against requests that reach an upstream too long after it has said in a response
 /// that it is leaving, while its registration still says that it is ready.
 #[tokio::test(flavor = "multi_thread")]
@@ -60,10 +80,9 @@
             .set_extra_headers(&[("server-leaving", "1")]);
     }
 
-    for path in ["/status/x", "/catalogue/x"] {
-        send_requests(&cluster, &callers, path, Duration::from_secs(1)).await;
-    }
-    sleep(DRAIN_LIMIT).await;
+    send_until_reached(&cluster, &callers, &leaving).await;
+    // A report to the leader, and what it tells the others, take up to a second each.
+    sleep(Duration::from_secs(2) + DRAIN_LIMIT).await;
     let start = Instant::now();
     for path in ["/status/x", "/catalogue/x"] {
         let served = send_requests(&cluster, &callers, path, Duration::from_secs(1)).await;
@@ -74,3 +93,35 @@
         assert_eq!(arrivals_since(upstream, start), 0);
     }
 }
+
+/// Guards against an instance that sends requests to an upstream that has turned one away and
+/// has said for how long it wants none.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_names_a_retry_time_gets_no_requests_until_then() {
+    let cluster = start_cluster().await;
+    let callers = [cluster.instance.callers];
+    for path in ["/status/x", "/catalogue/x"] {
+        send_requests(&cluster, &callers, path, Duration::from_millis(500)).await;
+    }
+    let owner = cluster
+        .keyed
+        .iter()
+        .find(|server| server.service().holds(77));
+    let owner = owner.unwrap();
+    for upstream in [owner, &cluster.plain[0]] {
+        upstream.service().set_mode(ResponseMode::Shed);
+        upstream
+            .service()
+            .set_extra_headers(&[("retry-after", "20.5")]);
+    }
+
+    send_until_reached(&cluster, &callers, &[owner, &cluster.plain[0]]).await;
+    let start = Instant::now();
+    let keyed = send_requests(&cluster, &callers, "/status/x", Duration::from_secs(1)).await;
+    let plain = send_requests(&cluster, &callers, "/catalogue/x", Duration::from_secs(1)).await;
+    let arrived = [owner, &cluster.plain[0]].map(|upstream| arrivals_since(upstream, start));
+
+    assert_eq!(arrived, [0, 0]);
+    assert_eq!(keyed, 0);
+    assert!(plain >= 20, "{plain}");
+}
