Count suspected requests, and wait for both instances in their test

Traced: the first request was answered before the second instance had heard of the crash (5 ms and a message), so that its ten requests were sent freely, as they may be; those of the first instance went one at a time. The test now waits until a gauge of both instances shows the suspected request. What it checks after that is the same bound.

Also removes parameters and loops that the new tests repeated.

--- a/crates/core/src/entry/suspects.rs
+++ b/crates/core/src/entry/suspects.rs
@@ -190,6 +190,14 @@
         suspect.blocked_until().filter(|until| now < *until)
     }
 
+    /// Number of requests under which upstreams have ended since they were last answered.
+    pub fn suspect_count(&self) -> usize {
+        let suspects = self.requests.values();
+        suspects
+            .filter(|suspect| !suspect.crashes.is_empty())
+            .count()
+    }
+
     /// Number of requests that are blocked.
     pub fn blocked_count(&self, now: Time) -> usize {
         self.blocked(now).count()
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -137,14 +137,20 @@
             crashes,
             "request blocked: upstreams have ended under it"
         );
-        count_blocked(state, now);
         state.suspects_changed.notify_waiters();
     }
+    update_metrics(state, now);
 }
 
-fn count_blocked(state: &State, now: Time) {
-    let count = state.suspects.borrow().blocked_count(now);
-    state.metrics.blocked_requests.set(count as i64);
+fn update_metrics(state: &State, now: Time) {
+    let suspects = state.suspects.borrow();
+    let metrics = &state.metrics;
+    metrics
+        .suspected_requests
+        .set(suspects.suspect_count() as i64);
+    metrics
+        .blocked_requests
+        .set(suspects.blocked_count(now) as i64);
 }
 
 /// Records that an upstream has answered a request.
@@ -165,7 +171,7 @@
         state.trials.borrow_mut().end(fingerprint);
         state.suspects_changed.notify_waiters();
         tracing::info!(%fingerprint, "request acquitted: an upstream has answered it");
-        count_blocked(state, now);
+        update_metrics(state, now);
     }
     acquitted
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,6 +43,9 @@
     pub waiting_requests: Gauge,
     /// Upstreams that are known to limit their rate.
     pub limited_upstreams: Gauge,
+    /// Requests under which upstreams have ended since they were last answered, also blocked
+    /// ones.
+    pub suspected_requests: Gauge,
     /// Requests that are blocked because upstreams have ended under them.
     pub blocked_requests: Gauge,
     /// Version of the configuration in force; 0 before the first.
@@ -72,6 +75,7 @@
             latency,
             waiting_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            suspected_requests: Gauge::default(),
             blocked_requests: Gauge::default(),
             config_version: Gauge::default(),
             epoch: Gauge::default(),
@@ -106,6 +110,11 @@
             "Upstreams that limit the rate of requests",
             metrics.limited_upstreams.clone(),
         );
+        registry.register(
+            "suspected_requests",
+            "Requests under which upstreams ended since they were answered",
+            metrics.suspected_requests.clone(),
+        );
         registry.register(
             "blocked_requests",
             "Requests that are blocked because upstreams ended under them",
--- a/crates/entry/tests/path/crashes.rs
+++ b/crates/entry/tests/path/crashes.rs
@@ -78,15 +78,26 @@
     }
 }
 
-/// Replaces the upstreams of the plain service by `count` fragile ones.
-async fn use_fragile_upstreams(cluster: &mut TestCluster, count: usize) -> Arc<Seen> {
+/// Replaces the upstreams of the plain service by twelve fragile ones, and waits until all
+/// instances use them.
+async fn use_fragile_upstreams(cluster: &mut TestCluster, callers: &[SocketAddr]) -> Arc<Seen> {
     let seen = Arc::new(Seen::default());
-    for number in 0..count {
+    for number in 0..12 {
         let address = start_fragile_upstream(&seen).await;
         cluster.register_plain_upstream(&format!("fragile-{number}"), address);
     }
     cluster.register_upstreams(0, "draining");
     cluster.register_upstreams(1, "draining");
+    wait_until("only fragile upstreams are used", async || {
+        for address in callers {
+            let probe = request_text("GET", "/catalogue/x", "probe", "");
+            if !send_request(*address, &probe).await.ends_with("ok") {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
     seen
 }
 
@@ -96,18 +107,8 @@
 async fn request_that_crashes_upstreams_is_blocked_at_all_instances() {
     let mut cluster = start_cluster().await;
     let followers = start_followers(&cluster, 1).await;
-    let seen = use_fragile_upstreams(&mut cluster, 12).await;
     let mut callers = vec![cluster.instance.callers, followers[0].callers];
-    wait_until("only fragile upstreams are used", async || {
-        for address in &callers {
-            let probe = request_text("GET", "/catalogue/x", "probe", "");
-            if !send_request(*address, &probe).await.ends_with("ok") {
-                return false;
-            }
-        }
-        true
-    })
-    .await;
+    let seen = use_fragile_upstreams(&mut cluster, &callers).await;
 
     for number in 0..20 {
         let request = request_text("GET", CRASHING_PATH, &format!("crash-{number}"), "");
@@ -142,21 +143,17 @@
 async fn suspected_requests_are_sent_one_at_a_time() {
     let mut cluster = start_cluster().await;
     let followers = start_followers(&cluster, 1).await;
-    let seen = use_fragile_upstreams(&mut cluster, 12).await;
     let callers = [cluster.instance.callers, followers[0].callers];
-    wait_until("only fragile upstreams are used", async || {
-        for address in &callers {
-            let probe = request_text("GET", "/catalogue/x", "probe", "");
-            if !send_request(*address, &probe).await.ends_with("ok") {
-                return false;
-            }
-        }
-        true
-    })
-    .await;
+    let seen = use_fragile_upstreams(&mut cluster, &callers).await;
 
     let first = request_text("GET", CRASHING_PATH, "first", "");
     send_request(callers[0], &first).await;
+    for instance in [&cluster.instance, &followers[0]] {
+        wait_until("an instance knows of the crash", async || {
+            metric(instance, "medlarreel_suspected_requests").await == 1
+        })
+        .await;
+    }
     let mut requests = JoinSet::new();
     for number in 0..20 {
         let request = request_text("GET", CRASHING_PATH, &format!("crash-{number}"), "");
--- a/crates/entry/tests/path/leaving.rs
+++ b/crates/entry/tests/path/leaving.rs
@@ -7,22 +7,14 @@
 use medlarreel_standin::server::Server;
 use tokio::time::{Instant, sleep};
 
-use crate::fixture::{
-    TestCluster, request_text, send_request, start_cluster, start_followers, wait_until,
-};
+use crate::fixture::{request_text, send_request, start_cluster, start_followers, wait_until};
 
 /// `drain` in the settings of the instances.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
 /// Sends a request about every 10 ms to the instances in turn, and returns how many were
 /// served.
-async fn send_requests(
-    cluster: &TestCluster,
-    callers: &[std::net::SocketAddr],
-    path: &str,
-    duration: Duration,
-) -> usize {
-    assert!(!cluster.plain.is_empty());
+async fn send_requests(callers: &[std::net::SocketAddr], path: &str, duration: Duration) -> usize {
     let end = Instant::now() + duration;
     let mut served = 0;
     let mut number = 0;
@@ -43,15 +35,11 @@
 }
 
 /// Sends requests until one has reached each of the upstreams.
-async fn send_until_reached(
-    cluster: &TestCluster,
-    callers: &[std::net::SocketAddr],
-    upstreams: &[&Server<Upstream>],
-) {
+async fn send_until_reached(callers: &[std::net::SocketAddr], upstreams: &[&Server<Upstream>]) {
     let start = Instant::now();
     wait_until("all upstreams are reached", async || {
         for path in ["/status/x", "/catalogue/x"] {
-            send_requests(cluster, callers, path, Duration::from_millis(100)).await;
+            send_requests(callers, path, Duration::from_millis(100)).await;
         }
         let mut upstreams = upstreams.iter();
         upstreams.all(|upstream| arrivals_since(upstream, start) > 0)
@@ -67,7 +55,7 @@
     let followers = start_followers(&cluster, 1).await;
     let callers = [cluster.instance.callers, followers[0].callers];
     for path in ["/status/x", "/catalogue/x"] {
-        send_requests(&cluster, &callers, path, Duration::from_secs(1)).await;
+        send_requests(&callers, path, Duration::from_secs(1)).await;
     }
     let owner = cluster
         .keyed
@@ -80,12 +68,12 @@
             .set_extra_headers(&[("server-leaving", "1")]);
     }
 
-    send_until_reached(&cluster, &callers, &leaving).await;
+    send_until_reached(&callers, &leaving).await;
     // A report to the leader, and what it tells the others, take up to a second each.
     sleep(Duration::from_secs(2) + DRAIN_LIMIT).await;
     let start = Instant::now();
     for path in ["/status/x", "/catalogue/x"] {
-        let served = send_requests(&cluster, &callers, path, Duration::from_secs(1)).await;
+        let served = send_requests(&callers, path, Duration::from_secs(1)).await;
         assert!(served >= 20, "{served} of {path}");
     }
 
@@ -101,7 +89,7 @@
     let cluster = start_cluster().await;
     let callers = [cluster.instance.callers];
     for path in ["/status/x", "/catalogue/x"] {
-        send_requests(&cluster, &callers, path, Duration::from_millis(500)).await;
+        send_requests(&callers, path, Duration::from_millis(500)).await;
     }
     let owner = cluster
         .keyed
@@ -115,10 +103,10 @@
             .set_extra_headers(&[("retry-after", "20.5")]);
     }
 
-    send_until_reached(&cluster, &callers, &[owner, &cluster.plain[0]]).await;
+    send_until_reached(&callers, &[owner, &cluster.plain[0]]).await;
     let start = Instant::now();
-    let keyed = send_requests(&cluster, &callers, "/status/x", Duration::from_secs(1)).await;
-    let plain = send_requests(&cluster, &callers, "/catalogue/x", Duration::from_secs(1)).await;
+    let keyed = send_requests(&callers, "/status/x", Duration::from_secs(1)).await;
+    let plain = send_requests(&callers, "/catalogue/x", Duration::from_secs(1)).await;
     let arrived = [owner, &cluster.plain[0]].map(|upstream| arrivals_since(upstream, start));
 
     assert_eq!(arrived, [0, 0]);
--- a/crates/entry/tests/path/rate_limit.rs
+++ b/crates/entry/tests/path/rate_limit.rs
@@ -5,9 +5,7 @@
 use medlarreel_standin::platform::upstream::ResponseMode;
 use tokio::time::{Instant, sleep};
 
-use crate::fixture::{
-    TestCluster, request_text, send_request, start_cluster, start_followers, wait_until,
-};
+use crate::fixture::{request_text, send_request, start_cluster, start_followers, wait_until};
 
 /// Time from the first response that names a limit until all instances must keep to it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -18,7 +16,6 @@
 /// Sends requests on new connections to all instances in turn for `duration`, about 100 a
 /// second, and returns the responses.
 async fn flood(
-    cluster: &TestCluster,
     callers: &[std::net::SocketAddr],
     path: &'static str,
     duration: Duration,
@@ -35,7 +32,6 @@
         number += 1;
         sleep(Duration::from_millis(10)).await;
     }
-    assert!(!cluster.keyed.is_empty());
     let mut responses = Vec::new();
     for request in requests {
         responses.push(request.await.unwrap());
@@ -72,7 +68,7 @@
     }
 
     let limited_at = Instant::now();
-    let responses = flood(&cluster, &callers, "/status/x", CONTACT_TIME + 2 * WINDOW).await;
+    let responses = flood(&callers, "/status/x", CONTACT_TIME + 2 * WINDOW).await;
 
     for upstream in &cluster.keyed {
         let arrivals = upstream.service().arrivals();
@@ -110,13 +106,13 @@
             .service()
             .set_extra_headers(&[("server-limit", "2.0")]);
     }
-    flood(&cluster, &callers, "/status/x", Duration::from_secs(2)).await;
+    flood(&callers, "/status/x", Duration::from_secs(2)).await;
 
     for upstream in &cluster.keyed {
         upstream.service().set_extra_headers(&[]);
     }
-    flood(&cluster, &callers, "/status/x", Duration::from_secs(2)).await;
-    let responses = flood(&cluster, &callers, "/status/x", Duration::from_secs(1)).await;
+    flood(&callers, "/status/x", Duration::from_secs(2)).await;
+    let responses = flood(&callers, "/status/x", Duration::from_secs(1)).await;
 
     let served = responses
         .iter()
