Count crashes after a request was given up or answered 504

Cause: only connections that end under a request counted. A request that waits for its key runs near its deadline; its upstream answers 504, or its caller leaves, and the upstream ends 0.1 s later, when nothing is in flight there.

Change: such requests are remembered. They count when their upstream is found to have ended within 2 s, here or by another instance, or when a successor registers within 10 s; the upstreams of suspected ones are probed three times. Trials report their end from a task, since a request may be dropped outside of one.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -4,6 +4,10 @@
 //! A connection that ends under a request shows little: upstreams close connections for many
 //! reasons. It counts as a crash once the address refuses connections or another process has
 //! registered in its place, unless the upstream was leaving.
+//!
+//! A request may also crash an upstream after its caller has left or its deadline has passed,
+//! when this instance has closed the connection already. Such requests are remembered for a
+//! while, and an upstream that ends soon after counts against them as well.
 
 pub mod trials;
 
@@ -48,20 +52,121 @@
 /// Interval between requests for the blocked requests of the leader.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What is to be sent to all instances.
+/// Time for which a request that was given up counts as possibly running when its upstream is
+/// found to have ended by another request.
+const ABANDONED_RUN_TIME: Duration = Duration::from_secs(2);
+
+/// Maximum number of requests that were given up and are remembered, the latest ones.
+const MAX_ABANDONED: usize = 1_024;
+
+/// Delays after a suspected request was given up at which its upstream is probed.
+const WATCH_DELAYS: [Duration; 3] = [
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+    Duration::from_millis(1_000),
+];
+
+/// What the exchange task is to do next.
 #[derive(Debug, Default)]
 pub struct Outbox {
     crashes: Vec<(Crash, Time)>,
     acquittals: Vec<(Fingerprint, Time)>,
+    /// Trials of this instance that have ended.
+    ended_trials: Vec<Fingerprint>,
+    /// Suspected requests that were given up, and their upstreams.
+    watched: Vec<(Upstream, Fingerprint)>,
+}
+
+/// A request that was given up without a response.
+#[derive(Clone, Copy, Debug)]
+pub struct Abandoned {
+    upstream: Upstream,
+    fingerprint: Fingerprint,
+    at: Time,
+}
+
+/// Records that a request was given up while an upstream may have run it. Called when the
+/// request is dropped, so that it must not start tasks.
+pub fn record_abandoned(state: &State, upstream: Upstream, fingerprint: Fingerprint) {
+    let at = state.clock.now();
+    let mut abandoned = state.abandoned.borrow_mut();
+    if abandoned.len() >= MAX_ABANDONED {
+        abandoned.pop_front();
+    }
+    abandoned.push_back(Abandoned {
+        upstream,
+        fingerprint,
+        at,
+    });
+    if state.suspects.borrow().is_suspect(fingerprint) {
+        let mut outbox = state.crash_outbox.borrow_mut();
+        outbox.watched.push((upstream, fingerprint));
+        state.crash_news.notify_one();
+    }
+}
+
+/// Counts the end of upstreams against requests that were given up there, once successors
+/// have registered.
+pub fn check_abandoned(state: &State) {
+    let now = state.clock.now();
+    let mut ended: Vec<Upstream> = Vec::new();
+    {
+        let directory = state.directory.borrow();
+        let mut abandoned = state.abandoned.borrow_mut();
+        abandoned.retain(|request| now.since(request.at) < SUCCESSOR_TIMEOUT);
+        let crashed = abandoned.iter().filter(|request| {
+            let record = directory.get(request.upstream);
+            let is_leaving = record.is_some_and(|record| record.leaving_since.is_some());
+            !is_leaving && directory.has_ended(request.upstream)
+        });
+        ended.extend(crashed.map(|request| request.upstream));
+        ended.sort();
+        ended.dedup();
+    }
+    for upstream in ended {
+        let requests = take_abandoned(state, upstream, SUCCESSOR_TIMEOUT);
+        record_crash(state, upstream, &requests);
+    }
+}
+
+/// Takes the requests that were given up at an upstream within the last `age`.
+fn take_abandoned(state: &State, upstream: Upstream, age: Duration) -> Vec<Fingerprint> {
+    let now = state.clock.now();
+    let is_meant =
+        |request: &Abandoned| request.upstream == upstream && now.since(request.at) < age;
+    let mut abandoned = state.abandoned.borrow_mut();
+    let taken = abandoned.iter().filter(|request| is_meant(request));
+    let taken = taken.map(|request| request.fingerprint).collect();
+    abandoned.retain(|request| !is_meant(request));
+    taken
+}
+
+/// Probes an upstream at which a suspected request was given up.
+async fn watch_abandoned(state: &State, upstream: Upstream, fingerprint: Fingerprint) {
+    let Some(address) = address_unless_leaving(state, upstream) else {
+        return;
+    };
+    for delay in WATCH_DELAYS {
+        tokio::time::sleep(delay).await;
+        let has_ended = state.directory.borrow().has_ended(upstream);
+        if has_ended || connection::is_refused(address, PROBE_TIMEOUT).await {
+            record_crash(state, upstream, &[fingerprint]);
+            return;
+        }
+    }
+}
+
+fn address_unless_leaving(state: &State, upstream: Upstream) -> Option<SocketAddr> {
+    let directory = state.directory.borrow();
+    let record = directory.get(upstream)?;
+    let is_leaving = record.leaving_since.is_some();
+    (!is_leaving).then_some(record.registration.address)
 }
 
 /// Records that the connection to an upstream has ended under a request, and finds out
 /// whether the upstream has.
 pub fn record_lost_connection(state: &Rc<State>, upstream: Upstream, fingerprint: Fingerprint) {
-    let Some(address) = state.directory.borrow().get(upstream).and_then(|record| {
-        let is_leaving = record.leaving_since.is_some();
-        (!is_leaving).then_some(record.registration.address)
-    }) else {
+    let Some(address) = address_unless_leaving(state, upstream) else {
         return;
     };
     let mut lost = state.lost_connections.borrow_mut();
@@ -96,26 +201,36 @@
     false
 }
 
-/// Records that an upstream has ended under requests of this instance.
+/// Hash of the id and start of an upstream, by which instances name it in crashes.
+fn upstream_hash(state: &State, upstream: Upstream) -> Option<u64> {
+    let directory = state.directory.borrow();
+    let registration = &directory.get(upstream)?.registration;
+    let name = format!("{} {}", registration.id, registration.born);
+    Some(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+}
+
+/// Records that an upstream has ended under requests of this instance, and under those that
+/// were given up there shortly before.
 fn record_crash(state: &State, upstream: Upstream, requests: &[Fingerprint]) {
     let now = state.clock.now();
-    let id = {
-        let directory = state.directory.borrow();
-        let Some(record) = directory.get(upstream) else {
-            return;
-        };
-        let registration = &record.registration;
-        tracing::warn!(
-            upstream = registration.id,
-            requests = requests.len(),
-            "upstream ended under requests"
-        );
-        let name = format!("{} {}", registration.id, registration.born);
-        xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+    let Some(id) = upstream_hash(state, upstream) else {
+        return;
     };
+    let mut requests = requests.to_vec();
+    requests.extend(take_abandoned(state, upstream, ABANDONED_RUN_TIME));
+    requests.sort();
+    requests.dedup();
+    let directory = state.directory.borrow();
+    let record = directory.get(upstream);
+    tracing::warn!(
+        upstream = record.map(|record| record.registration.id.as_str()),
+        requests = requests.len(),
+        "upstream ended under requests"
+    );
+    drop(directory);
     for fingerprint in requests {
         let crash = Crash {
-            fingerprint: *fingerprint,
+            fingerprint,
             upstream: id,
             age_ms: 0,
         };
@@ -182,7 +297,22 @@
     loop {
         state.crash_news.notified().await;
         tokio::time::sleep(COLLECTION_TIME).await;
-        let news = state.crash_outbox.take();
+        let mut news = state.crash_outbox.take();
+        for (upstream, fingerprint) in std::mem::take(&mut news.watched) {
+            let state = Rc::clone(&state);
+            tokio::task::spawn_local(async move {
+                watch_abandoned(&state, upstream, fingerprint).await;
+            });
+        }
+        for fingerprint in std::mem::take(&mut news.ended_trials) {
+            let (state, socket) = (Rc::clone(&state), Rc::clone(&socket));
+            tokio::task::spawn_local(async move {
+                trials::report_end(&state, &socket, fingerprint).await;
+            });
+        }
+        if news.crashes.is_empty() && news.acquittals.is_empty() {
+            continue;
+        }
         let (state, socket) = (Rc::clone(&state), Rc::clone(&socket));
         tokio::task::spawn_local(async move {
             let mut elapsed = Duration::ZERO;
@@ -217,6 +347,21 @@
     for crash in crashes {
         apply_crash(state, now, crash);
     }
+    // The upstream may have run requests that this instance has given up.
+    let mut given_up: Vec<Upstream> = {
+        let abandoned = state.abandoned.borrow();
+        let recent = abandoned.iter();
+        let recent = recent.filter(|request| now.since(request.at) < ABANDONED_RUN_TIME);
+        recent.map(|request| request.upstream).collect()
+    };
+    given_up.sort();
+    given_up.dedup();
+    for upstream in given_up {
+        let hash = upstream_hash(state, upstream);
+        if crashes.iter().any(|crash| Some(crash.upstream) == hash) {
+            record_crash(state, upstream, &[]);
+        }
+    }
     for (fingerprint, age_ms) in acquittals {
         acquit(state, now, *fingerprint, Duration::from_millis(*age_ms));
     }
--- a/crates/entry/src/crashes/trials.rs
+++ b/crates/entry/src/crashes/trials.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::suspects::Fingerprint;
+use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
 use crate::peers::{self, Message};
@@ -45,21 +46,20 @@
             return;
         }
         self.state.suspects_changed.notify_waiters();
-        let Some(socket) = self.state.trial_socket.borrow().clone() else {
-            return;
-        };
-        let (state, fingerprint) = (Rc::clone(&self.state), self.fingerprint);
-        tokio::task::spawn_local(async move {
-            // A crash is reported after its connection has been refused, which ends the trial
-            // at the leader as well.
-            tokio::time::sleep(super::PROBE_TIMEOUT).await;
-            match state.leader_address() {
-                Some(leader) => {
-                    peers::send(&socket, leader, &Message::TrialEnd { fingerprint }).await;
-                }
-                None => end(&state, fingerprint, state.settings.borrow().peers),
-            }
-        });
+        // It may be dropped outside of a task, so that the end is reported by another one.
+        let mut outbox = self.state.crash_outbox.borrow_mut();
+        outbox.ended_trials.push(self.fingerprint);
+        self.state.crash_news.notify_one();
+    }
+}
+
+/// Reports to the leader that this instance no longer sends a suspected request. A crash is
+/// reported first: it ends the trial as well.
+pub(super) async fn report_end(state: &State, socket: &UdpSocket, fingerprint: Fingerprint) {
+    tokio::time::sleep(super::PROBE_TIMEOUT).await;
+    match state.leader_address() {
+        Some(leader) => peers::send(socket, leader, &Message::TrialEnd { fingerprint }).await,
+        None => end(state, fingerprint, state.settings.borrow().peers),
     }
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -133,7 +133,7 @@
 }
 
 /// Periodically closes stale idle connections, drops the queue's state of upstreams that
-/// have ended, and counts dropped log lines.
+/// have ended, looks for upstreams that have crashed, and counts dropped log lines.
 async fn sweep_periodically(state: Rc<State>, dropped: ErrorCounter) {
     let mut counted = 0;
     loop {
@@ -157,6 +157,7 @@
             record.is_some_and(|record| !record.removed) && !directory.has_ended(upstream)
         };
         state.queue.borrow_mut().retain_upstreams(exists);
+        crashes::check_abandoned(&state);
     }
 }
 
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -50,10 +50,17 @@
     /// known.
     result: SendResult,
     load: Option<ReportedLoad>,
+    /// Whether the upstream may be running the request, since its response was given up or
+    /// says no more than that the deadline has passed.
+    is_unanswered: bool,
 }
 
 impl Drop for InFlightSend<'_> {
     fn drop(&mut self) {
+        if self.is_unanswered {
+            let fingerprint = self.request.fingerprint();
+            crashes::record_abandoned(self.state, self.upstream, fingerprint);
+        }
         let now = self.state.clock.now();
         let finished = FinishedSend {
             upstream: self.upstream,
@@ -90,6 +97,7 @@
         started: state.clock.now(),
         result: SendResult::CallerLeft,
         load: None,
+        is_unanswered: false,
     };
     let Some((address, upstream_id)) = state
         .directory
@@ -132,12 +140,15 @@
         }
     };
     let sent_at = now;
+    in_flight_send.is_unanswered = true;
     progress.in_flight = true;
     progress.sends += 1;
     if !progress.tried.contains(&upstream) {
         progress.tried.push(upstream);
     }
-    let response = match connection.send_request(outgoing, remaining).await {
+    let sent = connection.send_request(outgoing, remaining).await;
+    in_flight_send.is_unanswered = matches!(sent, Err(Error::NoResponse(_)));
+    let response = match sent {
         Ok(response) => response,
         Err(Error::NotSent(why)) => {
             progress.in_flight = false;
@@ -188,6 +199,8 @@
     };
     match ran {
         Ok(true) => {
+            // It may go on running a request whose deadline has passed.
+            in_flight_send.is_unanswered = response.status == StatusCode::GATEWAY_TIMEOUT;
             record_ownership(state, request, upstream, true);
             // An upstream may answer 504 for a request that it has not begun to run.
             if !response.status.is_server_error() && !state.suspects.borrow().is_empty() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,7 +3,7 @@
 mod members;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +32,8 @@
 
 use crate::clock::Clock;
 use crate::connection::Connection;
-use crate::crashes::Outbox;
 use crate::crashes::trials::LocalTrials;
+use crate::crashes::{Abandoned, Outbox};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::reader::{Feed, Topic};
@@ -158,6 +158,8 @@
     pub local_trials: LocalTrials,
     /// Socket for messages about trials; `None` during the start.
     pub trial_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Requests that were given up without a response, in the order of time.
+    pub abandoned: RefCell<VecDeque<Abandoned>>,
     /// Crashes and acquittals that the other instances are to be told.
     pub crash_outbox: RefCell<Outbox>,
     /// Wakes the task that sends them.
@@ -254,6 +256,7 @@
             trials: RefCell::default(),
             local_trials: LocalTrials::default(),
             trial_socket: RefCell::default(),
+            abandoned: RefCell::default(),
             crash_outbox: RefCell::default(),
             crash_news: Notify::new(),
             waiters: RefCell::default(),
--- a/crates/entry/tests/path/crashes.rs
+++ b/crates/entry/tests/path/crashes.rs
@@ -23,6 +23,9 @@
 /// Time for which an upstream runs such a request before it ends.
 const RUN_TIME: Duration = Duration::from_millis(50);
 
+/// The same for a request that its callers give up before.
+const LONG_RUN_TIME: Duration = Duration::from_millis(600);
+
 /// Counts of what the upstreams of a test have seen.
 #[derive(Default)]
 struct Seen {
@@ -64,8 +67,23 @@
         };
         if request.contains(CRASHING_PATH) {
             seen.arrived.fetch_add(1, Ordering::SeqCst);
-            sleep(RUN_TIME).await;
-            crash.send(()).await.ok();
+            let run_time = match request.contains("slow") {
+                true => LONG_RUN_TIME,
+                false => RUN_TIME,
+            };
+            if request.contains("answered") {
+                let late = format!(
+                    "HTTP/1.1 504 Gateway Timeout\r\nattempt-id: {attempt}\r\n\
+                     response-signature: 3e1b\r\ncontent-length: 0\r\n\r\n"
+                );
+                stream.write_all(late.as_bytes()).await.ok();
+            }
+            // The upstream ends also if the connection was closed meanwhile.
+            let crash = crash.clone();
+            tokio::spawn(async move {
+                sleep(run_time).await;
+                crash.send(()).await.ok();
+            });
             std::future::pending::<()>().await;
         }
         let response = format!(
@@ -165,3 +183,44 @@
     let arrived = seen.arrived.load(Ordering::SeqCst);
     assert!(arrived <= 4, "{arrived} requests");
 }
+
+/// Guards against a request that crashes upstreams after its callers have left, so that no
+/// connection ends under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_the_caller_has_left_counts() {
+    let mut cluster = start_cluster().await;
+    let callers = [cluster.instance.callers];
+    let seen = use_fragile_upstreams(&mut cluster, &callers).await;
+
+    let first = request_text("GET", CRASHING_PATH, "first", "");
+    send_request(callers[0], &first).await;
+    for number in 0..8 {
+        let request = request_text("GET", CRASHING_PATH, &format!("slow-{number}"), "");
+        let request = request.replace("Deadline-Ms: 4000", "Deadline-Ms: 200");
+        send_request(callers[0], &request).await;
+        sleep(3 * LONG_RUN_TIME).await;
+    }
+
+    let ended = seen.ended.load(Ordering::SeqCst);
+    assert!(ended <= 4, "{ended} upstreams have ended");
+}
+
+/// Guards against a request that crashes upstreams after they have answered that its deadline
+/// has passed.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_a_response_at_the_deadline_counts() {
+    let mut cluster = start_cluster().await;
+    let callers = [cluster.instance.callers];
+    let seen = use_fragile_upstreams(&mut cluster, &callers).await;
+
+    let first = request_text("GET", CRASHING_PATH, "first", "");
+    send_request(callers[0], &first).await;
+    for number in 0..8 {
+        let request = request_text("GET", CRASHING_PATH, &format!("answered-{number}"), "");
+        send_request(callers[0], &request).await;
+        sleep(3 * LONG_RUN_TIME).await;
+    }
+
+    let ended = seen.ended.load(Ordering::SeqCst);
+    assert!(ended <= 4, "{ended} upstreams have ended");
+}
