Ask a silent leader for permits also while no request waits

An instance whose leader is lost refuses requests for limited upstreams at once, so that none waits. The task that exchanges permits then slept, and nothing woke it once there was another leader: the instance could have kept to its small share until it led itself or a limit changed.

--- a/crates/core/src/entry/permit.rs
+++ b/crates/core/src/entry/permit.rs
@@ -399,6 +399,8 @@
                 let asked = limited.asked.as_ref();
                 !limited.waiting.is_empty()
                     || limited.is_probe_wanted
+                    || limited.unanswered_since.is_some()
+                    || asked.is_none()
                     || asked.is_some_and(|(waiting, _)| !waiting.is_empty())
             })
     }
@@ -415,7 +417,6 @@
         let mut limited = Limited::new(observed_at, rate);
         // The leader knows already.
         limited.asked = Some((Vec::new(), now));
-        limited.reserve = (0.0, now);
         self.limited.insert(upstream, limited);
         true
     }
--- a/crates/core/tests/entry/rate_limit.rs
+++ b/crates/core/tests/entry/rate_limit.rs
@@ -336,6 +336,31 @@
     assert!(later.count() >= 55);
 }
 
+/// Guards against a task that stops asking for permits while the leader is silent, because
+/// requests are refused before they wait.
+#[test]
+fn silent_leader_is_asked_while_no_request_waits() {
+    let mut queue = Queue::default();
+    let limited = Notice::Limited(rate(1.0));
+    queue.permits().observe(at(0), OWNER, at(0), limited);
+    queue
+        .enqueue(at(0), request(1, 1, at(0), Some(7)), &Lookup)
+        .unwrap();
+    queue.decide(at(0), &Lookup);
+    queue.permits().due_demands(at(0));
+
+    queue.cancel(Ticket(1));
+    queue.decide(at(500), &Lookup);
+    queue.permits().due_demands(at(500));
+    let refused = queue.enqueue(at(600), request(2, 1, at(600), Some(7)), &Lookup);
+    let is_active = queue.permits().is_active();
+    let asked = queue.permits().due_demands(at(700));
+
+    assert!(refused.is_err());
+    assert!(is_active);
+    assert_eq!(asked.len(), 1);
+}
+
 /// Guards against a response that was overtaken ending a limit.
 #[test]
 fn response_to_an_earlier_request_does_not_end_a_limit() {
