--- a/crates/core/src/entry/limiter.rs
+++ b/crates/core/src/entry/limiter.rs
@@ -175,7 +175,7 @@
         self.buckets.get(&(id.to_owned(), born))?.limit
     }
 
-    /// Forgets everything, when this instance begins or ceases to lead.
+    /// Forgets everything, when this instance ceases to lead.
     pub fn clear(&mut self) {
         self.buckets.clear();
     }
--- a/crates/core/src/entry/permit.rs
+++ b/crates/core/src/entry/permit.rs
@@ -131,6 +131,9 @@
     ended_at: HashMap<Upstream, Time>,
     /// Epoch of the leader that grants permits.
     epoch: u64,
+    /// Number of instances, including this one, which share the rates while the leader is
+    /// unreachable; 0 counts as 1.
+    instances: usize,
 }
 
 #[derive(Debug)]
@@ -179,6 +182,11 @@
             .is_some_and(|since| now.since(since) >= REPLY_TIMEOUT)
     }
 
+    /// Requests per second that each of `instances` may send without permits.
+    fn unpermitted_share(&self, instances: usize) -> f64 {
+        self.rate.per_second() * UNPERMITTED_FRACTION / instances.max(1) as f64
+    }
+
     fn live_permits(&self, now: Time) -> usize {
         self.permits.iter().filter(|end| now < **end).count()
     }
@@ -279,7 +287,6 @@
         upstream: Upstream,
         rank: u8,
         ahead: u32,
-        instances: usize,
     ) -> (Duration, bool) {
         let Some(limited) = self.limited.get(&upstream) else {
             return (Duration::ZERO, ahead == 0);
@@ -289,7 +296,7 @@
         };
         let rate = limited.rate.per_second();
         if limited.is_leader_silent(now) {
-            let share = rate * UNPERMITTED_FRACTION / instances as f64;
+            let share = limited.unpermitted_share(self.instances);
             let missing = 1.0 - limited.reserve.0;
             return (wait(f64::from(ahead) + missing, share), ahead == 0);
         }
@@ -462,12 +469,13 @@
     /// not reply. `instances` is the number of instances, including this one. `phase`, from
     /// 0 to 1, differs between instances, so that they do not all send at the same time.
     pub fn refill_reserves(&mut self, now: Time, instances: usize, phase: f64) {
+        self.instances = instances;
         for limited in self.limited.values_mut() {
             if !limited.is_leader_silent(now) {
                 limited.reserve = (phase.min(MAX_PHASE), now);
                 continue;
             }
-            let share = limited.rate.per_second() * UNPERMITTED_FRACTION / instances as f64;
+            let share = limited.unpermitted_share(instances);
             let (reserve, since) = limited.reserve;
             let accrued = reserve + share * now.since(since).as_secs_f64();
             limited.reserve = (accrued.min(1.0), now);
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -189,16 +189,12 @@
     upstreams: HashMap<Upstream, UpstreamState>,
     /// Average run time in seconds, by route.
     run_times: HashMap<String, f64>,
-    /// Average run time in seconds over all routes, by service.
-    service_run_times: HashMap<String, f64>,
-    /// Recent responses per second, by service.
-    response_rates: HashMap<String, Rate>,
+    /// Averages over all routes, by service.
+    services: HashMap<String, ServiceAverages>,
     /// Time of the last request, by service and rank.
     rank_last_seen: HashMap<String, BTreeMap<u8, Time>>,
     /// Permits for upstreams that limit their rate.
     permits: Permits,
-    /// Number of instances, including this one; 0 counts as 1.
-    instances: usize,
 }
 
 /// What happens to a queued request.
@@ -211,9 +207,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Rate {
+struct ServiceAverages {
+    /// Recent responses per second.
     per_second: f64,
     updated_at: Time,
+    /// Run time in seconds.
+    run_time: f64,
 }
 
 /// Time constant of the moving average of response rates.
@@ -223,10 +222,11 @@
 /// assumed to get.
 const MIN_THROUGHPUT_FRACTION: f64 = 0.05;
 
-impl Rate {
-    fn record_response(&mut self, now: Time) {
+impl ServiceAverages {
+    fn record_response(&mut self, now: Time, took: f64) {
         self.per_second = self.per_second_at(now) + 1.0 / RATE_AVERAGING_TIME.as_secs_f64();
         self.updated_at = now;
+        self.run_time += (took - self.run_time) * RUN_TIME_SMOOTHING;
     }
 
     fn per_second_at(&self, now: Time) -> f64 {
@@ -254,8 +254,10 @@
 
     /// Average run time over all routes of a service, or a default before its first run.
     pub fn service_run_time(&self, service: &str) -> Duration {
-        let average = self.service_run_times.get(service).copied();
-        average.map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
+        let averages = self.services.get(service);
+        averages.map_or(DEFAULT_RUN_TIME, |averages| {
+            Duration::from_secs_f64(averages.run_time)
+        })
     }
 
     /// Permits for upstreams that limit their rate.
@@ -263,12 +265,6 @@
         &mut self.permits
     }
 
-    /// Sets the number of instances, including this one, which share the rate limits of
-    /// upstreams while the leader is unreachable.
-    pub fn set_instances(&mut self, instances: usize) {
-        self.instances = instances;
-    }
-
     /// Adds a request to the queue.
     ///
     /// # Errors
@@ -405,17 +401,15 @@
             let took = send.took.as_secs_f64();
             let average = self.run_times.entry(send.route.to_owned()).or_insert(took);
             *average += (took - *average) * RUN_TIME_SMOOTHING;
-            let average = self.service_run_times.entry(send.service.to_owned());
-            let average = average.or_insert(took);
-            *average += (took - *average) * RUN_TIME_SMOOTHING;
-            let rate = self
-                .response_rates
-                .entry(send.service.to_owned())
-                .or_insert(Rate {
-                    per_second: 0.0,
-                    updated_at: now,
-                });
-            rate.record_response(now);
+            let averages =
+                self.services
+                    .entry(send.service.to_owned())
+                    .or_insert(ServiceAverages {
+                        per_second: 0.0,
+                        updated_at: now,
+                        run_time: took,
+                    });
+            averages.record_response(now, took);
         }
     }
 
@@ -540,10 +534,7 @@
         owner: Upstream,
         ahead: u32,
     ) -> Option<Duration> {
-        let instances = self.instances.max(1);
-        let (wait, is_first) =
-            self.permits
-                .estimated_wait(now, owner, request.rank, ahead, instances);
+        let (wait, is_first) = self.permits.estimated_wait(now, owner, request.rank, ahead);
         let is_late = wait + self.required_time(request) > request.deadline.since(now);
         let threshold = self
             .expected_run_time(&request.route)
@@ -627,8 +618,8 @@
             });
             let ahead = before.count();
             let slots: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
-            let rate = self.response_rates.get(&request.service);
-            let rate = rate.map_or(0.0, |rate| rate.per_second_at(now));
+            let averages = self.services.get(&request.service);
+            let rate = averages.map_or(0.0, |averages| averages.per_second_at(now));
             let min_rate =
                 f64::from(slots) / expected.as_secs_f64().max(0.001) * MIN_THROUGHPUT_FRACTION;
             let seconds = ahead as f64 / rate.max(min_rate);
--- a/crates/core/tests/entry/rate_limit.rs
+++ b/crates/core/tests/entry/rate_limit.rs
@@ -208,7 +208,6 @@
                 }
             }
             if step % 10 == 0 {
-                queue.set_instances(course.instances);
                 let phase = instance as f64 / course.instances as f64;
                 queue
                     .permits()
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -254,18 +254,6 @@
         );
         state.suspects_changed.notify_waiters();
     }
-    update_metrics(state, now);
-}
-
-fn update_metrics(state: &State, now: Time) {
-    let suspects = state.suspects.borrow();
-    let metrics = &state.metrics;
-    metrics
-        .suspected_requests
-        .set(suspects.suspect_count() as i64);
-    metrics
-        .blocked_requests
-        .set(suspects.blocked_count(now) as i64);
 }
 
 /// Records that an upstream has answered a request.
@@ -286,7 +274,6 @@
         state.trials.borrow_mut().end(fingerprint);
         state.suspects_changed.notify_waiters();
         tracing::info!(%fingerprint, "request acquitted: an upstream has answered it");
-        update_metrics(state, now);
     }
     acquitted
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -158,6 +158,7 @@
         };
         state.queue.borrow_mut().retain_upstreams(exists);
         crashes::check_abandoned(&state);
+        state.update_gauges();
     }
 }
 
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -43,7 +43,6 @@
     let name_hash = xxhash_rust::xxh3::xxh3_64(state.name().as_bytes());
     let due = {
         let mut queue = state.queue.borrow_mut();
-        queue.set_instances(instances);
         let phase = f64::from(name_hash as u32) / f64::from(u32::MAX);
         queue.permits().refill_reserves(now, instances, phase);
         queue.permits().due_demands(now)
@@ -157,13 +156,6 @@
 }
 
 impl State {
-    /// Finds an incarnation of an upstream, if it is the latest one under its id.
-    pub fn find_incarnation(&self, id: &str, born: u64) -> Option<Upstream> {
-        let directory = self.directory.borrow();
-        let (upstream, record) = directory.find(id)?;
-        (record.registration.born == born).then_some(upstream)
-    }
-
     /// Records what a response says about the rate that its upstream accepts. `ran` is
     /// whether the upstream ran the request: refusals may lack what other responses say.
     pub fn observe_rate_limit(&self, upstream: Upstream, sent_at: Time, ran: bool, notice: Notice) {
@@ -188,8 +180,6 @@
     /// Logs that the known limit of an upstream has changed. `source` is where this
     /// instance has learned it.
     fn log_rate_limit(&self, upstream: Upstream, source: &str, per_second: Option<f64>) {
-        let count = self.queue.borrow_mut().permits().limited_count();
-        self.metrics.limited_upstreams.set(count as i64);
         let directory = self.directory.borrow();
         let record = directory.get(upstream);
         let id = record.map(|record| record.registration.id.as_str());
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -52,8 +52,8 @@
 
 impl Pool {
     /// Returns the most recently used idle connection that suits the use, or connects to
-    /// `address` within `connect_timeout`. Without a `usage`, it always connects. A new connection is used only once the
-    /// server has kept it for a round trip.
+    /// `address` within `connect_timeout`. Without a `usage`, it always connects. A new
+    /// connection is used only once the server has kept it for a round trip.
     ///
     /// # Errors
     ///
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -268,9 +268,7 @@
             return;
         }
         self.state.waiters.borrow_mut().remove(&self.ticket);
-        let mut queue = self.state.queue.borrow_mut();
-        queue.cancel(self.ticket);
-        drop(queue);
+        self.state.queue.borrow_mut().cancel(self.ticket);
         // The request may have been assigned already without its task having seen it.
         if let Ok(Decision::Send { upstream, .. }) = self.receiver.try_recv() {
             drop(Assignment::new(self.state, upstream));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -399,6 +399,13 @@
             .record_request(now);
     }
 
+    /// Finds an incarnation of an upstream, if it is the latest one under its id.
+    pub fn find_incarnation(&self, id: &str, born: u64) -> Option<Upstream> {
+        let directory = self.directory.borrow();
+        let (upstream, record) = directory.find(id)?;
+        (record.registration.born == born).then_some(upstream)
+    }
+
     /// Records that upstreams, named by id and start, have said that they are leaving.
     pub fn record_all_leaving(&self, upstreams: &[(String, u64)]) {
         for (id, born) in upstreams {
@@ -427,6 +434,20 @@
         }
     }
 
+    /// Sets the gauges of what this instance believes of upstreams and requests. These also
+    /// change by time alone.
+    pub fn update_gauges(&self) {
+        let limited = self.queue.borrow_mut().permits().limited_count();
+        let suspects = self.suspects.borrow();
+        let (suspected, blocked) = (
+            suspects.suspect_count(),
+            suspects.blocked_count(self.clock.now()),
+        );
+        self.metrics.limited_upstreams.set(limited as i64);
+        self.metrics.suspected_requests.set(suspected as i64);
+        self.metrics.blocked_requests.set(blocked as i64);
+    }
+
     /// Removes all registrations whose removal is due, and applies those that count again
     /// from now on.
     pub fn expire_registrations(&self) {
--- a/crates/entry/tests/path/crashes.rs
+++ b/crates/entry/tests/path/crashes.rs
@@ -184,24 +184,30 @@
     assert!(arrived <= 4, "{arrived} requests");
 }
 
-/// Guards against a request that crashes upstreams after its callers have left, so that no
-/// connection ends under it.
-#[tokio::test(flavor = "multi_thread")]
-async fn crash_after_the_caller_has_left_counts() {
+/// Crashes an upstream, then sends further attempts with the given prefix, one after the
+/// other. Returns how many upstreams have ended.
+async fn repeat_crashing_request(prefix: &str, deadline_ms: u32) -> usize {
     let mut cluster = start_cluster().await;
     let callers = [cluster.instance.callers];
     let seen = use_fragile_upstreams(&mut cluster, &callers).await;
-
     let first = request_text("GET", CRASHING_PATH, "first", "");
     send_request(callers[0], &first).await;
     for number in 0..8 {
-        let request = request_text("GET", CRASHING_PATH, &format!("slow-{number}"), "");
-        let request = request.replace("Deadline-Ms: 4000", "Deadline-Ms: 200");
+        let request = request_text("GET", CRASHING_PATH, &format!("{prefix}-{number}"), "");
+        let deadline = format!("Deadline-Ms: {deadline_ms}");
+        let request = request.replace("Deadline-Ms: 4000", &deadline);
         send_request(callers[0], &request).await;
         sleep(3 * LONG_RUN_TIME).await;
     }
+    seen.ended.load(Ordering::SeqCst)
+}
+
+/// Guards against a request that crashes upstreams after its callers have left, so that no
+/// connection ends under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_after_the_caller_has_left_counts() {
+    let ended = repeat_crashing_request("slow", 200).await;
 
-    let ended = seen.ended.load(Ordering::SeqCst);
     assert!(ended <= 4, "{ended} upstreams have ended");
 }
 
@@ -209,18 +215,7 @@
 /// has passed.
 #[tokio::test(flavor = "multi_thread")]
 async fn crash_after_a_response_at_the_deadline_counts() {
-    let mut cluster = start_cluster().await;
-    let callers = [cluster.instance.callers];
-    let seen = use_fragile_upstreams(&mut cluster, &callers).await;
+    let ended = repeat_crashing_request("answered", 4_000).await;
 
-    let first = request_text("GET", CRASHING_PATH, "first", "");
-    send_request(callers[0], &first).await;
-    for number in 0..8 {
-        let request = request_text("GET", CRASHING_PATH, &format!("answered-{number}"), "");
-        send_request(callers[0], &request).await;
-        sleep(3 * LONG_RUN_TIME).await;
-    }
-
-    let ended = seen.ended.load(Ordering::SeqCst);
     assert!(ended <= 4, "{ended} upstreams have ended");
 }
--- a/crates/entry/tests/path/leaving.rs
+++ b/crates/entry/tests/path/leaving.rs
@@ -7,7 +7,9 @@
 use medlarreel_standin::server::Server;
 use tokio::time::{Instant, sleep};
 
-use crate::fixture::{request_text, send_request, start_cluster, start_followers, wait_until};
+use crate::fixture::{
+    TestCluster, request_text, send_request, start_cluster, start_followers, wait_until,
+};
 
 /// `drain` in the settings of the instances.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
@@ -28,6 +30,13 @@
     served
 }
 
+/// Owner of the key of all requests.
+fn key_owner(cluster: &TestCluster) -> &Server<Upstream> {
+    let mut upstreams = cluster.keyed.iter();
+    let owner = upstreams.find(|upstream| upstream.service().holds(77));
+    owner.unwrap()
+}
+
 /// Number of requests that have reached an upstream since `start`.
 fn arrivals_since(upstream: &Server<Upstream>, start: Instant) -> usize {
     let arrivals = upstream.service().arrivals();
@@ -57,11 +66,8 @@
     for path in ["/status/x", "/catalogue/x"] {
         send_requests(&callers, path, Duration::from_secs(1)).await;
     }
-    let owner = cluster
-        .keyed
-        .iter()
-        .find(|server| server.service().holds(77));
-    let leaving = [owner.unwrap(), &cluster.plain[0]];
+    let owner = key_owner(&cluster);
+    let leaving = [owner, &cluster.plain[0]];
     for upstream in leaving {
         upstream
             .service()
@@ -91,11 +97,7 @@
     for path in ["/status/x", "/catalogue/x"] {
         send_requests(&callers, path, Duration::from_millis(500)).await;
     }
-    let owner = cluster
-        .keyed
-        .iter()
-        .find(|server| server.service().holds(77));
-    let owner = owner.unwrap();
+    let owner = key_owner(&cluster);
     for upstream in [owner, &cluster.plain[0]] {
         upstream.service().set_mode(ResponseMode::Shed);
         upstream
