--- a/review/standin.rs
+++ b/review/standin.rs
@@ -671,13 +671,21 @@
     store.put("keyed.op", "config", text.as_bytes());
 }
 
-/// Size of an upload, within `maxBodyBytes`, and the time for which they are sent.
-const UPLOAD_BYTES: usize = 60 * 1024 * 1024;
-const UPLOAD_TIME: Duration = Duration::from_secs(40);
+/// Size of an upload; `maxBodyBytes` of the pages' configuration is 64 MiB.
+const UPLOAD_BYTES: usize = 48 * 1024 * 1024;
 
-/// Callers send large bodies, within the operator's limits, several at the same time.
+/// Callers at each machine, and those that are there during the burst (x = 2.5).
+const UPLOADERS: usize = 2;
+const BURST_UPLOADERS: usize = 5;
+
+/// Time until the burst, its length (5.5 s in the site file), and the time after it.
+const BEFORE_BURST: Duration = Duration::from_secs(8);
+const BURST_TIME: Duration = Duration::from_millis(5_500);
+const AFTER_BURST: Duration = Duration::from_secs(6);
+
+/// Callers send large bodies, within the operator's limits; during a burst there are more
+/// of them at the same time.
 fn uploads(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let callers = if trouble { env_number("CALLERS", 5) } else { env_number("CALM", 1) };
     let (store, address) = Store::start();
     publish_config(&store);
     for index in 0..9 {
@@ -692,13 +700,19 @@
     let attempts = AtomicU64::new(0);
     let statuses: Mutex<BTreeMap<u16, u64>> = Mutex::default();
     let body = vec![b'b'; UPLOAD_BYTES];
+    let started = Instant::now();
     std::thread::scope(|scope| {
         for machine in &fleet.machines {
-            for _ in 0..callers {
+            for caller in 0..BURST_UPLOADERS {
                 let (attempts, statuses, body) = (&attempts, &statuses, &body);
                 scope.spawn(move || {
-                    let started = Instant::now();
-                    while started.elapsed() < UPLOAD_TIME {
+                    while started.elapsed() < BEFORE_BURST + BURST_TIME + AFTER_BURST {
+                        let since = started.elapsed().saturating_sub(BEFORE_BURST);
+                        let is_burst = trouble && !since.is_zero() && since < BURST_TIME;
+                        if caller >= UPLOADERS && !is_burst {
+                            sleep(Duration::from_millis(50));
+                            continue;
+                        }
                         let attempt = attempts.fetch_add(1, Ordering::SeqCst);
                         let head = format!(
                             "POST /orders/{attempt} HTTP/1.1\r\nHost: shop.example\r\n\
@@ -710,7 +724,7 @@
                         let (status, _) = send(machine.callers, &head, body, limit);
                         *statuses.lock().unwrap().entry(status).or_default() += 1;
                         record.line(&format!("{} {attempt:016x} answered {status}", machine.name));
-                        sleep(Duration::from_millis(1_000));
+                        sleep(Duration::from_millis(500));
                     }
                 });
             }
@@ -724,11 +738,6 @@
     Ok(ends.iter().filter(|ends| **ends >= 3).count() < 2)
 }
 
-fn env_number(name: &str, default: usize) -> usize {
-    let text = std::env::var(name).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// A back end of a service that is divided by key.
 struct KeyedBackend {
     name: &'static str,
