--- a/review/standin.rs
+++ b/review/standin.rs
@@ -31,6 +31,7 @@
     let result = match case.as_str() {
         "reborn" => reborn(&record, trouble),
         "uploads" => uploads(&record, trouble),
+        "heads" => heads(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match result {
@@ -540,6 +541,14 @@
         Ok(())
     }
 
+    /// Gives each process its share of a core from now on.
+    fn limit_processors(&self) {
+        for machine in &self.machines {
+            let (machine, stopping) = (Arc::clone(machine), Arc::clone(&self.stopping));
+            spawn(move || machine.limit_processor(&stopping));
+        }
+    }
+
     /// Number of times that the process of each machine has ended.
     fn ends(&self) -> Vec<usize> {
         let machines = self.machines.iter();
@@ -626,6 +635,38 @@
     }
 }
 
+unsafe extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
+}
+
+/// Part of each tenth of a second for which a process runs: `cpuShare` 0.2, played as a
+/// quota (DEPLOY.md, "How these days are played").
+const QUOTA: Duration = Duration::from_millis(20);
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+
+impl Machine {
+    /// Stops and continues the process so that it gets its share of a core.
+    fn limit_processor(&self, stopping: &AtomicBool) {
+        let (stop, go) = if cfg!(target_os = "linux") { (19, 18) } else { (17, 19) };
+        let signal = |signal| {
+            let child = self.child.lock().unwrap();
+            if let Some(child) = child.as_ref() {
+                // SAFETY: sends a signal to a child that has not been waited for.
+                unsafe { kill(child.id() as i32, signal) };
+            }
+        };
+        let mut next = Instant::now();
+        while !stopping.load(Ordering::SeqCst) {
+            signal(go);
+            sleep(QUOTA);
+            signal(stop);
+            next += QUOTA_PERIOD;
+            sleep(next.saturating_duration_since(Instant::now()));
+        }
+        signal(go);
+    }
+}
+
 /// Memory of a process, without what its sockets hold.
 fn resident_bytes(id: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
@@ -1158,3 +1199,114 @@
     }
     Ok(longest <= Duration::from_millis(500))
 }
+
+/// Requests a second at each machine; the site's machines have up to 60.
+const LOOKUP_RATE: u64 = 40;
+
+/// Time before the back ends garble answers, for which they do (5 s for x = 0.05 in the
+/// site file), and after it.
+const BEFORE_GARBLE: Duration = Duration::from_secs(5);
+const GARBLE_TIME: Duration = Duration::from_secs(5);
+const AFTER_GARBLE: Duration = Duration::from_secs(3);
+
+/// Back ends of nine that garble, and every how many of their answers.
+const GARBLING_BACKENDS: usize = 4;
+const GARBLE_INTERVAL: u64 = 20;
+
+/// `timeoutS` of the route, and the time after it by which the rule counts.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+
+/// Some answers of some back ends are heads without end: none of them is the final one.
+fn heads(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let (store, address) = Store::start();
+    let text = "{\"version\":7,\"baseVersion\":0,\"resources\":[\
+         {\"entryType\":\"routes\",\"metadata\":{\"name\":\"lookup\"},\"spec\":{\
+         \"host\":\"shop.example\",\"pathPrefix\":\"/lookup/\",\"kind\":\"safe\",\
+         \"timeoutS\":1,\"targetLatencyS\":0.5,\"priority\":1,\"service\":\"workshop\",\
+         \"maxAttempts\":2}},\
+         {\"entryType\":\"services\",\"metadata\":{\"name\":\"workshop\"},\"spec\":{\
+         \"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}},\
+         {\"entryType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,\
+         \"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}]}";
+    store.put("keyed.op", "config", text.as_bytes());
+    let garbling = Arc::new(AtomicBool::new(false));
+    let heads = Arc::new(b"HTTP/1.1 100 C\r\n\r\n".repeat(4_000));
+    for index in 0..9 {
+        let (record, garbling) = (Arc::clone(record), Arc::clone(&garbling));
+        let (heads, count) = (Arc::clone(&heads), AtomicU64::new(0));
+        let answer = move |request: &Message, stream: &mut TcpStream| {
+            let id = request.header("attempt-id").unwrap_or_default();
+            sleep(Duration::from_millis(160));
+            let is_garbled = index < GARBLING_BACKENDS
+                && garbling.load(Ordering::SeqCst)
+                && (count.fetch_add(1, Ordering::SeqCst) + 1) % GARBLE_INTERVAL == 0;
+            if !is_garbled {
+                return stream.write_all(&sound_answer(request, &[b'a'; 400]));
+            }
+            record.line(&format!("back end {index} answers {id} with heads without end"));
+            let (started, mut sent) = (Instant::now(), 0);
+            loop {
+                if let Err(error) = stream.write_all(&heads) {
+                    let took = started.elapsed().as_secs_f64();
+                    record.line(&format!("{id} is closed after {sent} bytes, {took:.3} s"));
+                    return Err(error);
+                }
+                sent += heads.len();
+            }
+        };
+        let zone = ["zone-a", "zone-b", "zone-c"][index % 3];
+        start_backend(&store, "workshop", zone, 6, Arc::new(answer));
+    }
+    let fleet = Fleet::start(record, 3, |_| (address, free_udp_port()))?;
+    fleet.limit_processors();
+    let attempts = AtomicU64::new(0);
+    let answers: Mutex<Vec<(u16, Duration)>> = Mutex::default();
+    let started = Instant::now();
+    std::thread::scope(|scope| {
+        for machine in &fleet.machines {
+            let (attempts, answers) = (&attempts, &answers);
+            scope.spawn(move || {
+                while started.elapsed() < BEFORE_GARBLE + GARBLE_TIME + AFTER_GARBLE {
+                    scope.spawn(move || {
+                        let attempt = attempts.fetch_add(1, Ordering::SeqCst);
+                        let head = format!(
+                            "GET /lookup/{attempt} HTTP/1.1\r\nHost: shop.example\r\n\
+                             Attempt-Id: {attempt:016x}\r\nDeadline-Ms: 2000\r\n\r\n"
+                        );
+                        let sent = Instant::now();
+                        // The caller leaves at its deadline.
+                        let limit = Duration::from_millis(2_000);
+                        let (status, _) = send(machine.callers, &head, b"", limit);
+                        let took = sent.elapsed();
+                        answers.lock().unwrap().push((status, took));
+                        if status != 200 || took > ROUTE_TIMEOUT {
+                            let took = took.as_secs_f64();
+                            let name = &machine.name;
+                            record.line(&format!("{name} {attempt:016x} {status} after {took:.3} s"));
+                        }
+                    });
+                    sleep(Duration::from_millis(1_000 / LOOKUP_RATE));
+                }
+            });
+        }
+        sleep(BEFORE_GARBLE);
+        garbling.store(trouble, Ordering::SeqCst);
+        sleep(GARBLE_TIME);
+        garbling.store(false, Ordering::SeqCst);
+    });
+    fleet.report_peaks();
+    let answers = answers.into_inner().unwrap();
+    let count = |is_meant: &dyn Fn(&(u16, Duration)) -> bool| {
+        answers.iter().filter(|answer| is_meant(answer)).count()
+    };
+    let unanswered_at = |at: Duration| count(&|(status, took)| *status == 0 || *took > at);
+    let late = unanswered_at(ROUTE_TIMEOUT);
+    let too_late = unanswered_at(ROUTE_TIMEOUT + TIMEOUT_SLACK);
+    let never = count(&|(status, _)| *status == 0);
+    record.line(&format!(
+        "{} requests, {late} unanswered after 1 s, {too_late} after 1.5 s, {never} never",
+        answers.len()
+    ));
+    Ok(too_late * 2 <= late)
+}
