--- a/review/standin.rs
+++ b/review/standin.rs
@@ -224,7 +224,10 @@
             .collect();
         drop(topics);
         let copy = Store::default();
-        copy.topics.lock().unwrap().insert(INSTANCES_TOPIC.to_owned(), translated);
+        copy.topics
+            .lock()
+            .unwrap()
+            .insert(INSTANCES_TOPIC.to_owned(), translated);
         copy.newest(INSTANCES_TOPIC)
     }
 
@@ -239,9 +242,14 @@
     }
 
     fn answer(&self, request: &Message) -> Vec<u8> {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
-        let query: HashMap<&str, &str> =
-            query.split('&').filter_map(|part| part.split_once('=')).collect();
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|part| part.split_once('='))
+            .collect();
         let topic = query.get("topic").copied().unwrap_or_default();
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         match path {
@@ -336,7 +344,9 @@
         let link = || UdpSocket::bind("127.0.0.1:0").expect("a free port");
         let network = Arc::new(Network {
             ports: (0..count).map(|_| free_udp_port()).collect(),
-            links: (0..count).map(|_| (0..count).map(|_| link()).collect()).collect(),
+            links: (0..count)
+                .map(|_| (0..count).map(|_| link()).collect())
+                .collect(),
             cut: (0..count).map(|_| AtomicBool::new(false)).collect(),
         });
         for from in 0..count {
@@ -351,7 +361,9 @@
     fn forward(&self, from: usize, to: usize) {
         let mut buffer = vec![0; 65_536];
         while let Ok((length, _)) = self.links[from][to].recv_from(&mut buffer) {
-            let is_cut = [from, to].iter().any(|index| self.cut[*index].load(Ordering::SeqCst));
+            let is_cut = [from, to]
+                .iter()
+                .any(|index| self.cut[*index].load(Ordering::SeqCst));
             if !is_cut {
                 let target = ("127.0.0.1", self.ports[to]);
                 self.links[to][from].send_to(&buffer[..length], target).ok();
@@ -362,14 +374,24 @@
     /// An entry of the list of instances as the machine `index` is to see it. It begins
     /// with the kind of address (0), four bytes and the port as a variable-length number.
     fn translate(&self, value: &[u8], index: usize) -> Vec<u8> {
-        let length = value[5..].iter().position(|byte| byte & 0x80 == 0).unwrap_or(0) + 1;
+        let length = value[5..]
+            .iter()
+            .position(|byte| byte & 0x80 == 0)
+            .unwrap_or(0)
+            + 1;
         let digits = value[5..5 + length].iter().rev();
         let port = digits.fold(0u32, |port, byte| port << 7 | u32::from(byte & 0x7f));
-        let writer = self.ports.iter().position(|known| u32::from(*known) == port);
+        let writer = self
+            .ports
+            .iter()
+            .position(|known| u32::from(*known) == port);
         let Some(writer) = writer.filter(|writer| *writer != index) else {
             return value.to_vec();
         };
-        let mut port = self.links[index][writer].local_addr().expect("the address").port();
+        let mut port = self.links[index][writer]
+            .local_addr()
+            .expect("the address")
+            .port();
         let mut translated = value[..5].to_vec();
         while port >= 0x80 {
             translated.push(port as u8 | 0x80);
@@ -385,11 +407,17 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0u32, |group, byte| group << 8 | u32::from(*byte))
+        let group = chunk
+            .iter()
+            .fold(0u32, |group, byte| group << 8 | u32::from(*byte))
             << (8 * (3 - chunk.len()));
         for index in 0..4 {
             let digit = DIGITS[(group >> (18 - 6 * index)) as usize & 63];
-            text.push(if index <= chunk.len() { digit as char } else { '=' });
+            text.push(if index <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
@@ -408,11 +436,16 @@
 ) -> String {
     let (listener, address) = listen();
     let id = format!("i-{:08x}", u32::from(address.port()) * 2_654_435);
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
     let own_id = id.clone();
     serve(listener, move |mut stream| {
         while let Some(request) = read_message(&mut stream) {
-            let is_other = request.header("target-instance").is_some_and(|target| target != own_id);
+            let is_other = request
+                .header("target-instance")
+                .is_some_and(|target| target != own_id);
             let done = match is_other {
                 true => stream.write_all(&response(
                     "421 Misdirected Request",
@@ -552,14 +585,17 @@
     /// Number of times that the process of each machine has ended.
     fn ends(&self) -> Vec<usize> {
         let machines = self.machines.iter();
-        machines.map(|machine| machine.ends.load(Ordering::SeqCst)).collect()
+        machines
+            .map(|machine| machine.ends.load(Ordering::SeqCst))
+            .collect()
     }
 
     fn report_peaks(&self) {
         for machine in &self.machines {
             let peak = machine.peak.load(Ordering::SeqCst) / 1024 / 1024;
             let ends = machine.ends.load(Ordering::SeqCst);
-            self.record.line(&format!("{}: peak {peak} MB, {ends} ends", machine.name));
+            self.record
+                .line(&format!("{}: peak {peak} MB, {ends} ends", machine.name));
         }
     }
 }
@@ -573,7 +609,9 @@
                 child.wait().ok();
             }
         }
-        if std::env::var("KEEP").is_err() { std::fs::remove_dir_all(&self.folder).ok(); }
+        if std::env::var("KEEP").is_err() {
+            std::fs::remove_dir_all(&self.folder).ok();
+        }
     }
 }
 
@@ -629,7 +667,9 @@
         let Ok(mut stream) = TcpStream::connect(("127.0.0.1", self.readiness)) else {
             return false;
         };
-        stream.set_read_timeout(Some(Duration::from_millis(500))).ok();
+        stream
+            .set_read_timeout(Some(Duration::from_millis(500)))
+            .ok();
         stream.write_all(request.as_bytes()).ok();
         read_message(&mut stream).is_some_and(|answer| answer.status() == 200)
     }
@@ -647,7 +687,11 @@
 impl Machine {
     /// Stops and continues the process so that it gets its share of a core.
     fn limit_processor(&self, stopping: &AtomicBool) {
-        let (stop, go) = if cfg!(target_os = "linux") { (19, 18) } else { (17, 19) };
+        let (stop, go) = if cfg!(target_os = "linux") {
+            (19, 18)
+        } else {
+            (17, 19)
+        };
         let signal = |signal| {
             let child = self.child.lock().unwrap();
             if let Some(child) = child.as_ref() {
@@ -719,12 +763,13 @@
 const UPLOADERS: usize = 2;
 const BURST_UPLOADERS: usize = 5;
 
-/// Time until the burst, its length (5.5 s in the site file), and the time after it.
-const BEFORE_BURST: Duration = Duration::from_secs(8);
+/// Number of bursts, the calm time before each and after the last, and the length of each
+/// (5.5 s in the site file).
+const BURSTS: u32 = 2;
+const CALM_TIME: Duration = Duration::from_secs(6);
 const BURST_TIME: Duration = Duration::from_millis(5_500);
-const AFTER_BURST: Duration = Duration::from_secs(6);
 
-/// Callers send large bodies, within the operator's limits; during a burst there are more
+/// Callers send large bodies, within the operator's limits; during bursts there are more
 /// of them at the same time.
 fn uploads(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
     let (store, address) = Store::start();
@@ -747,9 +792,11 @@
             for caller in 0..BURST_UPLOADERS {
                 let (attempts, statuses, body) = (&attempts, &statuses, &body);
                 scope.spawn(move || {
-                    while started.elapsed() < BEFORE_BURST + BURST_TIME + AFTER_BURST {
-                        let since = started.elapsed().saturating_sub(BEFORE_BURST);
-                        let is_burst = trouble && !since.is_zero() && since < BURST_TIME;
+                    let round = CALM_TIME + BURST_TIME;
+                    while started.elapsed() < round * BURSTS + CALM_TIME {
+                        let rounds = started.elapsed().as_millis() / round.as_millis();
+                        let since = started.elapsed() - round * rounds as u32;
+                        let is_burst = trouble && rounds < BURSTS.into() && since >= CALM_TIME;
                         if caller >= UPLOADERS && !is_burst {
                             sleep(Duration::from_millis(50));
                             continue;
@@ -764,7 +811,10 @@
                         let limit = Duration::from_secs(3);
                         let (status, _) = send(machine.callers, &head, body, limit);
                         *statuses.lock().unwrap().entry(status).or_default() += 1;
-                        record.line(&format!("{} {attempt:016x} answered {status}", machine.name));
+                        record.line(&format!(
+                            "{} {attempt:016x} answered {status}",
+                            machine.name
+                        ));
                         sleep(Duration::from_millis(500));
                     }
                 });
@@ -775,7 +825,9 @@
     let ends = fleet.ends();
     let sent = attempts.load(Ordering::SeqCst);
     let statuses = statuses.into_inner().unwrap();
-    record.line(&format!("{sent} requests, statuses {statuses:?}, ends {ends:?}"));
+    record.line(&format!(
+        "{sent} requests, statuses {statuses:?}, ends {ends:?}"
+    ));
     Ok(ends.iter().filter(|ends| **ends >= 3).count() < 2)
 }
 
@@ -869,7 +921,10 @@
     }
 
     fn answer(&self, backend: &KeyedBackend, request: &Message) -> Vec<u8> {
-        if request.header("target-instance").is_some_and(|target| target != backend.id) {
+        if request
+            .header("target-instance")
+            .is_some_and(|target| target != backend.id)
+        {
             let header = format!("Instance-Id: {}\r\n", backend.id);
             return response("421 Misdirected Request", &header, b"");
         }
@@ -883,9 +938,12 @@
     fn grant(&self, backend: &KeyedBackend, body: &[u8]) -> Vec<u8> {
         let text = String::from_utf8_lossy(body);
         let number = |name| json_number(&text, name);
-        let (Some(from), Some(to), Some(fence), Some(hold)) =
-            (number("from"), number("target"), number("fence"), number("holdS"))
-        else {
+        let (Some(from), Some(to), Some(fence), Some(hold)) = (
+            number("from"),
+            number("target"),
+            number("fence"),
+            number("holdS"),
+        ) else {
             return response("400 Bad Request", "", b"");
         };
         let (from, to, fence) = (from as usize, to as usize, fence as u64);
@@ -899,8 +957,7 @@
         }
         drop(keys);
         let mut highest = self.highest.lock().unwrap();
-        let is_below =
-            |(other, name): &(u64, &str)| *other >= fence && *name != backend.name;
+        let is_below = |(other, name): &(u64, &str)| *other >= fence && *name != backend.name;
         let below = highest[from..=to].iter().position(is_below);
         if let Some(offset) = below {
             let (other, name) = highest[from + offset];
@@ -916,15 +973,22 @@
             }
         }
         drop(highest);
-        self.record.line(&format!("{} granted {from} to {to}, fence {fence}", backend.name));
-        self.grants.lock().unwrap().push((Instant::now(), backend.name, from, to));
+        self.record.line(&format!(
+            "{} granted {from} to {to}, fence {fence}",
+            backend.name
+        ));
+        self.grants
+            .lock()
+            .unwrap()
+            .push((Instant::now(), backend.name, from, to));
         response("200 OK", "", b"")
     }
 
     fn release(&self, backend: &KeyedBackend, body: &[u8]) -> Vec<u8> {
         let text = String::from_utf8_lossy(body);
         let number = |name| json_number(&text, name);
-        let (Some(from), Some(to), Some(fence)) = (number("from"), number("target"), number("fence"))
+        let (Some(from), Some(to), Some(fence)) =
+            (number("from"), number("target"), number("fence"))
         else {
             return response("400 Bad Request", "", b"");
         };
@@ -934,19 +998,27 @@
             (key.fence, key.until) = (fence, None);
         }
         drop(keys);
-        self.record.line(&format!("{} released {from} to {to}, fence {fence}", backend.name));
+        self.record.line(&format!(
+            "{} released {from} to {to}, fence {fence}",
+            backend.name
+        ));
         // Runs take 20 ms; those on these keys have ended after that.
         sleep(Duration::from_millis(25));
         response("200 OK", "Handover: 5c0e7a21d94b36f8\r\n", b"")
     }
 
     fn run(&self, backend: &KeyedBackend, request: &Message) -> Vec<u8> {
-        let key = request.header("shard-key").and_then(|key| key.parse::<u16>().ok());
+        let key = request
+            .header("shard-key")
+            .and_then(|key| key.parse::<u16>().ok());
         if !key.is_some_and(|key| backend.holds(key.into())) {
             return response("421 Misdirected Request", "Not-Executed: 1\r\n", b"");
         }
         if let Some(key) = key {
-            self.runs.lock().unwrap().push((Instant::now(), key, backend.name));
+            self.runs
+                .lock()
+                .unwrap()
+                .push((Instant::now(), key, backend.name));
         }
         sleep(Duration::from_millis(20));
         sound_answer(request, backend.name.as_bytes())
@@ -955,9 +1027,9 @@
     /// Names of the back ends that are up and hold a key now.
     fn holders(&self, key: usize) -> Vec<&'static str> {
         let backends = self.backends.lock().unwrap();
-        let holders = backends.iter().filter(|backend| {
-            backend.is_up.load(Ordering::SeqCst) && backend.holds(key)
-        });
+        let holders = backends
+            .iter()
+            .filter(|backend| backend.is_up.load(Ordering::SeqCst) && backend.holds(key));
         holders.map(|backend| backend.name).collect()
     }
 }
@@ -975,7 +1047,11 @@
              \"slots\":6,\"state\":\"{}\",\"warmupLeftS\":0,\"sequence\":{sequence},\
              \"born\":{}}}",
             self.address,
-            if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" },
+            if self.is_draining.load(Ordering::SeqCst) {
+                "draining"
+            } else {
+                "ready"
+            },
             self.born.load(Ordering::SeqCst)
         );
         store.put("keyed.servers", &self.id, value.as_bytes());
@@ -1039,12 +1115,22 @@
     let network = Network::start(3);
     let cuts: Vec<Arc<AtomicBool>> = (0..3).map(|_| Arc::default()).collect();
     let addresses: Vec<SocketAddr> = (0..3)
-        .map(|index| store.listen(Arc::clone(&cuts[index]), Some((Arc::clone(&network), index))))
+        .map(|index| {
+            store.listen(
+                Arc::clone(&cuts[index]),
+                Some((Arc::clone(&network), index)),
+            )
+        })
         .collect();
     let fleet = Fleet::start(record, 3, |index| (addresses[index], network.ports[index]))?;
     let wait_until_held = |allowed: &[&str]| {
         let until = Instant::now() + Duration::from_secs(15);
-        let is_held = |key| owners.holders(key).iter().any(|name| allowed.contains(name));
+        let is_held = |key| {
+            owners
+                .holders(key)
+                .iter()
+                .any(|name| allowed.contains(name))
+        };
         while !(0..65_536).step_by(KEY_STEP).all(is_held) {
             if Instant::now() > until {
                 return Err("the keys are not granted in time");
@@ -1067,7 +1153,10 @@
     let leader_of = || {
         let value = store.newest_value("keyed.medlarreel", "lead")?;
         let name = value.get(1..1 + usize::from(*value.first()?))?.to_vec();
-        fleet.machines.iter().position(|machine| machine.name.as_bytes() == name)
+        fleet
+            .machines
+            .iter()
+            .position(|machine| machine.name.as_bytes() == name)
     };
     let leader = leader_of().ok_or("no leader")?;
     record.line(&format!("leader: {}", fleet.machines[leader].name));
@@ -1095,10 +1184,17 @@
                 }
             });
         }
-        let outcome = watch_owners(record, &store, &owners, trouble, &|is_cut| {
-            network.cut[leader].store(is_cut, Ordering::SeqCst);
-            cuts[leader].store(is_cut, Ordering::SeqCst);
-        }, &|| leader_of() != Some(leader));
+        let outcome = watch_owners(
+            record,
+            &store,
+            &owners,
+            trouble,
+            &|is_cut| {
+                network.cut[leader].store(is_cut, Ordering::SeqCst);
+                cuts[leader].store(is_cut, Ordering::SeqCst);
+            },
+            &|| leader_of() != Some(leader),
+        );
         done.store(true, Ordering::SeqCst);
         record.line(&format!("answers: {:?}", statuses.lock().unwrap()));
         outcome
@@ -1129,7 +1225,9 @@
             *at < cut_at && cut_at.duration_since(*at) < Duration::from_millis(1_500)
         });
         let mut lost = recent.filter(|(_, name, from, to)| {
-            let mut keys = (0..65_536).step_by(KEY_STEP).filter(|key| (from..=to).contains(&key));
+            let mut keys = (0..65_536)
+                .step_by(KEY_STEP)
+                .filter(|key| (from..=to).contains(&key));
             let is_moved = |key| {
                 let holders = owners.holders(key);
                 !holders.is_empty() && !holders.contains(name)
@@ -1139,7 +1237,10 @@
         let (_, name, from, to) = lost.next()?;
         record.line(&format!("{name} has lost its range {from} to {to}"));
         let backends = owners.backends.lock().unwrap();
-        let loser = backends.iter().find(|backend| backend.name == *name).cloned()?;
+        let loser = backends
+            .iter()
+            .find(|backend| backend.name == *name)
+            .cloned()?;
         Some((loser, *from, *to))
     };
     let mut crashed: Option<(Instant, Arc<KeyedBackend>, usize, usize)> = None;
@@ -1153,9 +1254,16 @@
             set_cut(false);
             healed = true;
         }
-        if trouble && !healed && crashed.is_none() && has_new_leader() && let Some((loser, from, to)) = find_loser()
+        if trouble
+            && !healed
+            && crashed.is_none()
+            && has_new_leader()
+            && let Some((loser, from, to)) = find_loser()
         {
-            record.line(&format!("another machine leads; back end {} crashes", loser.name));
+            record.line(&format!(
+                "another machine leads; back end {} crashes",
+                loser.name
+            ));
             loser.crash();
             crashed = Some((Instant::now(), loser, from, to));
         }
@@ -1163,7 +1271,10 @@
             && at.elapsed() > DOWN_TIME
             && !restarted
         {
-            record.line(&format!("{} starts again under its id, at its address", loser.name));
+            record.line(&format!(
+                "{} starts again under its id, at its address",
+                loser.name
+            ));
             loser.restart(store);
             restarted = true;
         }
@@ -1174,7 +1285,10 @@
                 continue;
             }
             let since = *shared_since.entry(key).or_insert_with(Instant::now);
-            if worst.as_ref().is_none_or(|(longest, ..)| since.elapsed() > *longest) {
+            if worst
+                .as_ref()
+                .is_none_or(|(longest, ..)| since.elapsed() > *longest)
+            {
                 worst = Some((since.elapsed(), key, holders));
             }
         }
@@ -1186,12 +1300,15 @@
     let Some((longest, key, holders)) = worst else {
         return Ok(true);
     };
-    record.line(&format!("key {key} was held by {holders:?} for {} ms", longest.as_millis()));
+    record.line(&format!(
+        "key {key} was held by {holders:?} for {} ms",
+        longest.as_millis()
+    ));
     if let Some((crashed_at, _, from, to)) = crashed {
         let runs = owners.runs.lock().unwrap();
-        let runs = runs.iter().filter(|(at, key, _)| {
-            *at > crashed_at && (from..=to).contains(&usize::from(*key))
-        });
+        let runs = runs
+            .iter()
+            .filter(|(at, key, _)| *at > crashed_at && (from..=to).contains(&usize::from(*key)));
         for (at, key, name) in runs {
             let at = at.duration_since(record.start).as_secs_f64();
             record.line(&format!("  run of key {key} at {name}, {at:.3} s"));
@@ -1244,7 +1361,9 @@
             if !is_garbled {
                 return stream.write_all(&sound_answer(request, &[b'a'; 400]));
             }
-            record.line(&format!("back end {index} answers {id} with heads without end"));
+            record.line(&format!(
+                "back end {index} answers {id} with heads without end"
+            ));
             let (started, mut sent) = (Instant::now(), 0);
             loop {
                 if let Err(error) = stream.write_all(&heads) {
@@ -1283,7 +1402,8 @@
                         if status != 200 || took > ROUTE_TIMEOUT {
                             let took = took.as_secs_f64();
                             let name = &machine.name;
-                            record.line(&format!("{name} {attempt:016x} {status} after {took:.3} s"));
+                            record
+                                .line(&format!("{name} {attempt:016x} {status} after {took:.3} s"));
                         }
                     });
                     sleep(Duration::from_millis(1_000 / LOOKUP_RATE));
