Name each leader by an epoch of its own, and report no ledger twice

Cause: a stopped leader kept its ledger as its final report, also after the ledger had gone to a successor in the same epoch. The next leader heard the report of epoch e, took it for that of its predecessor, and ended the leases of what the successor had granted since.

Change: the low bits of an epoch count the transfers of its claim, so that an epoch names one process. It costs no append and no time without a leader. A ledger that was passed on is not reported, and one that was reported is not passed on (transfer::FinalReport). The claim's last leader is the one that reports, also if no record names it. A restarted instance does not claim over a successor of its former process that it has heard.

Tests changed: successor_resumes_under_the_same_epoch asserted the shared epoch; successor_continues_in_the_next_epoch_of_the_claim asserts the next one and all else as before. only_the_recorded_predecessor_shortens_the_wait used epochs 5, 8 and 9 for three claims, and now uses those of the offsets.

Ruled out: withholding the report alone.

--- a/crates/core/src/entry/leadership.rs
+++ b/crates/core/src/entry/leadership.rs
@@ -147,9 +147,9 @@
         self.last_heartbeat = now;
     }
 
-    /// Whether this instance may resume the leadership of an epoch whose leader has
-    /// stopped. An epoch in which this process has led before is refused: the offered
-    /// ledger may lack the orders that this process has sent.
+    /// Whether this instance may take over from the leader of an epoch, which has stopped.
+    /// If this process has led that epoch or a later one, it may not: the offered ledger may
+    /// lack the orders that this process has sent.
     pub fn accepts_transfer(&self, epoch: u64) -> bool {
         self.epoch().is_none() && epoch >= self.highest_epoch && epoch > self.highest_led
     }
@@ -183,7 +183,7 @@
             }
         }
         if epoch > 0 && self.leader.as_deref() != Some(leader) {
-            // A leader that shuts down may hand its epoch over to another instance.
+            // The name is not known yet if the epoch was read from a record.
             self.leader = Some(leader.to_owned());
         }
         if store_reachable || is_new {
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -25,14 +25,15 @@
 pub use recovery::{CONFIRMATION_TIME, unknown_grants_end};
 use recovery::{Recovery, Sweep};
 
+use super::era::is_same_claim;
 use super::map::{KeyRange, Owner, OwnerMap};
 use super::plan::{self, Candidate, KeyWeights, PlannedRange};
 use crate::time::Time;
 
-/// Number of fencing tokens per epoch. A leader uses one for each order, far fewer than
-/// this between two appends to its topic, and a successor's epoch is above the offset of
-/// the last one.
-const FENCES_PER_EPOCH: u64 = 1 << 20;
+/// Number of fencing tokens per epoch, and a sixteenth of those per claim. A leader uses
+/// one for each order. All leaders of a claim use far fewer than their claim has between
+/// two appends to the topic, and the offset of a later claim is above that of the last one.
+const FENCES_PER_EPOCH: u64 = 1 << 16;
 
 /// Number of renewals within the duration of a lease, so that two of them may be lost.
 const RENEWALS_PER_LEASE: u32 = 3;
@@ -186,9 +187,10 @@
         })
     }
 
-    /// Ledger of a leader that continues the epoch of one that stopped before `now`.
-    pub fn resume(snapshot: &LedgerSnapshot, hold: Duration, now: Time) -> Ledger {
-        let mut ledger = Ledger::new(snapshot.owners.epoch, hold);
+    /// Ledger of the leader of `epoch` to which one that stopped before `now` has passed its
+    /// claim on.
+    pub fn resume(epoch: u64, snapshot: &LedgerSnapshot, hold: Duration, now: Time) -> Ledger {
+        let mut ledger = Ledger::new(epoch, hold);
         ledger.take_over(snapshot, now);
         // The snapshot contains what earlier leaders have reported.
         ledger.predecessor = ledger.epoch;
@@ -198,7 +200,7 @@
 
     /// Takes over the ranges of a leader that stopped before `now`.
     fn take_over(&mut self, snapshot: &LedgerSnapshot, now: Time) {
-        if snapshot.is_confirmed && snapshot.owners.epoch == self.epoch {
+        if snapshot.is_confirmed && is_same_claim(snapshot.owners.epoch, self.epoch) {
             self.last_fence = self.last_fence.max(snapshot.highest_fence);
         } else {
             self.last_fence = snapshot.highest_fence;
@@ -209,17 +211,18 @@
         self.inherit_ranges(&snapshot.owners, overdue, until);
     }
 
-    /// Handles the report of the leader of `epoch`, which has stopped before `now`. Shortens
-    /// the inherited leases to what it says about its grants and those of earlier leaders,
-    /// unless it is not the recorded predecessor. Takes its grants over if this ledger does
-    /// not know them.
+    /// Handles the report of the leader of `epoch`, which has stopped before `now` and has
+    /// not passed its claim on. Shortens the inherited leases to what it says about its
+    /// grants and those of earlier leaders, unless it has led by another claim than the
+    /// recorded predecessor. Takes its grants over if this ledger does not know them.
     pub fn handle_predecessor_stop(&mut self, epoch: u64, now: Time, snapshot: &LedgerSnapshot) {
         if self.lacks_grants_of(epoch, now) {
             self.predecessor = epoch;
             self.take_over(snapshot, now);
             return;
         }
-        if epoch != self.predecessor {
+        // A successor that the claim was passed on to may have written no record.
+        if epoch < self.predecessor || !is_same_claim(epoch, self.predecessor) {
             return;
         }
         let owners = &snapshot.owners;
--- a/crates/core/src/entry/transfer.rs
+++ b/crates/core/src/entry/transfer.rs
@@ -1,17 +1,23 @@
-//! Transfer of leadership from a leader that stops to one other instance.
+//! What a leader leaves to those after it: a transfer of its leadership to one other
+//! instance, or a report of its grants.
 //!
-//! The leader stops acting, then offers its leadership to a successor. The successor
-//! answers with a request, and the reply to it contains the ledger. Any copy of these
-//! messages may be lost, repeated, or wait in the socket of a suspended process. So that
-//! no two instances resume one epoch, the leader replies to one process only, and a
+//! A leader that stops ceases to act, then offers its leadership to a successor. The
+//! successor answers with a request, and the reply to it contains the ledger. Any copy of
+//! these messages may be lost, repeated, or wait in the socket of a suspended process. So
+//! that no two instances resume one epoch, the leader replies to one process only, and a
 //! process accepts only a recent reply to its latest request. It counts the age of the
 //! leader's last confirmed write from before that request was sent.
+//!
+//! A ledger that was passed on is not reported. The successor may have granted keys since,
+//! also without a record that names it, and only a report of the last leader of a claim
+//! tells how long all grants of the claim last.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use medlarreel_macros::data;
 
+use super::ledger::LedgerSnapshot;
 use crate::time::Time;
 
 /// Time within which an offer must be answered; then the leader offers its leadership to
@@ -26,6 +32,10 @@
 /// before the other instances miss its heartbeats.
 const MAX_CANDIDATES: usize = 2;
 
+/// Number of times that a report is sent to each later leader, with its heartbeats, since
+/// messages may be lost.
+pub const REPORT_SENDS: u32 = 3;
+
 /// Process of an instance.
 #[data(key)]
 pub struct Process {
@@ -90,6 +100,89 @@
     }
 }
 
+/// Ledger of a leader that has stepped down. It goes to one successor, or as a report to
+/// the leaders of later claims.
+#[data(plain)]
+pub struct FinalReport {
+    epoch: u64,
+    /// Grants of this leader and its predecessors. Their times count from a later moment
+    /// when it is sent again, which is safe.
+    snapshot: LedgerSnapshot,
+    /// Offer of the leadership, unless it was withdrawn.
+    offer: Option<Offer>,
+    /// Latest epoch to whose leader the report was sent, and how often.
+    sent: (u64, u32),
+}
+
+impl FinalReport {
+    /// Report of the leader of `epoch`, which has stepped down.
+    pub fn new(epoch: u64, snapshot: LedgerSnapshot) -> FinalReport {
+        FinalReport {
+            epoch,
+            snapshot,
+            offer: None,
+            sent: (epoch, 0),
+        }
+    }
+
+    /// Epoch that has ended.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Grants in force when the leader stepped down, unless a successor has them.
+    pub fn snapshot(&self) -> Option<&LedgerSnapshot> {
+        (!self.is_taken()).then_some(&self.snapshot)
+    }
+
+    /// Offers the leadership to the first of `candidates` that answers.
+    pub fn offer_to(&mut self, candidates: impl Iterator<Item = SocketAddr>) {
+        self.offer = Some(Offer::new(self.epoch, candidates));
+    }
+
+    /// Withdraws the offer, unless a successor has taken it.
+    pub fn withdraw_offer(&mut self) {
+        self.offer.take_if(|offer| !offer.is_taken());
+    }
+
+    /// Whether a successor has requested the leadership, so that it may lead now.
+    pub fn is_taken(&self) -> bool {
+        self.offer.as_ref().is_some_and(Offer::is_taken)
+    }
+
+    /// Instance to send the offer to now; see `Offer::receiver`.
+    pub fn receiver(&mut self, now: Time) -> Option<SocketAddr> {
+        self.offer.as_mut()?.receiver(now)
+    }
+
+    /// Ledger for a process that requests the leadership of an epoch; `None` if it must not
+    /// take over.
+    pub fn accept_request(&mut self, epoch: u64, process: Process) -> Option<&LedgerSnapshot> {
+        let offer = self.offer.as_mut()?;
+        offer
+            .accept_request(epoch, process)
+            .then_some(&self.snapshot)
+    }
+
+    /// Report to send to the leader of `epoch`, which has been heard. Withdraws the offer.
+    /// Returns `None` if that leader has received it or cannot need it, or if a successor
+    /// has the ledger.
+    pub fn repeat(&mut self, epoch: u64) -> Option<&LedgerSnapshot> {
+        if epoch <= self.epoch || self.is_taken() {
+            return None;
+        }
+        self.withdraw_offer();
+        if self.sent.0 < epoch {
+            self.sent = (epoch, 0);
+        }
+        if self.sent.0 != epoch || self.sent.1 >= REPORT_SENDS {
+            return None;
+        }
+        self.sent.1 += 1;
+        Some(&self.snapshot)
+    }
+}
+
 /// Latest request of an instance for an offered leadership.
 #[data(plain)]
 #[derive(Default)]
--- a/crates/core/tests/entry/fixture.rs
+++ b/crates/core/tests/entry/fixture.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::Registration;
+use medlarreel_core::entry::era::transferred_epoch;
+use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
 use medlarreel_core::entry::map::Owner;
 use medlarreel_core::entry::plan::Candidate;
 use medlarreel_core::time::Time;
@@ -41,6 +43,15 @@
     (1..=count).map(candidate).collect()
 }
 
+/// Duration of a lease.
+pub const LEASE_DURATION: Duration = Duration::from_secs(4);
+
+/// Ledger of the leader to which a stopped one has passed its claim on.
+pub fn resume(snapshot: &LedgerSnapshot, now: Time) -> Ledger {
+    let epoch = transferred_epoch(snapshot.owners.epoch).unwrap();
+    Ledger::resume(epoch, snapshot, LEASE_DURATION, now)
+}
+
 /// Registration of upstream `number`.
 pub fn registration(number: u8) -> Registration {
     Registration {
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -1,8 +1,8 @@
 //! The leader's ledger: record before grant, release before regrant, fencing tokens.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
+use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::ledger::{
     CALL_TIMEOUT, Ledger, LedgerSnapshot, Order, OrderKind, Reply, max_lease_duration,
 };
@@ -10,9 +10,8 @@
 use medlarreel_core::entry::plan::KeyWeights;
 use medlarreel_core::time::Time;
 
-use crate::fixture::{address, at, candidates, ms, owner};
+use crate::fixture::{LEASE_DURATION, address, at, candidates, ms, owner, resume};
 
-const LEASE_DURATION: Duration = Duration::from_secs(4);
 const SERVICE: &str = "intake";
 
 fn done_reply() -> Reply {
@@ -285,16 +284,17 @@
 /// recorded predecessor may still act.
 #[test]
 fn only_the_recorded_predecessor_shortens_the_wait() {
+    let [recorded, later, own] = [5, 8, 9].map(|offset| Era::FIRST.epoch_at(offset));
     let record = held_ledger(at(0)).ownership_record(at(0));
-    let mut ledger = Ledger::new(9, LEASE_DURATION);
-    ledger.adopt(&record, 5, at(0), at(20_000));
+    let mut ledger = Ledger::new(own, LEASE_DURATION);
+    ledger.adopt(&record, recorded, at(0), at(20_000));
 
     let stopped = held_ledger(at(0)).snapshot(at(0)).unwrap();
-    ledger.handle_predecessor_stop(8, at(0), &stopped);
+    ledger.handle_predecessor_stop(later, at(0), &stopped);
     ledger.rebalance(at(0), SERVICE, &candidates(2)[1..], &KeyWeights::default());
     ledger.take_due_orders(at(10_000), usize::MAX, |_| None);
     let settled = ledger.is_settled(SERVICE);
-    ledger.handle_predecessor_stop(5, at(0), &stopped);
+    ledger.handle_predecessor_stop(recorded, at(0), &stopped);
     ledger.take_due_orders(at(10_000), usize::MAX, |_| None);
     ledger.rebalance(
         at(10_000),
@@ -314,20 +314,16 @@
 }
 
 /// Guards against fencing tokens that upstreams refuse and against unavailable keys
-/// when a leader stops and hands its epoch over.
+/// when a leader stops and passes its claim on.
 #[test]
-fn successor_resumes_under_the_same_epoch() {
+fn successor_continues_in_the_next_epoch_of_the_claim() {
     let mut first = held_ledger(at(0));
     let old = first.take_due_orders(at(2_000), usize::MAX, |_| None);
 
-    let mut successor = Ledger::resume(
-        &first.snapshot(at(2_050)).unwrap(),
-        LEASE_DURATION,
-        at(2_100),
-    );
+    let mut successor = resume(&first.snapshot(at(2_050)).unwrap(), at(2_100));
     let orders = successor.take_due_orders(at(2_100), usize::MAX, |_| None);
 
-    assert_eq!(successor.epoch(), first.epoch());
+    assert_eq!(successor.epoch(), first.epoch() + 1);
     assert_eq!(orders.len(), 2);
     assert!(orders.iter().all(|order| order.fence > old[1].fence));
     assert!(successor.view_version() > first.view_version());
@@ -340,7 +336,7 @@
     let mut first = Ledger::new(5, LEASE_DURATION);
     first.rebalance(at(0), SERVICE, &candidates(2), &KeyWeights::default());
 
-    let mut successor = Ledger::resume(&first.snapshot(at(0)).unwrap(), LEASE_DURATION, at(0));
+    let mut successor = resume(&first.snapshot(at(0)).unwrap(), at(0));
     successor.rebalance(at(0), SERVICE, &candidates(2), &KeyWeights::default());
     let orders_before = successor.take_due_orders(at(0), usize::MAX, |_| None);
     successor.acknowledge_record(successor.record_version());
@@ -408,11 +404,7 @@
     let mut second = Ledger::new(9, LEASE_DURATION);
     second.adopt(&record, 5, at(0), at(20_000));
 
-    let mut third = Ledger::resume(
-        &second.snapshot(at(1_000)).unwrap(),
-        LEASE_DURATION,
-        at(1_100),
-    );
+    let mut third = resume(&second.snapshot(at(1_000)).unwrap(), at(1_100));
     let takes_over = |ledger: &mut Ledger, now| {
         ledger.take_due_orders(now, usize::MAX, |_| None);
         ledger.rebalance(now, SERVICE, &candidates(2)[1..], &KeyWeights::default());
@@ -483,11 +475,7 @@
     let record = first.ownership_record(at(1_000));
     assert!(record.services[SERVICE][0].releasing);
 
-    let mut second = Ledger::resume(
-        &first.snapshot(at(1_100)).unwrap(),
-        LEASE_DURATION,
-        at(1_200),
-    );
+    let mut second = resume(&first.snapshot(at(1_100)).unwrap(), at(1_200));
     let mut orders = Vec::new();
     for step in 0..50 {
         orders.extend(second.take_due_orders(at(1_200 + step * 100), usize::MAX, |_| None));
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -14,15 +14,14 @@
 };
 use medlarreel_core::entry::map::{Owner, OwnerMap};
 use medlarreel_core::entry::plan::{Candidate, KeyWeights};
-use medlarreel_core::entry::transfer::{Offer, Process, Request};
+use medlarreel_core::entry::transfer::{FinalReport, Process, Request};
 use medlarreel_core::time::Time;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fixture::{address, at, candidates, ms};
+use crate::fixture::{LEASE_DURATION, address, at, candidates, ms, resume};
 
-const LEASE_DURATION: Duration = Duration::from_secs(4);
 const SERVICE: &str = "intake";
 
 /// Keys that the simulation tracks.
@@ -34,9 +33,6 @@
 /// Number of copies of the store, one for each step, that a restore selects from.
 const COPIES: usize = 80;
 
-/// Number of times that a report of a stopped leader is sent to each later leader.
-const REPORT_SENDS: u32 = 3;
-
 /// An upstream's state of one tracked key: the highest fencing token that it has seen,
 /// and the end of its lease.
 #[derive(Clone, Default)]
@@ -106,23 +102,13 @@
     deaf_until: Time,
     /// Latest era of the store that the process knows of.
     era: Era,
-    last_report: Option<Report>,
-}
-
-/// Final report of a leader that has stepped down.
-#[derive(Clone)]
-struct Report {
-    epoch: u64,
-    snapshot: LedgerSnapshot,
-    /// Leader to which the report was last sent, and how often.
-    sent: (u64, u32),
+    last_report: Option<FinalReport>,
 }
 
 /// What a stopped leader leaves to a successor.
 struct StoppedLeader {
     address: SocketAddr,
-    offer: Offer,
-    snapshot: LedgerSnapshot,
+    report: FinalReport,
     writer: u64,
     confirmed: Time,
     /// Time at which the process exits.
@@ -460,17 +446,38 @@
         }
     }
 
+    /// Kills the newest leader at random, and lets stopped leaders that have not exited hear
+    /// the newest one, to which they report their grants.
+    fn end_leaders(&mut self, now: Time) {
+        if self.random.random_range(0..40) == 0
+            && let Some(newest) = self.leaders.pop()
+        {
+            self.kill(now, &newest);
+        }
+        let Some(newest) = self.leaders.last() else {
+            return;
+        };
+        let epoch = newest.ledger.epoch();
+        for stopped in &mut self.stopped {
+            let ended = stopped.report.epoch();
+            if self.random.random_range(0..5) == 0
+                && let Some(snapshot) = stopped.report.repeat(epoch)
+            {
+                let delay = ms(self.random.random_range(0..2_000));
+                self.reports.push((now + delay, ended, snapshot.clone()));
+            }
+        }
+    }
+
     /// Makes the process of a leader a follower, which keeps the final report.
     fn step_down(&mut self, now: Time, leader: &Leader) -> Option<LedgerSnapshot> {
         self.abort_calls(leader.id);
         let snapshot = leader.ledger.snapshot(now);
         let instance = &mut self.instances[leader.instance];
         instance.leadership.step_down(now);
-        instance.last_report = snapshot.clone().map(|snapshot| Report {
-            epoch: leader.ledger.epoch(),
-            snapshot,
-            sent: (0, 0),
-        });
+        let report = snapshot.clone();
+        let epoch = leader.ledger.epoch();
+        instance.last_report = report.map(|snapshot| FinalReport::new(epoch, snapshot));
         snapshot
     }
 
@@ -558,16 +565,11 @@
         let Some(report) = &mut instance.last_report else {
             return;
         };
-        if report.sent.0 < epoch {
-            report.sent = (epoch, 0);
-        }
-        if report.epoch >= epoch || report.sent.0 != epoch || report.sent.1 >= REPORT_SENDS {
-            return;
-        }
-        report.sent.1 += 1;
-        if !is_lost {
-            let sent = (now + delay, report.epoch, report.snapshot.clone());
-            self.reports.push(sent);
+        let ended = report.epoch();
+        if let Some(snapshot) = report.repeat(epoch)
+            && !is_lost
+        {
+            self.reports.push((now + delay, ended, snapshot.clone()));
         }
     }
 
@@ -673,10 +675,11 @@
         let others = (1..INSTANCES).map(|step| (stopped + step) % INSTANCES);
         let candidates = others.map(instance_address);
         if let Some(snapshot) = leader.ledger.snapshot(now) {
+            let mut report = FinalReport::new(leader.ledger.epoch(), snapshot);
+            report.offer_to(candidates);
             self.stopped.push(StoppedLeader {
                 address: instance_address(stopped),
-                offer: Offer::new(leader.ledger.epoch(), candidates),
-                snapshot,
+                report,
                 writer: leader.writer,
                 confirmed: leader.confirmed,
                 exits: now + ms(self.random.random_range(500..4_000)),
@@ -715,9 +718,9 @@
         }
         self.stopped.retain(|stopped| now < stopped.exits);
         let receivers = self.stopped.iter_mut().filter_map(|stopped| {
-            let receiver = stopped.offer.receiver(now)?;
+            let receiver = stopped.report.receiver(now)?;
             let instance = (0..INSTANCES).find(|number| instance_address(*number) == receiver)?;
-            let epoch = stopped.offer.epoch();
+            let epoch = stopped.report.epoch();
             Some(Datagram {
                 leader: stopped.address,
                 instance,
@@ -764,18 +767,17 @@
                 let address = instance_address(number);
                 let process = Process { address, started };
                 let senders = self.stopped.iter_mut();
-                let accepting = senders
+                senders
                     .filter(|stopped| stopped.address == leader)
                     .find_map(|stopped| {
-                        let accepted = stopped.offer.accept_request(epoch, process);
-                        accepted.then_some(stopped)
-                    });
-                accepting.map(|stopped| Message::Transfer {
-                    snapshot: stopped.snapshot.clone(),
-                    writer: stopped.writer,
-                    age: now.since(stopped.confirmed),
-                    nonce,
-                })
+                        let snapshot = stopped.report.accept_request(epoch, process)?;
+                        Some(Message::Transfer {
+                            snapshot: snapshot.clone(),
+                            writer: stopped.writer,
+                            age: now.since(stopped.confirmed),
+                            nonce,
+                        })
+                    })
             }
             Message::Transfer {
                 snapshot,
@@ -789,8 +791,7 @@
                     && instance.leadership.accepts_transfer(epoch)
                 {
                     self.transfers += 1;
-                    let ledger = Ledger::resume(&snapshot, LEASE_DURATION, now);
-                    self.lead(number, ledger, writer, sent - age);
+                    self.lead(number, resume(&snapshot, now), writer, sent - age);
                 }
                 None
             }
@@ -905,6 +906,9 @@
     replaced_leaders_act: bool,
     /// Whether the store is restored from copies that are up to some seconds old.
     restores: bool,
+    /// Whether leaders are killed, and those that have stopped report their grants to the
+    /// leaders of later claims until they exit.
+    leaders_end: bool,
 }
 
 /// Runs a minute of simulated time and checks that no key ever has two holders, no epoch two
@@ -935,6 +939,9 @@
         if !faults.replaced_leaders_act {
             simulation.end_replaced_leaders(now);
         }
+        if faults.leaders_end {
+            simulation.end_leaders(now);
+        }
         if simulation.random.random_bool(0.02) {
             simulation.restart_upstream(now, faults.restarts_keep_id);
         }
@@ -974,6 +981,7 @@
     restarts_keep_id: false,
     replaced_leaders_act: true,
     restores: false,
+    leaders_end: false,
 };
 
 /// The same, and the store is restored now and then.
@@ -1015,17 +1023,25 @@
         run(seed, REPLACED_UPSTREAMS)?;
     }
 
+    /// Guards against a stopped leader whose report ends leases that the successor to which
+    /// it has passed its claim on has granted since.
+    #[test]
+    fn report_of_a_stopped_leader_does_not_end_leases_of_its_successor(seed in any::<u64>()) {
+        run(seed, Faults { leaders_end: true, ..REPLACED_UPSTREAMS })?;
+    }
+
     /// Guards against a grant for an upstream that reaches its next incarnation.
     #[test]
     fn keys_of_a_restarted_upstream_have_at_most_one_holder(seed in any::<u64>()) {
-        run(seed, Faults { restarts_keep_id: true, replaced_leaders_act: false, restores: false })?;
+        let faults = Faults { restarts_keep_id: true, ..REPLACED_UPSTREAMS };
+        run(seed, Faults { replaced_leaders_act: false, ..faults })?;
     }
 
     /// Guards against a replaced leader whose grants an upstream accepts because it has
     /// restarted, and with that forgotten the fencing tokens of the new leader.
     #[test]
     fn replaced_leader_does_not_grant_to_a_restarted_upstream(seed in any::<u64>()) {
-        run(seed, Faults { restarts_keep_id: true, replaced_leaders_act: true, restores: false })?;
+        run(seed, Faults { restarts_keep_id: true, ..REPLACED_UPSTREAMS })?;
     }
 
     /// Guards against two upstreams that hold the same key after the store has come back
--- a/crates/core/tests/entry/recovery.rs
+++ b/crates/core/tests/entry/recovery.rs
@@ -1,7 +1,5 @@
 //! The leader's ledger after the store has come back from a copy.
 
-use std::time::Duration;
-
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::ledger::{
     CALL_TIMEOUT, CONFIRMATION_TIME, Ledger, Order, OrderKind, Reply, max_lease_duration,
@@ -10,9 +8,8 @@
 use medlarreel_core::entry::plan::KeyWeights;
 use medlarreel_core::time::Time;
 
-use crate::fixture::{at, candidates, ms};
+use crate::fixture::{LEASE_DURATION, at, candidates, ms, resume};
 
-const LEASE_DURATION: Duration = Duration::from_secs(4);
 const SERVICE: &str = "intake";
 
 /// Epochs of the first leader, and of claims after the store was restored.
@@ -259,7 +256,7 @@
     let used = reply_to_all(&mut predecessor, at(2_100), &Reply::Done { handover: None });
 
     let snapshot = predecessor.snapshot(at(2_200)).unwrap();
-    let mut ledger = Ledger::resume(&snapshot, LEASE_DURATION, at(2_300));
+    let mut ledger = resume(&snapshot, at(2_300));
     ledger.handle_predecessor_stop(BEFORE, at(2_400), &report);
     let renewals = due_orders(&mut ledger, at(2_400));
 
--- a/crates/core/tests/entry/transfer.rs
+++ b/crates/core/tests/entry/transfer.rs
@@ -1,6 +1,11 @@
-//! Tests of the transfer of leadership.
+//! Tests of the transfer of leadership and of the reports of stopped leaders.
 
-use medlarreel_core::entry::transfer::{OFFER_TIMEOUT, Offer, Process, REPLY_TIMEOUT, Request};
+use medlarreel_core::entry::era::{Era, is_same_claim, transferred_epoch};
+use medlarreel_core::entry::ledger::LedgerSnapshot;
+use medlarreel_core::entry::map::OwnerMap;
+use medlarreel_core::entry::transfer::{
+    FinalReport, OFFER_TIMEOUT, Offer, Process, REPLY_TIMEOUT, REPORT_SENDS, Request,
+};
 
 use crate::fixture::{address, at, ms};
 
@@ -17,6 +22,71 @@
     Offer::new(7, (1..=3).map(address))
 }
 
+/// Report of the leader of epoch 7, which offers its leadership to instance 1.
+fn offered_report() -> FinalReport {
+    let snapshot = LedgerSnapshot {
+        owners: OwnerMap::default(),
+        highest_fence: 0,
+        is_confirmed: true,
+    };
+    let mut report = FinalReport::new(7, snapshot);
+    report.offer_to([address(1)].into_iter());
+    report.receiver(at(0));
+    report
+}
+
+/// Guards against a report that ends leases which a successor has granted since.
+#[test]
+fn ledger_that_was_passed_on_is_not_reported() {
+    let mut report = offered_report();
+
+    let is_accepted = report.accept_request(7, process(1, 1)).is_some();
+
+    assert!(is_accepted);
+    assert_eq!(report.repeat(30), None);
+    assert_eq!(report.snapshot(), None);
+}
+
+/// Guards against a successor that grants keys after a later leader has relied on the
+/// report that no grant follows.
+#[test]
+fn ledger_that_was_reported_is_not_passed_on() {
+    let mut report = offered_report();
+
+    let is_reported = report.repeat(30).is_some();
+
+    assert!(is_reported);
+    assert_eq!(report.accept_request(7, process(1, 1)), None);
+}
+
+/// Guards against a leader that never hears how long the grants before it last because a
+/// message was lost, and against reports without end.
+#[test]
+fn report_is_repeated_to_each_later_leader() {
+    let mut report = offered_report();
+
+    let own = report.repeat(7).is_some();
+    let later = [30, 40].map(|epoch| (0..9).filter(|_| report.repeat(epoch).is_some()).count());
+    let earlier = report.repeat(30).is_some();
+
+    let sends = REPORT_SENDS as usize;
+    assert_eq!((own, later, earlier), (false, [sends, sends], false));
+}
+
+/// Guards against an epoch that names two processes, or one that another claim has.
+#[test]
+fn each_transfer_has_an_epoch_of_its_claim() {
+    let claims = [0, 1].map(|offset| Era::FIRST.epoch_at(offset));
+
+    let transfers = std::iter::successors(Some(claims[0]), |epoch| transferred_epoch(*epoch));
+    let epochs: Vec<u64> = transfers.take(100).collect();
+
+    assert!((8..100).contains(&epochs.len()), "{epochs:?}");
+    assert!(epochs.is_sorted_by(|before, after| before < after));
+    let is_of_claim = |epoch: &u64| is_same_claim(*epoch, claims[0]) && *epoch < claims[1];
+    assert!(epochs.iter().all(is_of_claim));
+}
+
 /// Guards against two successors: the request of the first one arrives only after the
 /// leader has turned to the next.
 #[test]
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::{REREGISTRATION_GRACE, Registration};
-use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::era::{Era, is_same_claim, transferred_epoch};
 use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::ledger::{self, Ledger};
 use medlarreel_core::entry::map::{Owner, OwnerMap};
@@ -156,19 +156,23 @@
         }
     }
 
-    /// Takes over the epoch and the ledger of a leader that has stopped.
+    /// Takes over the claim and the ledger of a leader that has stopped.
     fn resume_leadership(&mut self, now: Time, transferred: &PendingTransfer) {
-        let Some(writer) = self.writer.as_mut() else {
+        let before = transferred.snapshot.owners.epoch;
+        let (Some(writer), Some(epoch)) = (self.writer.as_mut(), transferred_epoch(before)) else {
             return;
         };
         writer.nonce = transferred.nonce;
         writer.end = transferred.end;
-        writer.era = Era::of_epoch(transferred.snapshot.owners.epoch);
+        writer.era = Era::of_epoch(epoch);
         let lease_duration = self.state.settings.borrow().lease_duration;
-        let ledger = Ledger::resume(&transferred.snapshot, lease_duration, now);
+        let ledger = Ledger::resume(epoch, &transferred.snapshot, lease_duration, now);
         self.last_confirmed_write = Time(0);
-        let epoch = ledger.epoch();
-        tracing::info!(epoch, "leader now, took over from a stopping leader");
+        tracing::info!(
+            epoch,
+            before,
+            "leader now, took over from a stopping leader"
+        );
         *self.state.ledger.borrow_mut() = Some(ledger);
         let name = self.state.name();
         let mut leadership = self.state.leadership.borrow_mut();
@@ -274,11 +278,17 @@
         let mut predecessor = 0;
         if let Some((offset, record)) = leader_record(&latest)? {
             predecessor = record.epoch(offset);
+            // A successor may have recorded owners before itself.
+            if let Some(owners) = &owners
+                && is_same_claim(owners.epoch, predecessor)
+            {
+                predecessor = predecessor.max(owners.epoch);
+            }
             let mut leadership = self.state.leadership.borrow_mut();
-            // This instance does not lead, so nothing renews a record under its own name,
-            // such as one from before a restart.
-            let own = record.name == self.state.name();
             leadership.observe_heartbeat(now, predecessor, &record.name, false);
+            // This instance does not lead, so nothing renews a record under its own name,
+            // such as one from before a restart, unless a successor is heard.
+            let own = record.name == self.state.name() && leadership.highest_epoch() == predecessor;
             let inactive = own || leadership.observe_topic_end(now, era, latest.next_offset);
             drop(leadership);
             if !inactive {
--- a/crates/entry/src/leader/broadcast.rs
+++ b/crates/entry/src/leader/broadcast.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use medlarreel_core::entry::era::is_same_claim;
 use medlarreel_core::time::Time;
 
 use super::LeaderTask;
@@ -41,7 +42,8 @@
             if let Some(map) = map {
                 let change = {
                     let before = self.state.owner_map.borrow();
-                    (before.epoch == map.epoch).then(|| before.change_to(&map))
+                    // A successor continues from the map of the leader that has stopped.
+                    is_same_claim(before.epoch, map.epoch).then(|| before.change_to(&map))
                 };
                 let message = match change {
                     Some(change) => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,7 +20,7 @@
 };
 use medlarreel_core::entry::routes::{RouteTable, TrafficSplitter};
 use medlarreel_core::entry::suspects::{Fingerprint, Suspects, Trials};
-use medlarreel_core::entry::transfer::{Offer, Request};
+use medlarreel_core::entry::transfer::{FinalReport, Request};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
@@ -63,25 +63,15 @@
     pub confirmed_at: Time,
 }
 
-/// Leadership that this instance transfers to another one because it is stopping.
-#[derive(Debug)]
+/// What a successor takes over from this instance, which is stopping, besides the ledger.
+#[derive(Clone, Copy, Debug)]
 pub struct OutgoingTransfer {
-    /// The offer, and who may accept it.
-    pub offer: Offer,
-    /// What the successor takes over.
-    pub transfer: PendingTransfer,
-}
-
-/// Report of a leader that has stepped down, for those after it.
-#[derive(Debug)]
-pub struct FinalReport {
-    /// Epoch that has ended.
-    pub epoch: u64,
-    /// Grants of this leader and its predecessors. Their times count from a later moment
-    /// when it is sent again, which is safe.
-    pub snapshot: LedgerSnapshot,
-    /// Latest epoch to whose leader the report was sent, and how often.
-    pub sent: (u64, u32),
+    /// Nonce of this instance's records in the store.
+    pub nonce: u64,
+    /// Last known end offset of the leader's topic.
+    pub end: u64,
+    /// Time at which its last successful write was sent.
+    pub confirmed_at: Time,
 }
 
 /// Minimum interval between two full owner maps or snapshots that an instance sends on
@@ -192,8 +182,9 @@
     pub pending_transfer: RefCell<Option<PendingTransfer>>,
     /// Latest request of this instance for an offered leadership.
     pub transfer_request: RefCell<Request>,
-    /// Leadership that this instance has given up because it is stopping.
-    pub outgoing_transfer: RefCell<Option<OutgoingTransfer>>,
+    /// Leadership that this instance has given up because it is stopping. The offer is in
+    /// `last_report`.
+    pub outgoing_transfer: Cell<Option<OutgoingTransfer>>,
     /// Other instances, by name.
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Whether the other instances have been loaded from the store.
@@ -272,7 +263,7 @@
             leader_topic: Cell::default(),
             pending_transfer: RefCell::default(),
             transfer_request: RefCell::default(),
-            outgoing_transfer: RefCell::default(),
+            outgoing_transfer: Cell::default(),
             members: RefCell::default(),
             has_joined: Cell::default(),
             store_health: Cell::default(),
@@ -328,8 +319,7 @@
         !self.stopping.get() && self.route_table.borrow().is_loaded() && self.is_directory_loaded()
     }
 
-    /// Whether this instance can resume the leadership of an epoch whose leader has
-    /// stopped.
+    /// Whether this instance can take over from the leader of an epoch, which has stopped.
     pub fn can_take_over(&self, epoch: u64) -> bool {
         !self.stopping.get() && self.leadership.borrow().accepts_transfer(epoch)
     }
