Bound what a peer's bytes can make an instance do

Cause: the HTTP library skips interim heads as long as the socket has bytes. Nothing bounded them, and one turn of the task took up to 128 reads of 400 KB; timeouts and all other requests of the only thread waited.

Change: streams of upstreams, the store, callers and probes are read through BoundedStream, 16 KiB at a time, and other tasks run after 64 KiB. An answer may take 64 KiB up to the end of its head, and 64 KiB beyond its data after that; one that takes more is given up at once with an unknown outcome. Bytes that are no answer no longer count as a lost connection, which is looked into as a crash of the upstream.

Ruled out: counting interim heads, since empty lines, lengths of chunks and trailers have no end either; a bound in time alone, since no timeout fires while a task does not yield.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -3,6 +3,8 @@
 //! If a request ends without a complete response, its connection is reset and never
 //! reused, so that neither a late response nor a late request can appear on it.
 
+use std::error::Error as _;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::bounded_stream::{Allowance, BoundedStream};
 use crate::error::Error;
 
 /// Time that sent data may stay unacknowledged before the kernel closes the connection.
@@ -22,6 +25,14 @@
 /// Maximum size of a response body in bytes. Instances have at least 160 MB of memory.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum number of bytes up to the end of a response head, including interim heads and
+/// what is read of the body together with the head.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Maximum number of bytes in a response body that are not data, such as lengths of chunks
+/// and trailers, in addition to as many as there are data.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// Number of refusals after which a connection is not used again, so that the list of
 /// refused attempts stays short.
 const MAX_REFUSED_ATTEMPTS: usize = 32;
@@ -47,6 +58,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Number of bytes that the server may still send.
+    allowance: Allowance,
     /// Time at which the connection was established.
     opened: Instant,
     /// Time that connecting took, about one round trip.
@@ -65,6 +78,9 @@
         let started = Instant::now();
         let connecting = async {
             let stream = open_stream(address).await.map_err(not_sent)?;
+            let stream = BoundedStream::new(stream);
+            let allowance = stream.allowance();
+            allowance.set(MAX_HEAD_BYTES);
             let (sender, connection) = http1::Builder::new()
                 .handshake(TokioIo::new(stream))
                 .await
@@ -77,6 +93,7 @@
             });
             Ok(Connection {
                 sender,
+                allowance,
                 opened: Instant::now(),
                 connect_time: started.elapsed(),
                 refused_attempts: Vec::new(),
@@ -141,8 +158,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if nothing was written, `ConnectionLost` if the connection ended
-    /// before the response did, and `NoResponse` otherwise.
+    /// Returns `NotSent` if nothing was written, `ConnectionLost` if the server ended the
+    /// connection before the response, and `NoResponse` otherwise.
     pub async fn send_request(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -153,12 +170,19 @@
                 .ready()
                 .await
                 .map_err(|error| Error::NotSent(error.to_string()))?;
+            self.allowance.set(MAX_HEAD_BYTES);
             let response = self.sender.try_send_request(request).await;
             let response = response.map_err(|mut error| match error.take_message() {
                 Some(_) => not_sent(error.into_error()),
                 None => response_error(&error.into_error()),
             })?;
             let (parts, body) = response.into_parts();
+            self.allowance.set(MAX_FRAMING_BYTES);
+            let body = body.map_frame(|frame| {
+                let data = frame.data_ref().map_or(0, Bytes::len);
+                self.allowance.extend(2 * data);
+                frame
+            });
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             Ok(BufferedResponse {
                 status: parts.status,
@@ -195,11 +219,18 @@
 pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
     let connected = tokio::time::timeout(timeout, open_stream(address)).await;
     let error = connected.ok().and_then(Result::err);
-    error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
 fn response_error(error: &hyper::Error) -> Error {
-    match error.is_parse() {
+    let cause = error.source();
+    let cause = cause.and_then(|cause| cause.downcast_ref::<std::io::Error>());
+    // The server goes on with bytes that are no response, or more than one may have.
+    let is_invalid = cause.is_some_and(|cause| {
+        let kind = cause.kind();
+        matches!(kind, ErrorKind::InvalidData | ErrorKind::InvalidInput)
+    });
+    match error.is_parse() || is_invalid {
         true => Error::NoResponse(error.to_string()),
         false => Error::ConnectionLost(error.to_string()),
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! task and the messaging between instances. The decision logic is in
 //! `medlarreel_core::entry`; this crate performs the I/O.
 
+pub mod bounded_stream;
 pub mod clock;
 pub mod connection;
 pub mod crashes;
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -19,6 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::bounded_stream::BoundedStream;
 use crate::platform::headers::READY_PATH;
 use crate::proxy;
 use crate::read_ahead::ReadAheadStream;
@@ -221,7 +222,7 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(STATUS_IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
+                .serve_connection(TokioIo::new(BoundedStream::new(stream)), service)
                 .await;
             if let Err(error) = served {
                 tracing::trace!(%error, "status connection failed");
--- a/crates/entry/src/read_ahead.rs
+++ b/crates/entry/src/read_ahead.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::bounded_stream::BoundedStream;
+
 /// Number of buffered bytes at which reading ahead stops. A close behind them is not
 /// noticed, but pipelined requests are small.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -24,7 +26,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    stream: TcpStream,
+    stream: BoundedStream,
     buffered: BytesMut,
     closed: bool,
 }
@@ -37,7 +39,7 @@
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> ReadAheadStream {
         ReadAheadStream(Rc::new(RefCell::new(Inner {
-            stream,
+            stream: BoundedStream::new(stream),
             buffered: BytesMut::new(),
             closed: false,
         })))
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod crashes;
+mod endless;
 mod faults;
 mod fixture;
 mod fleet;
