Take keys from a holder only for an upstream that has answered

Callers' keyed requests weren't served after an entry had appeared among the registrations that has nothing behind it: 8 to 22 of 160 in 8 s (users, with one healthy upstream).

Cause: each registration was a candidate for keys, and keys are released from their holder before the receiver has answered anything.

Change: a candidate that holds no keys gets some once it has answered a health check under its id; each incarnation is checked once, and its connection is kept for orders. Port 0 and unspecified or multicast addresses name no upstream.

The stand-ins of upstreams answer health checks; what refusals.rs asserts is unchanged.

--- a/crates/core/src/entry/routes.rs
+++ b/crates/core/src/entry/routes.rs
@@ -68,6 +68,8 @@
     pub name: String,
     /// Whether upstreams run only requests whose key they own.
     pub keyed: bool,
+    /// Path of health checks; `None` if upstreams answer none.
+    pub health_path: Option<String>,
     /// Maximum number of connections to one upstream from all instances together.
     pub max_connections: usize,
 }
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod handover;
 mod order;
+mod probe;
 mod record;
 
 use std::cell::RefCell;
@@ -28,6 +29,7 @@
     transfer_leadership,
 };
 use order::execute_order;
+use probe::Probes;
 pub use record::join_cluster;
 use record::{
     LEADER_TOPIC, RecordWriter, WriteResult, Written, is_complete, leader_record, owners_record,
@@ -104,6 +106,7 @@
     /// current epoch.
     first_seen: HashMap<String, Time>,
     demand: Demand,
+    probes: Rc<Probes>,
     /// Last logged stage of the ledger's recovery.
     recovery_stage: &'static str,
     /// Epoch and version of the last owner map that was broadcast.
@@ -135,6 +138,7 @@
             last_campaign_check: Time(0),
             first_seen: HashMap::new(),
             demand: Demand::default(),
+            probes: Rc::default(),
             recovery_stage: "complete",
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
@@ -372,7 +376,8 @@
         if self.state.leadership.borrow().active_epoch(now).is_some() {
             // Released keys cannot be granted again until a new record has been written.
             let store_writable = now.since(self.last_confirmed_write) < MAX_WRITE_AGE;
-            if store_writable && now.since(self.last_rebalance) >= REBALANCE_INTERVAL {
+            let is_due = now.since(self.last_rebalance) >= REBALANCE_INTERVAL;
+            if store_writable && (is_due || self.probes.take_news()) {
                 self.last_rebalance = now;
                 self.rebalance(now);
             }
@@ -432,22 +437,31 @@
         }
         let limiter = state.limiter.borrow();
         let queue = state.queue.borrow();
-        for (_, record) in directory.usable() {
+        let mut holders: BTreeMap<&str, Vec<Owner>> = BTreeMap::new();
+        for (upstream, record) in directory.usable() {
             let registration = &record.registration;
-            if is_keyed(&registration.service) {
+            let service = table.service(&registration.service);
+            if let Some(service) = service.filter(|service| service.keyed) {
+                let candidates = candidates.entry(&registration.service).or_default();
+                let holders = holders
+                    .entry(&registration.service)
+                    .or_insert_with(|| ledger.holders(&registration.service));
+                let owner = owner_of(registration);
+                let is_alive = holders.contains(&owner)
+                    || service
+                        .health_path
+                        .as_deref()
+                        .is_none_or(|path| self.probes.check(&state, upstream, registration, path));
+                if !is_alive {
+                    continue;
+                }
                 let capacity = plan::capacity(
                     registration.slots,
                     self.demand.relative_run_time(&registration.id),
                     limiter.limit_of(&registration.id, registration.born),
                     queue.service_run_time(&registration.service),
                 );
-                candidates
-                    .entry(&registration.service)
-                    .or_default()
-                    .push(Candidate {
-                        owner: owner_of(registration),
-                        capacity,
-                    });
+                candidates.push(Candidate { owner, capacity });
             }
         }
         ledger.retain_services(|name| table.service(name).is_none_or(|service| service.keyed));
--- a/crates/entry/src/platform/config.rs
+++ b/crates/entry/src/platform/config.rs
@@ -61,6 +61,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RawService {
+    health_path: Option<String>,
     max_connections: Option<usize>,
     #[serde(default)]
     sharded: bool,
@@ -136,6 +137,7 @@
     Ok(Service {
         name,
         keyed: raw.sharded,
+        health_path: raw.health_path,
         max_connections: raw.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
     })
 }
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -24,6 +24,9 @@
 pub const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// `1` in all responses of an upstream that is leaving.
 pub const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// ID of the upstream that responds, in responses to health checks and in refusals of what
+/// is addressed to another one.
+const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
 /// Shard key of a request, from 0 to 65535.
 pub const SHARD_KEY: HeaderName = HeaderName::from_static("shard-key");
 /// Opaque token that hands state over from one owner of a key range to the next.
@@ -69,6 +72,15 @@
         .is_some_and(|value| value == "1")
 }
 
+/// Whether the upstream with `id` has sent a response to a health check that is addressed to
+/// it. A refusal of the check may name no upstream.
+pub fn is_from_instance(headers: &HeaderMap, id: &str) -> bool {
+    match headers.get(&INSTANCE_ID) {
+        Some(named) => named == id,
+        None => headers.contains_key(&NOT_EXECUTED),
+    }
+}
+
 /// Parses the time for which an upstream wants no requests after it has turned one away, in
 /// seconds with an optional fraction; `None` if it names none, or one that is malformed.
 pub fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/entry/src/platform/registry.rs
+++ b/crates/entry/src/platform/registry.rs
@@ -31,9 +31,14 @@
     Draining,
 }
 
-/// Decodes a registration record; `None` if it is not a valid registration.
+/// Decodes a registration record; `None` if it is not a valid registration, or if no upstream
+/// can listen on its address.
 pub fn decode(id: &str, value: &[u8]) -> Option<Registration> {
     let raw: RawRegistration = serde_json::from_slice(value).ok()?;
+    let ip = raw.address.ip();
+    if raw.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return None;
+    }
     Some(Registration {
         id: id.to_owned(),
         service: raw.service,
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod messages;
 mod missed;
+mod odd_entries;
 mod orders;
 mod rate_limit;
 mod refusals;
--- /dev/null
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -0,0 +1,121 @@
+//! Entries among the registrations that another writer has left.
+
+use medlarreel_entry::platform::registry;
+use medlarreel_standin::platform::upstream;
+use medlarreel_standin::server::any_port;
+use serde_json::{Value, json};
+use tokio::time::{Duration, sleep};
+
+use crate::fixture::{
+    TestCluster, is_ready, request_text, send_request, start_cluster, start_instance, wait_until,
+};
+
+/// Registration of an upstream of the keyed service, with `fields` in place of its own.
+fn entry(fields: &Value) -> String {
+    let mut entry = json!({
+        "service": "keyed", "address": "127.0.0.1:1", "zone": "a", "version": "v1",
+        "slots": 6, "state": "ready", "warmupLeftS": 0, "sequence": 1, "born": 1000,
+    });
+    for (name, value) in fields.as_object().unwrap() {
+        entry[name] = value.clone();
+    }
+    entry.to_string()
+}
+
+fn put(cluster: &TestCluster, id: &str, entry: &str) {
+    let store = cluster.store.service();
+    store.put("keyed.servers", id, entry.as_bytes());
+}
+
+/// Entries that can't be read, or that no upstream can have.
+fn invalid_entries() -> Vec<String> {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let with_slots = |slots: &str| entry(&json!({"slots": "X"})).replace("\"X\"", slots);
+    let addresses = [
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "0.0.0.0:80",
+        "[::]:80",
+        "224.0.0.1:80",
+        "127.0.0.1",
+    ];
+    let of_address = |address: &&str| entry(&json!({ "address": address }));
+    let mut entries: Vec<String> = addresses.iter().map(of_address).collect();
+    entries.extend([
+        with_slots(&nested),
+        with_slots(&"9".repeat(400)),
+        with_slots("18446744073709551616"),
+        with_slots("-1"),
+        with_slots("1e999"),
+        with_slots("NaN"),
+        nested,
+        String::new(),
+        "null".into(),
+        entry(&json!({"warmupLeftS": -1})),
+        entry(&json!({"warmupLeftS": 1e300})),
+        entry(&json!({"state": "asleep"})),
+    ]);
+    entries
+}
+
+/// Guards against an entry that ends the process that reads it, or that is taken for an
+/// upstream.
+#[test]
+fn entry_that_no_upstream_can_have_is_not_a_registration() {
+    for entry in invalid_entries() {
+        let registration = registry::decode("odd", entry.as_bytes());
+
+        assert_eq!(registration, None, "{:.200}", entry);
+    }
+}
+
+/// Guards against instances that stop to follow the registrations because of one of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn registrations_are_followed_behind_invalid_entries() {
+    let mut cluster = start_cluster().await;
+
+    for (number, entry) in invalid_entries().iter().enumerate() {
+        put(&cluster, &format!("odd-{number}"), entry);
+    }
+    let joined = upstream::start(any_port(), "k9", true).await.unwrap();
+    cluster.register_keyed_upstream("k9", joined.address());
+    wait_until("an upstream that has joined holds keys", async || {
+        joined.service().held_key_count() > 0
+    })
+    .await;
+    let started = start_instance(cluster.store.address()).await;
+
+    wait_until("an instance starts", async || is_ready(&started).await).await;
+    assert!(is_ready(&cluster.instance).await);
+}
+
+/// Guards against keys that are taken from a healthy upstream for an entry behind which there
+/// is no other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_without_an_upstream_gets_no_keys() {
+    let cluster = start_cluster().await;
+    let entries = [
+        json!({}),
+        json!({"address": "127.0.0.1:2", "slots": u32::MAX}),
+        json!({"address": "127.0.0.1:0"}),
+        json!({"address": cluster.plain[0].address().to_string(), "born": 2000}),
+    ];
+
+    for (number, fields) in entries.iter().enumerate() {
+        put(&cluster, &format!("odd-{number}"), &entry(fields));
+    }
+    let mut refused = Vec::new();
+    for number in 0..160_u32 {
+        let request = request_text("GET", "/status/x", &format!("n{number}"), "");
+        let key = format!("Shard-Key: {}", number * 409);
+        let request = request.replace("Shard-Key: 77", &key);
+        let response = send_request(cluster.instance.callers, &request).await;
+        if !response.starts_with("HTTP/1.1 200") {
+            refused.push(response);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert!(refused.is_empty(), "{refused:?}");
+    assert_eq!(cluster.held_key_count(), 1 << 16);
+}
--- a/crates/entry/tests/path/refusals.rs
+++ b/crates/entry/tests/path/refusals.rs
@@ -21,7 +21,7 @@
 /// Number of arrivals of each attempt.
 type Arrivals = Arc<Mutex<HashMap<String, usize>>>;
 
-/// Starts a keyed upstream that accepts all grants, refuses the first send of each attempt
+/// Starts a keyed upstream that accepts all grants and health checks, refuses the first send of each attempt
 /// whose id begins with `refused`, and repeats that refusal later. If `named`, refusals bear the attempt's id.
 async fn start_repeating_upstream(named: bool) -> (SocketAddr, Arrivals) {
     let listener = TcpListener::bind(any_port()).await.unwrap();
@@ -45,8 +45,9 @@
         let mut lines = request.lines();
         let attempt = lines.find_map(|line| line.strip_prefix("attempt-id: "));
         let Some(attempt) = attempt else {
-            let order = "HTTP/1.1 200 OK\r\nhandover: 5c0e7a21\r\ncontent-length: 0\r\n\r\n";
-            stream.write_all(order.as_bytes()).await.ok();
+            let reply = "HTTP/1.1 200 OK\r\ninstance-id: repeating\r\nhandover: 5c0e7a21\r\n\
+                         content-length: 0\r\n\r\n";
+            stream.write_all(reply.as_bytes()).await.ok();
             continue;
         };
         let count = {
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -23,6 +23,9 @@
 /// Number of 16-bit shard keys.
 const KEY_COUNT: usize = 1 << 16;
 
+/// Path of health checks.
+const HEALTH_PATH: &str = "/health";
+
 /// Id of the upstream that a request is meant for.
 const TARGET_INSTANCE: HeaderName = HeaderName::from_static("target-instance");
 
@@ -222,11 +225,7 @@
         let mut guard = self.state();
         let state = &mut *guard;
         if state.is_misdirected(headers) {
-            let mut reply = server::text(421, "meant for another instance");
-            if let Ok(id) = HeaderValue::try_from(&state.id) {
-                reply.headers_mut().insert(INSTANCE_ID, id);
-            }
-            return Ok(reply);
+            return Ok(state.name_in(server::text(421, "meant for another instance")));
         }
         let keys = &mut state.keys[usize::from(update.from)..=usize::from(update.target)];
         let is_grant = update.hold_s.is_some();
@@ -254,6 +253,15 @@
         Ok(reply)
     }
 
+    fn respond_to_health_check(&self, headers: &HeaderMap) -> Reply {
+        let state = self.state();
+        let reply = match state.is_misdirected(headers) {
+            true => server::text(421, "meant for another instance"),
+            false => server::text(200, "healthy"),
+        };
+        state.name_in(reply)
+    }
+
     /// Status of the refusal if the request must not be run, otherwise `None`.
     fn refusal_status(&self, headers: &HeaderMap) -> Option<StatusCode> {
         let state = self.state();
@@ -313,6 +321,14 @@
 }
 
 impl State {
+    /// Adds the id of the upstream to a reply.
+    fn name_in(&self, mut reply: Reply) -> Reply {
+        if let Ok(id) = HeaderValue::try_from(&self.id) {
+            reply.headers_mut().insert(INSTANCE_ID, id);
+        }
+        reply
+    }
+
     /// Whether a request names another upstream as its target.
     fn is_misdirected(&self, headers: &HeaderMap) -> bool {
         let target = headers.get(TARGET_INSTANCE);
@@ -339,6 +355,9 @@
         if path == "/medlarreel/grant" || path == "/medlarreel/release" {
             return self.apply_lease_update(&parts.headers, &body);
         }
+        if path == HEALTH_PATH {
+            return Ok(self.respond_to_health_check(&parts.headers));
+        }
         self.state().arrivals.push(Instant::now());
         let mut reply = match self.refusal_status(&parts.headers) {
             Some(status) => {
