Resign in the current epoch if the store is restored during a stop

A leader that claims again while it offers its leadership went on leading until its process exited, since the offer was made for the epoch before.

Holders are found by binary search when candidates for keys are selected.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -31,9 +31,9 @@
 use super::plan::{self, Candidate, KeyWeights, PlannedRange};
 use crate::time::Time;
 
-/// Number of fencing tokens per epoch, and a sixteenth of those per claim. A leader uses
-/// one for each order. All leaders of a claim use far fewer than their claim has between
-/// two appends to the topic, and the offset of a later claim is above that of the last one.
+/// Number of fencing tokens per epoch; a claim has 16 epochs. A leader uses one token for
+/// each order. The leaders of a claim use far fewer than 16 epochs have between two appends
+/// to the topic, and the offset of a later claim is above that of the last append.
 const FENCES_PER_EPOCH: u64 = 1 << 16;
 
 /// Number of renewals within the duration of a lease, so that two of them may be lost.
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -447,7 +447,7 @@
                     .entry(&registration.service)
                     .or_insert_with(|| ledger.holders(&registration.service));
                 let owner = owner_of(registration);
-                let is_alive = holders.contains(&owner)
+                let is_alive = holders.binary_search(&owner).is_ok()
                     || service
                         .health_path
                         .as_deref()
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -101,7 +101,9 @@
     }
     // No request is answered from now on.
     state.outgoing_transfer.take();
-    if state.leadership.borrow().epoch() == Some(epoch) {
+    // The epoch changes if the store was restored meanwhile.
+    let epoch = state.leadership.borrow().epoch();
+    if let Some(epoch) = epoch {
         let snapshot = step_down(state);
         let resigned = Message::Resigned { epoch, snapshot };
         peers::broadcast(state, socket, &resigned).await;
@@ -240,9 +242,14 @@
     let now = state.clock.now();
     if outgoing.terms.is_none() {
         let (nonce, end) = state.leader_topic.get()?;
-        let confirmed_at = state.leadership.borrow().confirmed_at()?;
         let connected_at = outgoing.connected_at?;
-        let is_certain = state.leadership.borrow().is_certain(now);
+        let (confirmed_at, is_certain) = {
+            let leadership = state.leadership.borrow();
+            leadership
+                .epoch()
+                .filter(|epoch| *epoch == outgoing.offer.epoch())?;
+            (leadership.confirmed_at()?, leadership.is_certain(now))
+        };
         let (verified, is_complete) = {
             let ledger = state.ledger.borrow();
             let ledger = ledger.as_ref()?;
