--- a/crates/core/tests/entry/leadership.rs
+++ b/crates/core/tests/entry/leadership.rs
@@ -5,7 +5,7 @@
     CAMPAIGN_STAGGER, HEARTBEAT_TIMEOUT, LEADER_LEASE, Leadership, STALE_RECORD_AGE,
 };
 
-use crate::fixture::{at, ms};
+use crate::fixture::{address, at, ms};
 
 /// Guards against a leader that grants keys after a successor may have moved them.
 #[test]
@@ -112,3 +112,35 @@
 
     assert!(!leadership.accepts_transfer(6));
 }
+
+/// Guards against orders to an upstream that has restarted and forgotten a later leader.
+#[test]
+fn leader_that_may_have_been_replaced_needs_an_old_connection() {
+    let mut leadership = Leadership::new(at(0));
+    leadership.become_leader("a", 7, at(1_000));
+    let certain = at(1_000) + STALE_RECORD_AGE - ms(50);
+
+    let before = leadership.min_connection_age(certain, address(1));
+    let after = leadership.min_connection_age(certain + ms(500), address(1));
+    leadership.record_append(at(2_000));
+    let appended = leadership.min_connection_age(certain + ms(500), address(1));
+
+    assert!(before.is_zero());
+    assert!(after > ms(400), "{after:?}");
+    assert!(appended.is_zero());
+}
+
+/// Guards against a successor that can't renew grants without the store, and against one that
+/// uses a connection that may lead to a later process.
+#[test]
+fn successor_uses_connections_to_upstreams_that_have_answered_since() {
+    let mut leadership = Leadership::new(at(0));
+    let verified = vec![address(1)];
+
+    leadership.take_over("b", 8, at(1_000), verified, at(9_000));
+    let [answered, silent] =
+        [1, 2].map(|number| leadership.min_connection_age(at(10_000), address(number)));
+
+    assert_eq!(answered, ms(1_000));
+    assert!(silent > ms(7_000), "{silent:?}");
+}
--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -614,3 +614,25 @@
     assert_eq!(record.services[SERVICE][0].owner, Some(restarted));
     assert!(record.services[SERVICE][0].releasing);
 }
+
+/// Guards against a successor that is told that an upstream has answered, although the order
+/// was sent before the successor had connected or has failed.
+#[test]
+fn only_orders_sent_since_show_that_an_upstream_answers() {
+    let mut ledger = held_ledger(at(0));
+
+    ledger.renew_all(at(1_000));
+    let orders = ledger.take_due_orders(at(1_000), usize::MAX, |_| None);
+    ledger.handle_reply(at(1_010), at(1_000), &orders[0], &done_reply());
+    ledger.handle_reply(at(1_010), at(1_000), &orders[1], &Reply::Unknown);
+    let before = ledger.answered_since(at(1_001));
+    let after = ledger.answered_since(at(1_000));
+    ledger.renew_all(at(2_000));
+    reply_to_all(&mut ledger, at(2_100), &done_reply());
+    let (_, is_complete) = ledger.answered_since(at(2_000));
+
+    assert_eq!(orders.len(), 2);
+    assert_eq!(before, (vec![], false));
+    assert_eq!(after, (vec![orders[0].owner.address], false));
+    assert!(is_complete);
+}
--- a/crates/core/tests/entry/transfer.rs
+++ b/crates/core/tests/entry/transfer.rs
@@ -4,7 +4,7 @@
 use medlarreel_core::entry::ledger::LedgerSnapshot;
 use medlarreel_core::entry::map::OwnerMap;
 use medlarreel_core::entry::transfer::{
-    FinalReport, OFFER_TIMEOUT, Offer, Process, REPLY_TIMEOUT, REPORT_SENDS, Request,
+    FinalReport, OFFER_TIMEOUT, Offer, Preparation, Process, REPLY_TIMEOUT, REPORT_SENDS, Request,
 };
 
 use crate::fixture::{address, at, ms};
@@ -186,3 +186,19 @@
 
     assert_eq!([other, first, copy], [None, Some(at(0)), None]);
 }
+
+/// Guards against connections that are opened after the leader has begun to count from them:
+/// a copy of an offer arrives after a later leadership was offered.
+#[test]
+fn connections_are_opened_once_for_an_offered_leadership() {
+    let mut preparation = Preparation::default();
+
+    let begun = [7, 7, 9, 7].map(|epoch| preparation.begin(epoch));
+    preparation.finish(7, at(100));
+    preparation.finish(9, at(200));
+    preparation.finish(9, at(300));
+
+    assert_eq!(begun, [true, false, true, false]);
+    assert_eq!(preparation.connected_at(7), None);
+    assert_eq!(preparation.connected_at(9), Some(at(200)));
+}
