Take what the state of an instance holds out of the modules that use it

`state.rs` imported the readers and the exchange of crashes, which import it: fourteen files formed one import cycle. The read state of topics, the evidence that waits to be sent and the pending trials are modules of their own now that don't know the state, so that `state.rs` imports none of its users.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -9,6 +9,8 @@
 //! when this instance has closed the connection already. Such requests are remembered for a
 //! while, and an upstream that ends soon after counts against them as well.
 
+pub mod outbox;
+pub mod pending;
 pub mod trials;
 
 use std::net::SocketAddr;
@@ -20,6 +22,8 @@
 use medlarreel_core::time::Time;
 use tokio::net::UdpSocket;
 
+use outbox::{Abandoned, Outbox};
+
 use crate::connection;
 use crate::peers::{self, Message};
 use crate::state::State;
@@ -66,25 +70,6 @@
     Duration::from_millis(1_000),
 ];
 
-/// What the exchange task is to do next.
-#[derive(Debug, Default)]
-pub struct Outbox {
-    crashes: Vec<(Crash, Time)>,
-    acquittals: Vec<(Fingerprint, Time)>,
-    /// Trials of this instance that have ended.
-    ended_trials: Vec<Fingerprint>,
-    /// Suspected requests that were given up, and their upstreams.
-    watched: Vec<(Upstream, Fingerprint)>,
-}
-
-/// A request that was given up without a response.
-#[derive(Clone, Copy, Debug)]
-pub struct Abandoned {
-    upstream: Upstream,
-    fingerprint: Fingerprint,
-    at: Time,
-}
-
 /// Records that a request was given up while an upstream may have run it. Called when the
 /// request is dropped, so that it must not start tasks.
 pub fn record_abandoned(state: &State, upstream: Upstream, fingerprint: Fingerprint) {
@@ -306,25 +291,24 @@
             for at in SEND_TIMES {
                 tokio::time::sleep(at - elapsed).await;
                 elapsed = at;
-                let message = news.message(state.clock.now());
+                let message = news_message(&news, state.clock.now());
                 peers::broadcast(&state, &socket, &message).await;
             }
         });
     }
 }
 
-impl Outbox {
-    fn message(&self, now: Time) -> Message {
-        let age_ms = |at: Time| now.since(at).as_millis() as u64;
-        let crashes = self.crashes.iter().map(|(crash, at)| Crash {
-            age_ms: age_ms(*at),
-            ..crash.clone()
-        });
-        let acquittals = self.acquittals.iter();
-        Message::Crashes {
-            crashes: crashes.collect(),
-            acquittals: acquittals.map(|(id, at)| (*id, age_ms(*at))).collect(),
-        }
+/// Builds the message with the evidence that is to be sent.
+fn news_message(news: &Outbox, now: Time) -> Message {
+    let age_ms = |at: Time| now.since(at).as_millis() as u64;
+    let crashes = news.crashes.iter().map(|(crash, at)| Crash {
+        age_ms: age_ms(*at),
+        ..crash.clone()
+    });
+    let acquittals = news.acquittals.iter();
+    Message::Crashes {
+        crashes: crashes.collect(),
+        acquittals: acquittals.map(|(id, at)| (*id, age_ms(*at))).collect(),
     }
 }
 
--- a/crates/entry/src/crashes/trials.rs
+++ b/crates/entry/src/crashes/trials.rs
@@ -1,7 +1,5 @@
 //! Leave to send suspected requests, which the leader gives to one instance at a time.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,13 +21,6 @@
 /// Interval at which a request that waits for the trial of another one is looked at again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Suspected requests that this instance sends or asks leave for, and the channels to the
-/// tasks that wait for replies.
-#[derive(Debug, Default)]
-pub struct LocalTrials {
-    pending: RefCell<HashMap<Fingerprint, Option<oneshot::Sender<bool>>>>,
-}
-
 /// Only request of its kind that this instance sends or asks leave for, until it is dropped.
 pub struct Trial {
     state: Rc<State>,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -18,7 +18,8 @@
 use crate::peers;
 use crate::permits;
 use crate::platform::SETTINGS_ENV_VAR;
-use crate::reader::{self, Topic};
+use crate::reader;
+use crate::reader::feed::Topic;
 use crate::settings::Settings;
 use crate::state::State;
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -30,7 +30,7 @@
 
 use crate::crashes;
 use crate::reader::bootstrap::Snapshot;
-use crate::reader::{Progress, RecordBatch, Topic};
+use crate::reader::feed::{Progress, RecordBatch, Topic};
 use crate::state::State;
 
 /// Maximum datagram size; UDP over IPv4 carries at most 65,507 bytes.
--- a/crates/entry/src/peers/missed.rs
+++ b/crates/entry/src/peers/missed.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::{Message, send};
-use crate::reader::Topic;
+use crate::reader::feed::Topic;
 use crate::state::State;
 
 /// Requests missed records, if a request is due: from the instance at `source`, or from the
--- a/crates/entry/src/reader/bootstrap.rs
+++ b/crates/entry/src/reader/bootstrap.rs
@@ -15,7 +15,8 @@
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
-use super::{Progress, Topic, reader_position};
+use super::feed::{Progress, Topic};
+use super::reader_position;
 use crate::peers::{self, Message};
 use crate::platform::config;
 use crate::platform::store::KeyedRecord;
--- a/crates/entry/src/reader/history.rs
+++ b/crates/entry/src/reader/history.rs
@@ -5,7 +5,7 @@
 
 use medlarreel_core::time::Time;
 
-use super::RecordBatch;
+use super::feed::RecordBatch;
 
 /// Maximum number of batches that are kept. The leader reads at most seven a second.
 const MAX_BATCHES: usize = 64;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -33,11 +33,11 @@
 
 use crate::clock::Clock;
 use crate::connection::Connection;
-use crate::crashes::trials::LocalTrials;
-use crate::crashes::{Abandoned, Outbox};
+use crate::crashes::outbox::{Abandoned, Outbox};
+use crate::crashes::pending::PendingTrials;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::reader::{Feed, Topic};
+use crate::reader::feed::{Feed, Topic};
 use crate::settings::Settings;
 
 /// Safety margin within the drain limit of a leaving upstream, for requests in flight and
@@ -164,7 +164,7 @@
     /// Trials of suspected requests; empty unless this instance leads.
     pub trials: RefCell<Trials>,
     /// Trials of this instance.
-    pub local_trials: LocalTrials,
+    pub local_trials: PendingTrials,
     /// Socket for messages about trials; `None` during the start.
     pub trial_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Requests that were given up without a response, in the order of time.
@@ -267,7 +267,7 @@
             suspects_synchronized: Cell::default(),
             lost_connections: RefCell::default(),
             trials: RefCell::default(),
-            local_trials: LocalTrials::default(),
+            local_trials: PendingTrials::default(),
             trial_socket: RefCell::default(),
             abandoned: RefCell::default(),
             crash_outbox: RefCell::default(),
--- a/crates/entry/tests/path/history.rs
+++ b/crates/entry/tests/path/history.rs
@@ -2,8 +2,8 @@
 
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::time::Time;
+use medlarreel_entry::reader::feed::{RecordBatch, Topic};
 use medlarreel_entry::reader::history::History;
-use medlarreel_entry::reader::{RecordBatch, Topic};
 
 fn at(ms: u64) -> Time {
     Time(60_000_000 + ms * 1_000)
--- a/crates/entry/tests/path/missed.rs
+++ b/crates/entry/tests/path/missed.rs
@@ -6,7 +6,8 @@
 
 use medlarreel_core::entry::era::Era;
 use medlarreel_entry::peers::{self, Message};
-use medlarreel_entry::reader::{self, Progress, Topic};
+use medlarreel_entry::reader;
+use medlarreel_entry::reader::feed::{Progress, Topic};
 use medlarreel_entry::settings::Settings;
 use medlarreel_entry::state::{Member, State};
 use medlarreel_standin::platform::store;
