--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -10,31 +10,20 @@
 //! Otherwise all callers of an overloaded upstream would get late responses; this
 //! way most of those that it can serve get prompt ones.
 
+mod selection;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use medlarreel_macros::data;
 
+use selection::{QUEUE_DEPTH, Selection};
+
 use super::permit::Permits;
 use super::upstream_state::{ReportedLoad, SendResult, UpstreamState};
 use crate::ids::Upstream;
 use crate::time::Time;
 
-/// Number of requests beyond its slots up to which requests of rank 0 are sent to an
-/// upstream. While several instances send to it, filling its slots exactly would leave
-/// some of them idle.
-const URGENT_QUEUE_DEPTH: f64 = 2.0;
-
-/// Number of requests beyond its slots up to which requests of other ranks are sent to
-/// an upstream, unless more urgent ones arrive.
-const QUEUE_DEPTH: f64 = 1.0;
-
-/// Fraction of an upstream's slots that is reserved for more urgent requests while a
-/// service receives requests of several ranks. An upstream runs requests in order of
-/// arrival, so an urgent request must find a free slot. Fractional slots are not
-/// reserved, since otherwise half of an upstream with two slots would stay idle.
-const RESERVED_SLOT_FRACTION: f64 = 0.3;
-
 /// Time for which a rank counts as active after its last request.
 const RANK_ACTIVE_PERIOD: Duration = Duration::from_secs(5);
 
@@ -59,10 +48,6 @@
 /// Callers expect a response within three to five run times.
 const DEMOTION_THRESHOLD_RUNS: f64 = 2.0;
 
-/// Latency added to the score of an upstream in another failure domain, for the
-/// round trip and the transfer of the data.
-const CROSS_DOMAIN_COST: Duration = Duration::from_millis(15);
-
 /// Queue length of one instance at which further requests are refused, so that a flood
 /// cannot exhaust its memory. Not applied to requests that have no usable upstream yet.
 const MAX_QUEUED_REQUESTS: usize = 512;
@@ -471,41 +456,18 @@
                 },
             };
         }
-        let outranked = self.is_outranked(now, request);
-        let keyed = request.key.is_some();
-        let mut best: Option<(f64, Candidate)> = None;
-        let mut best_limited: Option<(f64, Upstream)> = None;
-        for candidate in &availability.candidates {
-            let initial = UpstreamState::new(candidate.slots);
-            let state = self.upstreams.get(&candidate.upstream).unwrap_or(&initial);
-            let depth = match (request.rank, outranked) {
-                (0, _) => URGENT_QUEUE_DEPTH,
-                (_, true) => -f64::from(state.slots()) * RESERVED_SLOT_FRACTION,
-                (_, false) => QUEUE_DEPTH,
-            };
-            if !state.has_capacity(now, depth)
-                || state.paused_until(now).is_some()
-                || (!keyed && request.tried.contains(&candidate.upstream))
-            {
-                continue;
-            }
-            let mut score = score(now, state, candidate, expected);
-            if !self.permits.may_send(now, candidate.upstream) {
-                if best_limited.is_none_or(|(lowest, _)| score < lowest) {
-                    best_limited = Some((score, candidate.upstream));
-                }
-                continue;
-            }
-            if self.permits.is_probe_due(now, candidate.upstream) {
-                score = 0.0;
-            }
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, *candidate));
-            }
-        }
-        let Some((_, candidate)) = best else {
+        let choice = selection::choose(&Selection {
+            now,
+            request,
+            candidates: &availability.candidates,
+            upstreams: &self.upstreams,
+            permits: &self.permits,
+            expected,
+            is_outranked: self.is_outranked(now, request),
+        });
+        let Some(candidate) = choice.candidate else {
             return Evaluation::Wait {
-                permit_from: best_limited.map(|(_, upstream)| upstream),
+                permit_from: choice.limited,
             };
         };
         Evaluation::Decided(Decision::Send {
@@ -634,21 +596,3 @@
         state.estimated_wait(now, ahead as usize, expected, QUEUE_DEPTH)
     }
 }
-
-/// Expected time to a response in seconds, with penalties; lower is better.
-fn score(now: Time, state: &UpstreamState, candidate: &Candidate, expected: Duration) -> f64 {
-    let utilization = (state.occupancy(now) + 1.0) / f64::from(state.slots());
-    let mut seconds = expected.as_secs_f64() * state.relative_run_time() * utilization.max(1.0);
-    // An upstream slows down as it fills up, so less loaded ones are preferred.
-    seconds += expected.as_secs_f64() * 0.2 * utilization.min(1.0);
-    if candidate.cross_domain {
-        seconds += CROSS_DOMAIN_COST.as_secs_f64();
-    }
-    if candidate.warming_up {
-        seconds *= 2.0;
-    }
-    if state.is_penalized(now) {
-        seconds += 10.0;
-    }
-    seconds
-}
