Read the settings and fields that limits of new kinds need

The settings name the memory, descriptors and link of the machine and the bounds for evacuations and cold upstreams; configurations name the rate that cold upstreams take; loads may name how slow a machine is. Requests of the kind `download` may run again: they were answered 502 after a lost answer without a second send (tests/path/decoding.rs fails on the code before).

--- a/crates/core/src/entry/routes.rs
+++ b/crates/core/src/entry/routes.rs
@@ -5,6 +5,8 @@
 
 use medlarreel_macros::data;
 
+use super::permit::Rate;
+
 /// Limits on requests and connections of callers.
 #[data(plain)]
 pub struct Limits {
@@ -72,6 +74,10 @@
     pub health_path: Option<String>,
     /// Maximum number of connections to one upstream from all instances together.
     pub max_connections: usize,
+    /// Time for which an upstream is cold after its start.
+    pub warmup: Duration,
+    /// Requests that a cold upstream takes from all instances together; `None` if any number.
+    pub warmup_rate: Option<Rate>,
 }
 
 /// A complete configuration.
--- a/crates/core/src/entry/upstream_state.rs
+++ b/crates/core/src/entry/upstream_state.rs
@@ -45,6 +45,13 @@
     pub waiting: u32,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
+    /// How long runs take on the upstream's machine at this moment, in percent of the usual.
+    pub slowness: u32,
+}
+
+impl ReportedLoad {
+    /// Slowness of a machine that runs requests as fast as usual.
+    pub const USUAL_SLOWNESS: u32 = 100;
 }
 
 /// How sending a request to an upstream ended.
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -222,6 +222,7 @@
         running: 6,
         waiting: 5,
         slots: 6,
+        slowness: ReportedLoad::USUAL_SLOWNESS,
     };
     finish_run(&mut queue, now, 1, Some(load), ms(100));
     queue
--- a/crates/entry/src/platform/config.rs
+++ b/crates/entry/src/platform/config.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use medlarreel_core::entry::permit::Rate;
 use medlarreel_core::entry::routes::{Config, Limits, Route, Service, Share};
 use serde::Deserialize;
 use serde_json::Value;
@@ -65,6 +66,10 @@
     max_connections: Option<usize>,
     #[serde(default)]
     sharded: bool,
+    #[serde(default)]
+    warmup_s: f64,
+    #[serde(default)]
+    warmup_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -117,8 +122,8 @@
         name,
         host: raw.host,
         prefix: raw.path_prefix,
-        // A request of any kind other than `safe` must run at most once.
-        idempotent: raw.kind == "safe",
+        // A request of any other kind must run at most once.
+        idempotent: matches!(raw.kind.as_str(), "safe" | "download"),
         timeout: duration_from_secs(raw.timeout_s),
         target_latency: duration_from_secs(raw.target_latency_s),
         rank: raw.priority,
@@ -139,6 +144,9 @@
         keyed: raw.sharded,
         health_path: raw.health_path,
         max_connections: raw.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+        warmup: duration_from_secs(raw.warmup_s),
+        // A service whose cold upstreams take any rate names 0.
+        warmup_rate: Rate::from_per_second(raw.warmup_per_s).filter(|rate| *rate > Rate(0)),
     })
 }
 
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -15,7 +15,8 @@
 /// ID of the upstream that the request is addressed to.
 pub const TARGET_INSTANCE: HeaderName = HeaderName::from_static("target-instance");
 /// Load of an upstream: running requests, waiting requests and slots, separated by
-/// commas.
+/// commas. Some add a fourth figure: how long work takes there at this moment, in percent
+/// of the usual.
 pub const BACKEND_LOAD: HeaderName = HeaderName::from_static("backend-load");
 /// Present if the upstream did not run the request.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
@@ -51,6 +52,10 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        slowness: numbers
+            .next()
+            .flatten()
+            .unwrap_or(ReportedLoad::USUAL_SLOWNESS),
     })
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -35,10 +35,31 @@
     SectionSchema {
         kind: "bounds",
         named: false,
-        keys: &["grace", "hold_max", "drain", "retry_ratio"],
+        keys: &[
+            "grace",
+            "hold_max",
+            "drain",
+            "retry_ratio",
+            "evacuate",
+            "warmup_overage",
+            "warmup_slack",
+        ],
+    },
+    SectionSchema {
+        kind: "limits",
+        named: false,
+        keys: &["memory", "descriptors", "link"],
     },
 ];
 
+/// Memory of a process whose settings name none, in bytes.
+const DEFAULT_MEMORY: u64 = 256 * MEGABYTE;
+
+/// File descriptors of a process whose settings name none.
+const DEFAULT_DESCRIPTORS: u32 = 1_024;
+
+const MEGABYTE: u64 = 1_000_000;
+
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -69,6 +90,19 @@
     pub drain_limit: Duration,
     /// Retries per request that all instances together may make, from 0 to 1.
     pub retry_ratio: f64,
+    /// Time from an operator's evacuation of a failure domain until its upstreams must not be
+    /// sent any requests.
+    pub evacuation_limit: Duration,
+    /// Factor by which all instances together may exceed the rate that a cold upstream takes.
+    pub warmup_overage: f64,
+    /// Requests by which they may exceed it besides, in any second.
+    pub warmup_slack: f64,
+    /// Memory of the process in bytes; it ends when it exceeds it.
+    pub memory: u64,
+    /// File descriptors of the process.
+    pub descriptors: u32,
+    /// Rate of the machine's network link in bits per second; `None` if it is not known.
+    pub link: Option<f64>,
 }
 
 impl Settings {
@@ -109,6 +143,22 @@
     let hold_max = duration("hold_max", Duration::from_secs(10));
     let drain = duration("drain", Duration::from_secs(2));
     let retry_ratio = bounds.map_or(Some(0.2), |bounds| bounds.or("retry_ratio", ratio, 0.2));
+    let evacuate = duration("evacuate", Duration::from_secs(5));
+    let number =
+        |key, default| bounds.map_or(Some(default), |bounds| bounds.or(key, factor, default));
+    let (overage, slack) = (number("warmup_overage", 1.0), number("warmup_slack", 0.0));
+    let limits = document.sections("limits").next();
+    let memory = limits.map_or(Some(DEFAULT_MEMORY), |limits| {
+        limits.or("memory", megabytes, DEFAULT_MEMORY)
+    });
+    let descriptors = limits.map_or(Some(DEFAULT_DESCRIPTORS), |limits| {
+        limits.or(
+            "descriptors",
+            value::number(64..=u32::MAX),
+            DEFAULT_DESCRIPTORS,
+        )
+    });
+    let link = limits.map_or(Some(None), |limits| limits.or("link", link_rate, None));
     let address = |key| listen.and_then(|section| section.require(key, value::address));
     let (callers, readiness) = (address("callers"), address("readiness"));
     let (peers, metrics) = (address("peers"), address("metrics"));
@@ -139,6 +189,12 @@
         lease_duration: hold_max?.min(MAX_LEASE_DURATION),
         drain_limit: drain?,
         retry_ratio: retry_ratio?,
+        evacuation_limit: evacuate?,
+        warmup_overage: overage?,
+        warmup_slack: slack?,
+        memory: memory?,
+        descriptors: descriptors?,
+        link: link?,
     })
 }
 
@@ -159,6 +215,44 @@
     Duration::try_from_secs_f64(number).map_err(|_| invalid_duration())
 }
 
+/// Parses a number that is not negative, such as `1.5`.
+fn factor(text: &str) -> Result<f64, ValueError> {
+    let number = text.parse::<f64>().ok();
+    number
+        .filter(|number| number.is_finite() && *number >= 0.0)
+        .ok_or_else(|| ValueError::invalid("a number of 0 or more", "write a number such as 1.5"))
+}
+
+/// Parses an amount of memory such as `260 MB`, in bytes.
+fn megabytes(text: &str) -> Result<u64, ValueError> {
+    let number = text
+        .strip_suffix("MB")
+        .and_then(|number| number.trim().parse().ok());
+    number
+        .filter(|megabytes| (16..=1_000_000).contains(megabytes))
+        .map(|megabytes: u64| megabytes * MEGABYTE)
+        .ok_or_else(|| {
+            ValueError::invalid(
+                "an amount of memory such as `260 MB`",
+                "write a number and MB",
+            )
+        })
+}
+
+/// Parses the rate of a link such as `10 Mbit/s`, in bits per second.
+fn link_rate(text: &str) -> Result<Option<f64>, ValueError> {
+    let number = text
+        .strip_suffix("Mbit/s")
+        .map(|number| factor(number.trim()));
+    let megabits = number.unwrap_or_else(|| {
+        Err(ValueError::invalid(
+            "a rate such as `10 Mbit/s`",
+            "write a number and Mbit/s",
+        ))
+    });
+    megabits.map(|megabits| Some(megabits * 1e6))
+}
+
 fn ratio(text: &str) -> Result<f64, ValueError> {
     let number = text.parse::<f64>().ok();
     number
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod crashes;
+mod decoding;
 mod endless;
 mod faults;
 mod fixture;
