Decide in one place whether a stopping leader may step down

The rule stood in `leader/handover.rs` and again in the random schedules, which therefore tested a copy. Both call `transfer::step_down_for_successor`.

--- a/crates/core/src/entry/transfer.rs
+++ b/crates/core/src/entry/transfer.rs
@@ -20,9 +20,14 @@
 
 use medlarreel_macros::data;
 
-use super::ledger::LedgerSnapshot;
+use super::leadership::Leadership;
+use super::ledger::{Ledger, LedgerSnapshot};
 use crate::time::Time;
 
+/// Time for which a leader that may have been replaced waits until all upstreams have
+/// answered it since its successor has connected to them.
+pub const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Time within which an offer must be answered; then the leader offers its leadership to
 /// the next candidate. An instance that is alive answers within a few milliseconds.
 pub const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -142,6 +147,25 @@
     }
 }
 
+/// Decides whether a leader may step down in favour of a successor that has been connected to
+/// the upstreams since `connected_at`. Returns the upstreams whose connections at the successor
+/// are known to lead to the same processes as this leader's, or `None` if it is too early.
+pub fn step_down_for_successor(
+    now: Time,
+    connected_at: Time,
+    leadership: &Leadership,
+    ledger: &Ledger,
+) -> Option<Vec<SocketAddr>> {
+    // Without a snapshot the successor would not know the possible holders of keys.
+    ledger.snapshot(now)?;
+    if leadership.is_certain(now) {
+        return Some(Vec::new());
+    }
+    let (verified, is_complete) = ledger.answered_since(connected_at);
+    let is_late = now.since(connected_at) >= VERIFICATION_TIMEOUT;
+    (is_complete || is_late).then_some(verified)
+}
+
 /// Ledger of a leader that has stepped down. It goes to one successor, or as a report to
 /// the leaders of later claims.
 #[data(plain)]
--- a/crates/core/tests/entry/ownership.rs
+++ b/crates/core/tests/entry/ownership.rs
@@ -14,7 +14,9 @@
 };
 use medlarreel_core::entry::map::{Owner, OwnerMap};
 use medlarreel_core::entry::plan::{Candidate, KeyWeights};
-use medlarreel_core::entry::transfer::{FinalReport, Offer, Preparation, Process, Request};
+use medlarreel_core::entry::transfer::{
+    FinalReport, Offer, Preparation, Process, Request, step_down_for_successor,
+};
 use medlarreel_core::time::Time;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -30,9 +32,6 @@
 /// Number of instances. A leader that stops is replaced by a new process at its address.
 const INSTANCES: usize = 4;
 
-/// Time for which a stopping leader waits until all upstreams have answered.
-const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Number of copies of the store, one for each step, that a restore selects from.
 const COPIES: usize = 80;
 
@@ -817,12 +816,8 @@
             return;
         };
         let leadership = &self.instances[leader.instance].leadership;
-        let (verified, is_complete) = match leadership.is_certain(now) {
-            true => (Vec::new(), true),
-            false => leader.ledger.answered_since(connected_at),
-        };
-        let is_late = now.since(connected_at) >= VERIFICATION_TIMEOUT;
-        if leader.ledger.snapshot(now).is_some() && (is_complete || is_late) {
+        let verified = step_down_for_successor(now, connected_at, leadership, &leader.ledger);
+        if let Some(verified) = verified {
             self.end_leadership(index, now, verified);
         }
     }
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use medlarreel_core::entry::era::transferred_epoch;
 use medlarreel_core::entry::ledger::LedgerSnapshot;
-use medlarreel_core::entry::transfer::{FinalReport, Offer, Process};
+use medlarreel_core::entry::transfer::{self, FinalReport, Offer, Process};
 use medlarreel_core::ids::Upstream;
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
@@ -26,10 +26,6 @@
 /// the leader's record then has not changed for long enough.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Time for which a leader that may have been replaced waits until all upstreams have
-/// answered it since its successor has connected to them.
-const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Timeout for establishing a connection to an upstream before taking over.
 const PREPARATION_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -243,25 +239,17 @@
     if outgoing.terms.is_none() {
         let (nonce, end) = state.leader_topic.get()?;
         let connected_at = outgoing.connected_at?;
-        let (confirmed_at, is_certain) = {
+        let (confirmed_at, verified) = {
             let leadership = state.leadership.borrow();
             leadership
                 .epoch()
                 .filter(|epoch| *epoch == outgoing.offer.epoch())?;
-            (leadership.confirmed_at()?, leadership.is_certain(now))
-        };
-        let (verified, is_complete) = {
             let ledger = state.ledger.borrow();
             let ledger = ledger.as_ref()?;
-            ledger.snapshot(now)?;
-            match is_certain {
-                true => (Vec::new(), true),
-                false => ledger.answered_since(connected_at),
-            }
+            let verified =
+                transfer::step_down_for_successor(now, connected_at, &leadership, ledger)?;
+            (leadership.confirmed_at()?, verified)
         };
-        if !is_complete && now.since(connected_at) < VERIFICATION_TIMEOUT {
-            return None;
-        }
         step_down(state)?;
         outgoing.terms = Some(TransferTerms {
             nonce,
