--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -96,7 +96,10 @@
     for topic in Topic::ALL {
         spawn_local(reader::follow(Rc::clone(&state), topic, Rc::clone(&socket)));
     }
-    spawn_local(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
+    spawn_local(peers::handler::receive(
+        Rc::clone(&state),
+        Rc::clone(&socket),
+    ));
     spawn_local(peers::report(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(permits::exchange(Rc::clone(&state), Rc::clone(&socket)));
     spawn_local(crashes::exchange(Rc::clone(&state), Rc::clone(&socket)));
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,7 +10,7 @@
 //! offer of leadership is sent until the successor is heard to lead, and `Hello` until the
 //! leader is heard; `Resigned` and reports are not sent again.
 
-mod handler;
+pub mod handler;
 mod missed;
 
 use std::collections::BTreeMap;
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::era::Era;
-use medlarreel_core::entry::fragments::{self, Fragment, Reassembler};
+use medlarreel_core::entry::fragments::{self, Fragment};
 use medlarreel_core::entry::ledger::LedgerSnapshot;
 use medlarreel_core::entry::map::{OwnerMap, OwnerMapChange};
 use medlarreel_core::entry::permit::{Announcement, Demand, Grant};
@@ -28,7 +28,6 @@
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
-use crate::crashes;
 use crate::reader::bootstrap::Snapshot;
 use crate::reader::feed::{Progress, RecordBatch, Topic};
 use crate::state::State;
@@ -309,35 +308,6 @@
     }
 }
 
-/// Receives and handles messages until the process ends.
-pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut reassembler = Reassembler::default();
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                tracing::debug!(%error, "failed to receive message");
-                continue;
-            }
-        };
-        let message = match postcard::from_bytes(&buffer[..length]) {
-            Ok(Message::Fragment(fragment)) => {
-                let now = state.clock.now();
-                let Some(complete) = reassembler.add(now, from, fragment) else {
-                    continue;
-                };
-                postcard::from_bytes(&complete)
-            }
-            message => message,
-        };
-        match message {
-            Ok(message) => handler::handle_message(&state, &socket, from, message).await,
-            Err(error) => tracing::debug!(%from, %error, "failed to decode message"),
-        }
-    }
-}
-
 /// Builds the message by which this instance introduces itself.
 pub fn hello(state: &State) -> Message {
     let settings = state.settings.borrow();
@@ -361,7 +331,7 @@
         store_reachable: !state.store_health.get().failing,
         revision,
         progress: Topic::ALL.into_iter().filter_map(progress).collect(),
-        blocked_digest: crashes::digest(state),
+        blocked_digest: state.suspects.borrow().digest(now),
     }
 }
 
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -1,26 +1,51 @@
-//! Handling of received messages.
+//! Reception and handling of messages.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::fragments::Reassembler;
 use medlarreel_core::entry::transfer::Process;
 use tokio::net::UdpSocket;
 
-use super::{Message, heartbeat, missed, send, send_to_each};
+use super::{MAX_DATAGRAM_BYTES, Message, heartbeat, missed, send, send_to_each};
 use crate::crashes::{self, trials};
 use crate::permits;
 use crate::reader::bootstrap;
 use crate::state::{Member, PendingTransfer, State};
 
+/// Receives and handles messages until the process ends.
+pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut reassembler = Reassembler::default();
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::debug!(%error, "failed to receive message");
+                continue;
+            }
+        };
+        let message = match postcard::from_bytes(&buffer[..length]) {
+            Ok(Message::Fragment(fragment)) => {
+                let now = state.clock.now();
+                let Some(complete) = reassembler.add(now, from, fragment) else {
+                    continue;
+                };
+                postcard::from_bytes(&complete)
+            }
+            message => message,
+        };
+        match message {
+            Ok(message) => handle_message(&state, &socket, from, message).await,
+            Err(error) => tracing::debug!(%from, %error, "failed to decode message"),
+        }
+    }
+}
+
 /// Handles a message that was received from `from`.
-pub(super) async fn handle_message(
-    state: &Rc<State>,
-    socket: &UdpSocket,
-    from: SocketAddr,
-    message: Message,
-) {
+async fn handle_message(state: &Rc<State>, socket: &UdpSocket, from: SocketAddr, message: Message) {
     let now = state.clock.now();
     {
         let mut members = state.members.borrow_mut();
--- a/crates/entry/tests/path/missed.rs
+++ b/crates/entry/tests/path/missed.rs
@@ -64,7 +64,7 @@
     let tasks = LocalSet::new();
     let requested = tasks.run_until(async {
         spawn_local(reader::follow(state.clone(), Topic::Config, socket.clone()));
-        spawn_local(peers::receive(state.clone(), socket));
+        spawn_local(peers::handler::receive(state.clone(), socket));
         wait_until("the topic is loaded", async || {
             state.config_feed.is_loaded()
         })
