Check a configuration before it is published

Instances take any configuration that decodes, also one whose routes never match or name services that don't exist. `--check-config` lists errors, warnings and the differences from the version in force, as text or JSON, and tells by its exit code whether to publish.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -6,6 +6,8 @@
 //! upstreams use fencing to refuse grants of earlier leaders, and every instance sends a
 //! request directly to the owner of its key.
 
+pub mod check;
+pub mod difference;
 pub mod directory;
 pub mod doubt;
 pub mod era;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tracing_appender::non_blocking::ErrorCounter;
 
+use crate::check;
 use crate::crashes;
 use crate::leader::{self, LeaderTask};
 use crate::listeners::{self, ConnectionTracker};
@@ -23,7 +24,8 @@
 use crate::settings::Settings;
 use crate::state::State;
 
-const USAGE: &str = "usage: medlarreel-entry [--settings FILE] [--check]";
+const USAGE: &str = "usage: medlarreel-entry [--settings FILE] [--check]
+       medlarreel-entry --check-config FILE [--in-force FILE] [--json]";
 
 /// Time from withdrawing readiness until no new connections arrive: the platform probes
 /// once a second and removes an instance after two failed probes.
@@ -48,12 +50,25 @@
     let mut options = getopts::Options::new();
     options.optopt("s", "settings", "settings file", "FILE");
     options.optflag("c", "check", "check the settings and exit");
+    options.optopt(
+        "",
+        "check-config",
+        "check a configuration and exit with 0, 1 (warnings) or 2 (errors)",
+        "FILE",
+    );
+    options.optopt("", "in-force", "configuration that it replaces", "FILE");
+    options.optflag("", "json", "print the check as JSON");
     options.optflag("h", "help", "show this help");
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
         print!("{}", options.usage(USAGE));
         return Ok(ExitCode::SUCCESS);
     }
+    if let Some(file) = matches.opt_str("check-config") {
+        let in_force = matches.opt_str("in-force").map(PathBuf::from);
+        let as_json = matches.opt_present("json");
+        return check::run(Path::new(&file), in_force.as_deref(), as_json);
+    }
     let argument = matches.opt_str("settings").map(PathBuf::from);
     let path = argument.or_else(|| std::env::var_os(SETTINGS_ENV_VAR).map(PathBuf::from));
     let path =
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! `medlarreel_core::entry`; this crate performs the I/O.
 
 pub mod bounded_stream;
+pub mod check;
 pub mod clock;
 pub mod connection;
 pub mod crashes;
--- a/crates/entry/src/platform/config.rs
+++ b/crates/entry/src/platform/config.rs
@@ -83,28 +83,58 @@
 /// Maximum number of connections to an upstream whose service does not set one.
 const DEFAULT_MAX_CONNECTIONS: usize = 64;
 
+/// Resource that can't be decoded.
+#[derive(Debug)]
+pub struct InvalidResource {
+    /// Kind of the resource.
+    pub kind: String,
+    /// Its name; empty if it has none.
+    pub name: String,
+    /// What is wrong with it.
+    pub error: serde_json::Error,
+}
+
 /// Decodes the value of a configuration record.
 ///
 /// # Errors
 ///
 /// Returns an error if the value is not JSON of the expected form.
 pub fn decode(value: &[u8]) -> Result<Config, serde_json::Error> {
+    let (config, invalid) = decode_valid(value)?;
+    match invalid.into_iter().next() {
+        Some(first) => Err(first.error),
+        None => Ok(config),
+    }
+}
+
+/// Decodes the valid resources of a configuration record, and returns the others beside.
+///
+/// # Errors
+///
+/// Returns an error if the value is not a list of resources.
+pub fn decode_valid(value: &[u8]) -> Result<(Config, Vec<InvalidResource>), serde_json::Error> {
     let document: ConfigDocument = serde_json::from_slice(value)?;
     let mut config = Config {
         version: document.version,
         ..Config::default()
     };
+    let mut invalid = Vec::new();
     for resource in document.resources {
-        let (name, spec) = (resource.metadata.name, resource.spec);
-        match resource.kind.as_str() {
-            "routes" => config.routes.push(decode_route(name, spec)?),
-            "services" => config.services.push(decode_service(name, spec)?),
-            "limits" => config.limits = decode_limits(spec)?,
+        let (kind, name, spec) = (resource.kind, resource.metadata.name, resource.spec);
+        let decoded = match kind.as_str() {
+            "routes" => decode_route(name.clone(), spec).map(|route| config.routes.push(route)),
+            "services" => {
+                decode_service(name.clone(), spec).map(|service| config.services.push(service))
+            }
+            "limits" => decode_limits(spec).map(|limits| config.limits = limits),
             // Other kinds of resources are not used by the entry.
-            _ => {}
+            _ => Ok(()),
+        };
+        if let Err(error) = decoded {
+            invalid.push(InvalidResource { kind, name, error });
         }
     }
-    Ok(config)
+    Ok((config, invalid))
 }
 
 fn decode_route(name: String, spec: Value) -> Result<Route, serde_json::Error> {
