Test that crowds of callers stay within memory and descriptors

Callers that send many large bodies at once, stop short of their end, do not read long responses or open many connections can end a process. The tests run the real program with 64 MB and 256 descriptors in its settings and compare its peak memory and open descriptors with these figures.

--- /dev/null
+++ b/crates/entry/tests/crowd/main.rs
@@ -0,0 +1,198 @@
+//! Crowds of callers that use as much of an instance as its limits let them: the real
+//! program with little memory and few descriptors, between raw callers and upstreams.
+//!
+//! The bounds are those of the settings. Nothing here depends on how fast the machine is,
+//! or on how many requests of the crowd are served.
+
+mod callers;
+mod upstream;
+
+#[path = "../path/fixture.rs"]
+#[allow(dead_code, reason = "this target uses a part of the fixture")]
+mod fixture;
+
+use std::time::Duration;
+
+use medlarreel_standin::platform::store::{self, Store};
+use medlarreel_standin::server::{Server, any_port};
+use serde_json::json;
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::task::JoinSet;
+
+use callers::{Body, Caller};
+use fixture::{Instance, config_text, request_text, send_request, start_instance_with, wait_until};
+
+/// Memory of an instance in bytes, as its settings name it.
+const MEMORY: usize = 64_000_000;
+
+/// File descriptors of an instance, as its settings name them.
+const DESCRIPTORS: usize = 256;
+
+/// Size of a large body in bytes, which is within the limit.
+const LARGE_BODY: usize = 8 << 20;
+
+/// Limit of request bodies in bytes.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// Time for which a crowd is watched once it is there.
+const WATCH_TIME: Duration = Duration::from_secs(3);
+
+/// Held by the test that runs: each measures a process that is to run alone.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// An instance with little memory, a store and upstreams.
+struct Crowded {
+    instance: Instance,
+    _store: Server<Store>,
+    _turn: MutexGuard<'static, ()>,
+}
+
+async fn start() -> Crowded {
+    let turn = TURN.lock().await;
+    let store = store::start(any_port()).await.unwrap();
+    for number in 0..3 {
+        let id = format!("p{number}");
+        let registration = json!({
+            "service": "plain", "address": upstream::start(LARGE_BODY).to_string(),
+            "zone": "a", "version": "v1", "slots": 6, "state": "ready",
+            "warmupLeftS": 0, "sequence": 1, "born": 1000,
+        });
+        let text = registration.to_string();
+        store.service().put("keyed.servers", &id, text.as_bytes());
+    }
+    let config = config_text(1, BODY_LIMIT);
+    store.service().put("keyed.op", "config", config.as_bytes());
+    let limits = format!(
+        "[limits]\nmemory = {} MB\ndescriptors = {DESCRIPTORS}\n",
+        MEMORY / 1_000_000
+    );
+    let instance = start_instance_with(store.address(), |text| text + &limits).await;
+    let crowded = Crowded {
+        instance,
+        _store: store,
+        _turn: turn,
+    };
+    crowded.wait_until_served().await;
+    crowded
+}
+
+impl Crowded {
+    /// Waits until an ordinary request is answered.
+    async fn wait_until_served(&self) {
+        wait_until("an ordinary request is answered", async || {
+            let request = request_text("GET", "/catalogue/x", "ordinary", "");
+            let response = send_request(self.instance.callers, &request).await;
+            response.starts_with("HTTP/1.1 200")
+        })
+        .await;
+    }
+
+    /// Waits until a single large request inside the limits is answered.
+    async fn wait_until_large_is_served(&self) {
+        let body = "y".repeat(LARGE_BODY);
+        wait_until("a single large request is answered", async || {
+            let request = request_text("POST", "/catalogue/x", "single", &body);
+            let response = send_request(self.instance.callers, &request).await;
+            response.starts_with("HTTP/1.1 200")
+        })
+        .await;
+    }
+
+    /// Starts `count` callers, of which number `n` behaves as `caller(n)` says.
+    fn start_callers(&self, count: usize, caller: impl Fn(usize) -> Caller) -> JoinSet<()> {
+        let mut crowd = JoinSet::new();
+        for number in 0..count {
+            crowd.spawn(callers::run(self.instance.callers, number, caller(number)));
+        }
+        crowd
+    }
+
+    /// Watches the process for `WATCH_TIME`. Panics if it ends or has more descriptors than
+    /// the settings allow.
+    async fn watch(&mut self) {
+        let until = tokio::time::Instant::now() + WATCH_TIME;
+        while tokio::time::Instant::now() < until {
+            self.check();
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Panics if the process has ended or has had more memory than the settings allow, or has
+    /// more descriptors.
+    fn check(&mut self) {
+        assert!(self.instance.is_running(), "the process has ended");
+        let process = format!("/proc/{}", self.instance.process_id());
+        let descriptors = std::fs::read_dir(format!("{process}/fd")).unwrap().count();
+        assert!(descriptors <= DESCRIPTORS, "{descriptors} descriptors");
+        let status = std::fs::read_to_string(format!("{process}/status")).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.unwrap().trim().trim_end_matches(" kB");
+        let peak = peak.parse::<usize>().unwrap() * 1024;
+        assert!(peak <= MEMORY, "{peak} bytes of memory");
+    }
+}
+
+/// Guards against a process that holds all bodies that callers send at once.
+#[tokio::test]
+async fn many_large_bodies_at_once_stay_within_the_memory() {
+    let mut crowded = start().await;
+
+    let crowd = crowded.start_callers(24, |_| Caller::Send(Body::Whole(LARGE_BODY)));
+    crowded.watch().await;
+
+    crowded.wait_until_served().await;
+    drop(crowd);
+    crowded.wait_until_large_is_served().await;
+    crowded.check();
+}
+
+/// Guards against bodies that are collected without a bound while they wait for their end.
+#[tokio::test]
+async fn bodies_that_stop_short_of_their_end_stay_within_the_memory() {
+    let mut crowded = start().await;
+
+    let crowd = crowded.start_callers(24, |number| match number % 2 {
+        0 => Caller::Send(Body::Short(LARGE_BODY)),
+        _ => Caller::Send(Body::ShortInChunks(LARGE_BODY, 16 << 10)),
+    });
+    crowded.watch().await;
+
+    crowded.wait_until_served().await;
+    crowded.check();
+    drop(crowd);
+    crowded.wait_until_large_is_served().await;
+    crowded.check();
+}
+
+/// Guards against responses that are held without a bound for callers that don't read them.
+#[tokio::test]
+async fn responses_that_are_read_slowly_stay_within_the_memory() {
+    let mut crowded = start().await;
+
+    let crowd = crowded.start_callers(24, |number| match number % 2 {
+        0 => Caller::Ignore,
+        _ => Caller::ReadSlowly,
+    });
+    crowded.watch().await;
+
+    crowded.wait_until_served().await;
+    drop(crowd);
+    crowded.wait_until_served().await;
+    crowded.check();
+}
+
+/// Guards against connections without a bound, idle ones and ones that hold half a head.
+#[tokio::test]
+async fn many_connections_stay_within_the_descriptors() {
+    let mut crowded = start().await;
+
+    let crowd = crowded.start_callers(600, |number| match number % 2 {
+        0 => Caller::Idle,
+        _ => Caller::HalfHead,
+    });
+    crowded.watch().await;
+
+    crowded.wait_until_served().await;
+    crowded.check();
+    drop(crowd);
+}
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -40,6 +40,16 @@
         assert!(sent.success());
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits until the process exits and returns whether it exited successfully.
     pub async fn wait_for_exit(&mut self) -> bool {
         let deadline = tokio::time::Instant::now() + TEST_TIMEOUT;
@@ -84,14 +94,21 @@
 
 /// Starts an instance in the given failure domain.
 pub async fn start_instance_in(domain: &str, store: SocketAddr) -> Instance {
+    let domain = format!("domain = {domain}\n");
+    start_instance_with(store, |text| text.replace("domain = a\n", &domain)).await
+}
+
+/// Starts an instance whose settings were changed by `adapt`.
+pub async fn start_instance_with(
+    store: SocketAddr,
+    adapt: impl FnOnce(String) -> String,
+) -> Instance {
     let reserved = reserve_ports(4).await.unwrap();
     let ports: Vec<u16> = reserved.iter().map(ReservedPort::number).collect();
     let directory = std::env::temp_dir().join(format!("medlarreel-entry-{}", ports[0]));
     std::fs::create_dir_all(&directory).unwrap();
     let file = directory.join("entry.ini");
-    let settings = settings_text(&ports, store);
-    let settings = settings.replace("domain = a\n", &format!("domain = {domain}\n"));
-    std::fs::write(&file, settings).unwrap();
+    std::fs::write(&file, adapt(settings_text(&ports, store))).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_medlarreel-entry"))
         .arg("--settings")
         .arg(&file)
@@ -177,25 +194,7 @@
 
     /// Writes a configuration with the given version to the store.
     pub fn publish_config(&self, version: u64) {
-        let route = |name: &str, kind: &str, service: &str| {
-            json!({"entryType": "routes", "metadata": {"name": name}, "spec": {
-                "host": "loft.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-                "timeoutS": 5, "targetLatencyS": 0.5, "priority": 1, "service": service,
-                "maxAttempts": 2}})
-        };
-        let service = |name: &str, keyed: bool| {
-            json!({"entryType": "services", "metadata": {"name": name}, "spec": {
-                "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-                "tls": false, "sharded": keyed, "warmS": 5.0, "grants": "per_call"}})
-        };
-        let config = json!({"version": version, "resources": [
-            route("status", "safe", "keyed"), route("booking", "unsafe", "keyed"),
-            route("catalogue", "safe", "plain"), service("keyed", true),
-            service("plain", false),
-            {"entryType": "limits", "metadata": {}, "spec": {
-                "maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutS": 3,
-                "idleTimeoutS": 15}}]});
-        let text = config.to_string();
+        let text = config_text(version, 1 << 20);
         self.store
             .service()
             .put("keyed.op", "config", text.as_bytes());
@@ -252,6 +251,29 @@
     }
 }
 
+/// Returns a configuration with the given version and limit of request bodies.
+pub fn config_text(version: u64, body_bytes: usize) -> String {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"entryType": "routes", "metadata": {"name": name}, "spec": {
+            "host": "loft.example", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutS": 5, "targetLatencyS": 0.5, "priority": 1, "service": service,
+            "maxAttempts": 2}})
+    };
+    let service = |name: &str, keyed: bool| {
+        json!({"entryType": "services", "metadata": {"name": name}, "spec": {
+            "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
+            "tls": false, "sharded": keyed, "warmS": 5.0, "grants": "per_call"}})
+    };
+    let config = json!({"version": version, "resources": [
+        route("status", "safe", "keyed"), route("booking", "unsafe", "keyed"),
+        route("catalogue", "safe", "plain"), service("keyed", true),
+        service("plain", false),
+        {"entryType": "limits", "metadata": {}, "spec": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": body_bytes, "headerTimeoutS": 3,
+            "idleTimeoutS": 15}}]});
+    config.to_string()
+}
+
 /// Starts `count` further instances and waits until they are ready.
 pub async fn start_followers(cluster: &TestCluster, count: usize) -> Vec<Instance> {
     let mut followers = Vec::new();
