Bound the memory and descriptors that callers use

Bodies were collected whole without a common bound, copied once more, and responses were held until their callers read them, so callers could end a process by its memory; connections were bounded by nothing.

Bodies are now held in parts that are counted in one budget, taken from the memory in the settings, from their arrival to the write buffer. When it is full, large bodies are refused before they are read, and bodies and responses that make least progress are given up. Callers' connections are bounded by the descriptors in the settings; idle ones are closed for new ones, and ones whose callers read nothing for the idle limit end.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -6,6 +6,7 @@
 //! upstreams use fencing to refuse grants of earlier leaders, and every instance sends a
 //! request directly to the owner of its key.
 
+pub mod connections;
 pub mod directory;
 pub mod doubt;
 pub mod era;
@@ -15,6 +16,7 @@
 pub mod ledger;
 pub mod limiter;
 pub mod map;
+pub mod memory;
 pub mod permit;
 pub mod plan;
 pub mod queue;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -10,13 +10,16 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use medlarreel_core::entry::memory::{SMALL_BODY_BYTES, Stage};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::body::{self, CollectError, Payload, announced_length};
 use crate::bounded_stream::{Allowance, BoundedStream};
 use crate::error::Error;
+use crate::memory::Memory;
 
 /// Time that sent data may stay unacknowledged before the kernel closes the connection.
 /// Nothing else detects a peer that has gone silent.
@@ -51,13 +54,13 @@
     /// Header fields.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     /// Number of bytes that the server may still send.
     allowance: Allowance,
     /// Time at which the connection was established.
@@ -162,8 +165,33 @@
     /// connection before the response, and `NoResponse` otherwise.
     pub async fn send_request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         timeout: Duration,
+    ) -> Result<BufferedResponse, Error> {
+        self.exchange(request, timeout, None).await
+    }
+
+    /// Sends a request and reads the complete response within `timeout`. The response is
+    /// counted in `memory`.
+    ///
+    /// # Errors
+    ///
+    /// As `send_request`. Returns `NoResponse` also if the response is given up because
+    /// memory is short.
+    pub async fn send_counted(
+        &mut self,
+        request: Request<Payload>,
+        timeout: Duration,
+        memory: &Memory,
+    ) -> Result<BufferedResponse, Error> {
+        self.exchange(request, timeout, Some(memory)).await
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Payload>,
+        timeout: Duration,
+        memory: Option<&Memory>,
     ) -> Result<BufferedResponse, Error> {
         let round_trip = async {
             self.sender
@@ -177,17 +205,28 @@
                 None => response_error(&error.into_error()),
             })?;
             let (parts, body) = response.into_parts();
+            let length = announced_length(&body);
             self.allowance.set(MAX_FRAMING_BYTES);
             let body = body.map_frame(|frame| {
                 let data = frame.data_ref().map_or(0, Bytes::len);
                 self.allowance.extend(2 * data);
                 frame
             });
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let lease = memory.filter(|_| length != Some(0));
+            let is_large = length.is_some_and(|length| length > SMALL_BODY_BYTES);
+            let lease = lease.map(|memory| memory.open(Stage::Receiving, is_large));
+            let collecting = body::collect(body, length, MAX_RESPONSE_BYTES, lease.as_ref());
+            let body = match &lease {
+                Some(lease) => tokio::select! {
+                    body = collecting => body,
+                    () = lease.wait_evicted() => Err(CollectError::Evicted),
+                },
+                None => collecting.await,
+            };
             Ok(BufferedResponse {
                 status: parts.status,
                 headers: parts.headers,
-                body: body.map_err(|error| body_error(error.as_ref()))?.to_bytes(),
+                body: body.map_err(|error| body_error(&error))?,
             })
         };
         let response = tokio::time::timeout(timeout, round_trip).await;
@@ -236,7 +275,10 @@
     }
 }
 
-fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Error {
-    let error_of_connection = error.downcast_ref::<hyper::Error>();
-    error_of_connection.map_or_else(|| Error::NoResponse(error.to_string()), response_error)
+fn body_error(error: &CollectError) -> Error {
+    match error {
+        CollectError::Failed(error) => response_error(error),
+        CollectError::TooLong => Error::NoResponse("the response is too long".into()),
+        CollectError::Evicted => Error::NoResponse("given up: memory is short".into()),
+    }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,9 +12,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tracing_appender::non_blocking::ErrorCounter;
 
+use crate::callers::Callers;
 use crate::crashes;
 use crate::leader::{self, LeaderTask};
-use crate::listeners::{self, ConnectionTracker};
+use crate::listeners;
 use crate::peers;
 use crate::permits;
 use crate::platform::SETTINGS_ENV_VAR;
@@ -78,7 +79,6 @@
     let metrics = listen(settings.metrics)?;
     let socket = Rc::new(UdpSocket::bind(settings.peers).await?);
     let state = State::new(settings);
-    let connections = Rc::new(ConnectionTracker::default());
     let (stop, stopped) = watch::channel(false);
     tracing::info!(
         name = state.name(),
@@ -90,7 +90,6 @@
     spawn_local(listeners::serve_callers(
         Rc::clone(&state),
         caller_listener,
-        Rc::clone(&connections),
         stopped,
     ));
     for topic in Topic::ALL {
@@ -109,7 +108,7 @@
         }
     });
     wait_for_stop(&state, path).await?;
-    shut_down(&state, &socket, &connections, &stop).await;
+    shut_down(&state, &socket, &state.callers, &stop).await;
     Ok(())
 }
 
@@ -160,6 +159,9 @@
         };
         state.queue.borrow_mut().retain_upstreams(exists);
         crashes::check_abandoned(&state);
+        let unread_limit = state.route_table.borrow().config().limits.idle_timeout;
+        let closed = state.callers.close_unread(unread_limit);
+        state.metrics.unread_connections.inc_by(closed as u64);
         state.update_gauges();
     }
 }
@@ -169,7 +171,7 @@
 async fn shut_down(
     state: &Rc<State>,
     socket: &UdpSocket,
-    connections: &ConnectionTracker,
+    connections: &Callers,
     stop: &watch::Sender<bool>,
 ) {
     let shutdown_grace = state.settings.borrow().shutdown_grace;
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, header};
-use http_body_util::Full;
 use medlarreel_core::entry::ledger::{CALL_TIMEOUT, Order, OrderKind, Reply};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
+use crate::body::Payload;
 use crate::connection::Connection;
 use crate::error::Error;
 use crate::platform::{grants, headers};
@@ -168,7 +168,7 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(header::CONTENT_LENGTH, body.len())
         .header(headers::TARGET_INSTANCE, order.owner.id.as_str())
-        .body(Full::new(Bytes::clone(&body)))
+        .body(Payload::from(Bytes::clone(&body)))
         .map_err(|error| Error::NotSent(error.to_string()))?;
     let response = connection.send_request(request, timeout).await?;
     // The real reply may still follow an answer to a request, so that connection is closed.
--- a/crates/entry/src/leader/probe.rs
+++ b/crates/entry/src/leader/probe.rs
@@ -9,13 +9,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, header};
-use http_body_util::Full;
 use medlarreel_core::entry::directory::Registration;
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
+use crate::body::Payload;
 use crate::connection::Connection;
 use crate::error::Error;
 use crate::platform::headers;
@@ -99,7 +98,7 @@
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
         .header(headers::TARGET_INSTANCE, id)
-        .body(Full::new(Bytes::new()))
+        .body(Payload::default())
         .map_err(|error| Error::NotSent(error.to_string()))?;
     let response = connection.send_request(request, TIMEOUT).await?;
     match headers::is_from_instance(&response.headers, id) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,9 @@
 //! task and the messaging between instances. The decision logic is in
 //! `medlarreel_core::entry`; this crate performs the I/O.
 
+pub mod body;
 pub mod bounded_stream;
+pub mod callers;
 pub mod clock;
 pub mod connection;
 pub mod crashes;
@@ -13,6 +15,7 @@
 pub mod leader;
 pub mod listeners;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod permits;
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -4,12 +4,12 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -19,7 +19,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::body::Payload;
 use crate::bounded_stream::BoundedStream;
+use crate::callers::OpenConnection;
 use crate::platform::headers::READY_PATH;
 use crate::proxy;
 use crate::read_ahead::ReadAheadStream;
@@ -40,37 +42,13 @@
 /// Time that a new connection gets to deliver its first request during a shutdown.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time that a new connection waits for another one to end if descriptors have run out.
+/// Callers give up a connection that is not established within a second.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(300);
+
 /// Idle timeout of connections to the readiness and metrics addresses.
 const STATUS_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Counts the open connections of callers and signals them to close.
-#[derive(Debug)]
-pub struct ConnectionTracker {
-    open: Cell<usize>,
-    close: watch::Sender<bool>,
-}
-
-impl Default for ConnectionTracker {
-    fn default() -> ConnectionTracker {
-        ConnectionTracker {
-            open: Cell::new(0),
-            close: watch::channel(false).0,
-        }
-    }
-}
-
-impl ConnectionTracker {
-    /// Number of open connections.
-    pub fn open_count(&self) -> usize {
-        self.open.get()
-    }
-
-    /// Closes every connection once its current response has been sent.
-    pub fn close_gracefully(&self) {
-        self.close.send_replace(true);
-    }
-}
-
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -90,7 +68,6 @@
 pub async fn serve_callers(
     state: Rc<State>,
     listener: TcpListener,
-    connections: Rc<ConnectionTracker>,
     mut stop: watch::Receiver<bool>,
 ) {
     loop {
@@ -102,12 +79,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.open.set(connections.open.get() + 1);
-                let (state, connections) = (Rc::clone(&state), Rc::clone(&connections));
-                tokio::task::spawn_local(async move {
-                    serve_connection(state, stream, &connections).await;
-                    connections.open.set(connections.open.get() - 1);
-                });
+                if !state.callers.make_room(MAX_ROOM_WAIT).await {
+                    tracing::info!("connection refused: no descriptors are left for it");
+                    state.metrics.refused_connections.inc();
+                    continue;
+                }
+                let (state, open) = (Rc::clone(&state), state.callers.open());
+                tokio::task::spawn_local(serve_connection(state, stream, open));
             }
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
@@ -117,36 +95,52 @@
     }
 }
 
-async fn serve_connection(state: Rc<State>, stream: TcpStream, connections: &ConnectionTracker) {
+async fn serve_connection(state: Rc<State>, stream: TcpStream, open: Rc<OpenConnection>) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection closed before it was served");
         return;
     }
     let limits = state.route_table.borrow().config().limits.clone();
-    let socket = ReadAheadStream::new(stream);
+    let max_head_bytes = limits.head_bytes.max(MIN_BUFFER_BYTES);
+    let socket = ReadAheadStream::new(stream, Rc::clone(&open), max_head_bytes);
     let has_request = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         has_request.set(true);
-        let (state, socket) = (Rc::clone(&state), socket.clone());
+        open.record_request();
+        let (state, socket, open) = (Rc::clone(&state), socket.clone(), Rc::clone(&open));
         // Boxed because `poll_without_shutdown` requires the future to be `Unpin`. That
         // call leaves the stream open for `close_with_linger`.
-        Box::pin(async move { serve_while_connected(&state, &socket, request).await })
+        Box::pin(async move {
+            let has_body = request.method() != Method::HEAD;
+            let response = serve_while_connected(&state, &socket, request).await?;
+            let body = response.body();
+            if let Some(lease) = body.lease() {
+                lease.set_signal(open.abort_signal());
+            }
+            open.record_response(if has_body { body.len() } else { 0 });
+            Ok::<_, std::io::Error>(response)
+        })
     });
-    let mut close = connections.close.subscribe();
+    let mut close = state.callers.closing();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper's header timeout includes the idle time before a request head.
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(max_head_bytes)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = connection;
-    let ended = tokio::select! {
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
-        () = wait_for_close(&mut close, &has_request) => {
-            Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+    let serving = async {
+        tokio::select! {
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => return ended,
+            () = wait_for_close(&mut close, &has_request) => {}
         }
+        Pin::new(&mut connection).graceful_shutdown();
+        poll_fn(|context| connection.poll_without_shutdown(context)).await
+    };
+    let ended = tokio::select! {
+        ended = serving => ended,
+        () = open.abort_signal().notified() => return,
     };
     match ended {
         Ok(()) => close_with_linger(connection.into_parts().io.into_inner()).await,
@@ -174,7 +168,7 @@
     state: &Rc<State>,
     socket: &ReadAheadStream,
     request: Request<Incoming>,
-) -> std::io::Result<Response<Full<Bytes>>> {
+) -> std::io::Result<Response<Payload>> {
     // Pipelined requests that arrived before the close are dropped as well.
     let caller_left = || std::io::Error::from(std::io::ErrorKind::BrokenPipe);
     if socket.is_closed() {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -58,6 +58,16 @@
     pub members: Gauge,
     /// Times that the store has come back from a copy.
     pub store_restores: Counter,
+    /// Bytes that bodies and connections of callers hold.
+    pub held_bytes: Gauge,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Bodies that were given up because memory was short.
+    pub evictions: Counter,
+    /// Connections that were refused because descriptors had run out.
+    pub refused_connections: Counter,
+    /// Connections that were closed because their callers did not read.
+    pub unread_connections: Counter,
     /// Log lines that were dropped because the buffer was full.
     pub log_lines_dropped: Counter,
 }
@@ -82,6 +92,11 @@
             is_leader: Gauge::default(),
             members: Gauge::default(),
             store_restores: Counter::default(),
+            held_bytes: Gauge::default(),
+            connections: Gauge::default(),
+            evictions: Counter::default(),
+            refused_connections: Counter::default(),
+            unread_connections: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
         registry.register(
@@ -141,6 +156,31 @@
             "Times that the store came back from a copy",
             metrics.store_restores.clone(),
         );
+        registry.register(
+            "held_bytes",
+            "Bytes that bodies and connections of callers hold",
+            metrics.held_bytes.clone(),
+        );
+        registry.register(
+            "connections",
+            "Open connections of callers",
+            metrics.connections.clone(),
+        );
+        registry.register(
+            "evictions",
+            "Bodies given up because memory was short",
+            metrics.evictions.clone(),
+        );
+        registry.register(
+            "refused_connections",
+            "Connections refused because descriptors had run out",
+            metrics.refused_connections.clone(),
+        );
+        registry.register(
+            "unread_connections",
+            "Connections closed because their callers did not read",
+            metrics.unread_connections.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that were dropped",
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -7,10 +7,10 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, Bytes, BytesMut};
 use http::{Request, StatusCode};
-use http_body_util::Full;
 use medlarreel_core::entry::era::Era;
 use serde::Deserialize;
 
+use crate::body::Payload;
 use crate::connection::{BufferedResponse, Connection};
 use crate::error::Error;
 use crate::platform::headers::{self, STORE_ERA};
@@ -132,7 +132,8 @@
             if *era.get_or_insert(self.era) != self.era {
                 return Err(Error::Restored);
             }
-            let page: RawLatestPage = serde_json::from_slice(&response.body).map_err(malformed)?;
+            let page: RawLatestPage =
+                serde_json::from_slice(&response.body.into_bytes()).map_err(malformed)?;
             // The pages are not a consistent snapshot. Reading on from the end that the
             // first page reports covers every change made between the pages.
             if after.is_empty() {
@@ -179,7 +180,7 @@
             return Ok(ReadOutcome::Trimmed);
         }
         check_status(&response, &[StatusCode::OK])?;
-        decode_records(response.body, from)
+        decode_records(response.body.into_bytes(), from)
     }
 
     /// Appends a record to a keyed topic. With `as_of`, the record is appended only if
@@ -208,7 +209,8 @@
             return Ok(AppendOutcome::Conflict);
         }
         check_status(&response, &[StatusCode::OK])?;
-        let raw: RawAppend = serde_json::from_slice(&response.body).map_err(malformed)?;
+        let raw: RawAppend =
+            serde_json::from_slice(&response.body.into_bytes()).map_err(malformed)?;
         Ok(AppendOutcome::Appended(raw.offset))
     }
 
@@ -223,7 +225,7 @@
             .method(method)
             .uri(path)
             .header(http::header::HOST, self.address.to_string())
-            .body(Full::new(body))
+            .body(Payload::from(body))
             .map_err(malformed)?;
         let mut connection = match self.connection.take().filter(Connection::is_open) {
             Some(connection) => connection,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -7,9 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use medlarreel_core::code::Outcome;
 use medlarreel_core::entry::queue::{Decision, FinishedSend, QueuedRequest, Reason, Ticket};
@@ -23,6 +21,7 @@
 use response::{empty_response, forwarded_response, refusal_response, with_connection_close};
 use send::{SendOutcome, send_to_upstream};
 
+use crate::body::Payload;
 use crate::crashes::trials::{self, Clearance};
 use crate::state::State;
 
@@ -46,10 +45,7 @@
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// Serves a caller's request and returns the response by its deadline.
-pub async fn serve_request(
-    state: &Rc<State>,
-    incoming: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+pub async fn serve_request(state: &Rc<State>, incoming: Request<Incoming>) -> Response<Payload> {
     let arrived = state.clock.now();
     let request = match read_request(state, incoming, arrived).await {
         Ok(request) => request,
@@ -146,7 +142,7 @@
     state: &Rc<State>,
     request: &RoutedRequest,
     progress: &mut SendProgress,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
     loop {
         let decision = match wait_for_upstream(state, request, progress).await {
             Ok(decision) => decision,
@@ -384,7 +380,7 @@
     progress: &SendProgress,
     outcome: Outcome,
     why: &str,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
     let not_run = outcome == Outcome::NotRun && !progress.may_have_run();
     let label = if not_run { "refused" } else { "failed" };
     state.metrics.count_request(&request.route.name, label);
@@ -408,7 +404,7 @@
     progress: &SendProgress,
     reason: Reason,
     after: Duration,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
     let now = state.clock.now();
     let waited_ms = now.since(request.arrived).as_millis() as u64;
     let owners_revision = state.owner_map.borrow().revision();
@@ -436,7 +432,7 @@
     request: &RoutedRequest,
     progress: &SendProgress,
     until: Time,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
     let after = until.since(state.clock.now());
     tracing::info!(
         id = request.id,
@@ -460,7 +456,7 @@
     state: &State,
     request: &RoutedRequest,
     progress: &SendProgress,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
     tracing::info!(
         id = request.id,
         route = request.route.name,
--- a/crates/entry/src/proxy/request.rs
+++ b/crates/entry/src/proxy/request.rs
@@ -4,21 +4,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use medlarreel_core::entry::memory::{SMALL_BODY_BYTES, Stage};
 use medlarreel_core::entry::routes::Route;
 use medlarreel_core::entry::suspects::Fingerprint;
 use medlarreel_core::time::Time;
 
 use super::response::{empty_response, refusal_response, with_connection_close};
+use crate::body::{self, CollectError, Payload, announced_length};
 use crate::platform::headers;
 use crate::state::State;
 
 /// Time reserved from a caller's deadline for the response to travel back.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(5);
 
+/// `Retry-After` of a request that is refused because memory is short. Most bodies that take
+/// it are served or given up within a second.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A completely read request with its route, service, key and deadline.
 pub(super) struct RoutedRequest {
     /// Attempt ID; `-` if the request has none.
@@ -27,7 +31,7 @@
     /// Path and query.
     pub(super) path: String,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Payload,
     pub(super) route: Route,
     pub(super) service: String,
     /// Shard key; `None` if the service is not keyed.
@@ -47,15 +51,16 @@
                 let value = self.headers.get(name);
                 value.map_or(&[][..], HeaderValue::as_bytes)
             };
-            Fingerprint::of(&[
+            let head = [
                 self.method.as_str().as_bytes(),
                 field(&header::HOST),
                 self.path.as_bytes(),
                 field(&headers::SHARD_KEY),
                 field(&header::AUTHORIZATION),
                 field(&header::COOKIE),
-                &self.body,
-            ])
+            ];
+            let parts: Vec<&[u8]> = head.into_iter().chain(self.body.parts()).collect();
+            Fingerprint::of(&parts)
         })
     }
 }
@@ -69,7 +74,7 @@
     state: &State,
     incoming: Request<Incoming>,
     arrived: Time,
-) -> Result<RoutedRequest, Box<Response<Full<Bytes>>>> {
+) -> Result<RoutedRequest, Box<Response<Payload>>> {
     let (parts, body) = incoming.into_parts();
     let id = parts.headers.get(&headers::ATTEMPT_ID);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
@@ -112,14 +117,22 @@
     let timeout = timeout.map(|time| time.saturating_sub(RESPONSE_RESERVE));
     let timeout = timeout.map_or(route.timeout, |time| time.min(route.timeout));
     let limit = table.config().limits.body_bytes;
-    let reading = Limited::new(body, limit).collect();
-    let body = match tokio::time::timeout(timeout, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = match tokio::time::timeout(timeout, read_body(state, body, limit)).await {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            tracing::info!(id, route = route.name, %error, "failed to read request body");
-            let response = match error.is::<http_body_util::LengthLimitError>() {
-                true => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-                false => empty_response(StatusCode::BAD_REQUEST),
+            tracing::info!(
+                id,
+                route = route.name,
+                ?error,
+                "failed to read request body"
+            );
+            let response = match error {
+                CollectError::TooLong => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+                CollectError::Failed(_) => empty_response(StatusCode::BAD_REQUEST),
+                CollectError::Evicted => {
+                    state.metrics.count_request(&route.name, "no_memory");
+                    refusal_response(Some(MEMORY_RETRY_AFTER.min(timeout / 3)))
+                }
             };
             return Err(Box::new(with_connection_close(response)));
         }
@@ -146,6 +159,29 @@
     })
 }
 
+/// Reads a request body. A large one is refused before it is read if there is no room for
+/// it, and given up later if it is evicted.
+async fn read_body(state: &State, body: Incoming, limit: usize) -> Result<Payload, CollectError> {
+    let length = announced_length(&body);
+    if length == Some(0) {
+        return Ok(Payload::default());
+    }
+    let is_within_limit = length.filter(|length| *length <= limit);
+    if is_within_limit.is_some_and(|length| !state.memory.admits(length)) {
+        return Err(CollectError::Evicted);
+    }
+    let is_large = length.is_some_and(|length| length > SMALL_BODY_BYTES);
+    let lease = state.memory.open(Stage::Reading, is_large);
+    let body = tokio::select! {
+        body = body::collect(body, length, limit, Some(&lease)) => body?,
+        () = lease.wait_evicted() => return Err(CollectError::Evicted),
+    };
+    match lease.enter(Stage::Kept) {
+        true => Ok(body),
+        false => Err(CollectError::Evicted),
+    }
+}
+
 pub(super) fn count_keyed_request(state: &State, request: &RoutedRequest) {
     if let Some(key) = request.key {
         let mut counts = state.key_counts.borrow_mut();
--- a/crates/entry/src/proxy/response.rs
+++ b/crates/entry/src/proxy/response.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
-use http_body_util::Full;
+use medlarreel_core::entry::memory::Stage;
 
 use super::request::RoutedRequest;
+use crate::body::Payload;
 use crate::connection::BufferedResponse;
 use crate::platform::headers;
 
@@ -42,10 +42,15 @@
 pub(super) fn forwarded_response(
     request: &RoutedRequest,
     upstream_response: BufferedResponse,
-) -> Response<Full<Bytes>> {
+) -> Response<Payload> {
+    let lease = upstream_response.body.lease();
+    if lease.is_some_and(|lease| !lease.enter(Stage::Writing)) {
+        tracing::info!(id = request.id, "response given up: memory is short");
+        return empty_response(StatusCode::BAD_GATEWAY);
+    }
     let mut fields = end_to_end_headers(&upstream_response.headers);
     fields.remove(header::CONTENT_LENGTH);
-    let mut response = Response::new(Full::new(upstream_response.body));
+    let mut response = Response::new(upstream_response.body);
     *response.status_mut() = upstream_response.status;
     *response.headers_mut() = fields;
     if let Ok(id) = HeaderValue::try_from(&request.id) {
@@ -54,13 +59,13 @@
     response
 }
 
-pub(super) fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+pub(super) fn empty_response(status: StatusCode) -> Response<Payload> {
+    let mut response = Response::new(Payload::default());
     *response.status_mut() = status;
     response
 }
 
-pub(super) fn with_connection_close(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+pub(super) fn with_connection_close(mut response: Response<Payload>) -> Response<Payload> {
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(header::CONNECTION, close);
     response
@@ -68,7 +73,7 @@
 
 /// Returns a 503 response, which promises that the request has not run and will not run.
 /// `retry_after` becomes its `Retry-After` field, in seconds; `None` leaves that out.
-pub(super) fn refusal_response(retry_after: Option<Duration>) -> Response<Full<Bytes>> {
+pub(super) fn refusal_response(retry_after: Option<Duration>) -> Response<Payload> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     let text = retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
     if let Some(Ok(value)) = text.map(HeaderValue::try_from) {
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::Full;
 use medlarreel_core::entry::queue::FinishedSend;
 use medlarreel_core::entry::upstream_state::{ReportedLoad, SendResult};
 use medlarreel_core::ids::Upstream;
@@ -14,6 +12,7 @@
 use super::SendProgress;
 use super::request::RoutedRequest;
 use super::response::end_to_end_headers;
+use crate::body::Payload;
 use crate::connection::BufferedResponse;
 use crate::crashes;
 use crate::error::Error;
@@ -147,7 +146,9 @@
     if !progress.tried.contains(&upstream) {
         progress.tried.push(upstream);
     }
-    let sent = connection.send_request(outgoing, remaining).await;
+    let sent = connection
+        .send_counted(outgoing, remaining, &state.memory)
+        .await;
     in_flight_send.is_unanswered = matches!(sent, Err(Error::NoResponse(_)));
     let response = match sent {
         Ok(response) => response,
@@ -273,11 +274,11 @@
     request: &RoutedRequest,
     upstream_id: &str,
     remaining: Duration,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+) -> Result<Request<Payload>, http::Error> {
     let mut outgoing = Request::builder()
         .method(request.method.clone())
         .uri(&request.path)
-        .body(Full::new(request.body.clone()))?;
+        .body(request.body.clone())?;
     let mut fields = end_to_end_headers(&request.headers);
     fields.remove(header::CONTENT_LENGTH);
     fields.remove(header::EXPECT);
--- a/crates/entry/src/read_ahead.rs
+++ b/crates/entry/src/read_ahead.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 
 use crate::bounded_stream::BoundedStream;
+use crate::callers::OpenConnection;
 
 /// Number of buffered bytes at which reading ahead stops. A close behind them is not
 /// noticed, but pipelined requests are small.
@@ -29,6 +30,9 @@
     stream: BoundedStream,
     buffered: BytesMut,
     closed: bool,
+    connection: Rc<OpenConnection>,
+    /// Memory that the head of a request may take at most, in bytes.
+    max_head_bytes: usize,
 }
 
 /// Shared handle of a caller's connection.
@@ -36,12 +40,18 @@
 pub struct ReadAheadStream(Rc<RefCell<Inner>>);
 
 impl ReadAheadStream {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> ReadAheadStream {
+    /// Wraps an accepted connection, whose request heads may take `max_head_bytes`.
+    pub fn new(
+        stream: TcpStream,
+        connection: Rc<OpenConnection>,
+        max_head_bytes: usize,
+    ) -> ReadAheadStream {
         ReadAheadStream(Rc::new(RefCell::new(Inner {
             stream: BoundedStream::new(stream),
             buffered: BytesMut::new(),
             closed: false,
+            connection,
+            max_head_bytes,
         })))
     }
 
@@ -57,6 +67,14 @@
 }
 
 impl Inner {
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(bytes)) => self.connection.record_write(Some(*bytes)),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.connection.record_write(None),
+        }
+    }
+
     fn poll_closed(&mut self, context: &mut Context<'_>) -> Poll<()> {
         while !self.closed {
             if self.buffered.len() >= MAX_READ_AHEAD_BYTES {
@@ -85,7 +103,13 @@
             if inner.closed {
                 return Poll::Ready(Ok(()));
             }
-            return Pin::new(&mut inner.stream).poll_read(context, buffer);
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut inner.stream).poll_read(context, buffer))?;
+            let read = buffer.filled().len() - before;
+            if read > 0 {
+                inner.connection.record_head(read, inner.max_head_bytes);
+            }
+            return Poll::Ready(Ok(()));
         }
         let length = inner.buffered.len().min(buffer.remaining());
         buffer.put_slice(&inner.buffered[..length]);
@@ -100,7 +124,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write(context, bytes);
+        inner.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -108,7 +135,10 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, parts)
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, parts);
+        inner.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -116,7 +146,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(context)
+        let mut inner = self.0.borrow_mut();
+        ready!(Pin::new(&mut inner.stream).poll_flush(context))?;
+        inner.connection.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,10 +31,12 @@
 
 pub use members::Member;
 
+use crate::callers::Callers;
 use crate::clock::Clock;
 use crate::connection::Connection;
 use crate::crashes::outbox::{Abandoned, Outbox};
 use crate::crashes::pending::PendingTrials;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::reader::feed::{Feed, Topic};
@@ -114,7 +116,7 @@
 #[derive(Debug)]
 pub struct State {
     /// Current settings, replaced on a reload. Changes of the addresses and of the retry
-    /// ratio take effect only after a restart, and a changed lease duration when this
+    /// ratio, memory and descriptors take effect only after a restart, and a changed lease duration when this
     /// instance next becomes leader. The processor time is announced only at startup.
     pub settings: RefCell<Settings>,
     /// Clock of the process.
@@ -181,6 +183,10 @@
     pub pool: Pool,
     /// Idle connections that are kept for orders.
     pub order_pool: Pool,
+    /// Memory that bodies and connections of callers hold.
+    pub memory: Memory,
+    /// Open connections of callers.
+    pub callers: Rc<Callers>,
     /// Metrics of this instance.
     pub metrics: Metrics,
     /// Which instance leads.
@@ -242,6 +248,8 @@
         let started = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(0, |since| since.as_millis() as u64);
+        let memory = Memory::new(clock, settings.memory);
+        let callers = Callers::new(clock, memory.clone(), settings.descriptors);
         Rc::new(State {
             settings: RefCell::new(settings),
             clock,
@@ -276,6 +284,8 @@
             retry_budgets: RefCell::new(ServiceBudgets::new(percent)),
             pool: Pool::default(),
             order_pool: Pool::default(),
+            memory,
+            callers,
             metrics: Metrics::default(),
             leadership: RefCell::new(Leadership::new(now)),
             ledger: RefCell::default(),
@@ -457,6 +467,13 @@
             suspects.suspect_count(),
             suspects.blocked_count(self.clock.now()),
         );
+        let (held, _, evictions) = self.memory.usage();
+        let counted = self.metrics.evictions.get();
+        self.metrics.evictions.inc_by(evictions - counted);
+        self.metrics.held_bytes.set(held as i64);
+        self.metrics
+            .connections
+            .set(self.callers.open_count() as i64);
         self.metrics.limited_upstreams.set(limited as i64);
         self.metrics.suspected_requests.set(suspected as i64);
         self.metrics.blocked_requests.set(blocked as i64);
--- a/crates/entry/tests/crowd/main.rs
+++ b/crates/entry/tests/crowd/main.rs
@@ -120,8 +120,9 @@
     /// Panics if the process has ended or has had more memory than the settings allow, or has
     /// more descriptors.
     fn check(&mut self) {
-        assert!(self.instance.is_running(), "the process has ended");
-        let process = format!("/proc/{}", self.instance.process_id());
+        let ended = self.instance.child.try_wait().unwrap();
+        assert!(ended.is_none(), "the process has ended");
+        let process = format!("/proc/{}", self.instance.child.id());
         let descriptors = std::fs::read_dir(format!("{process}/fd")).unwrap().count();
         assert!(descriptors <= DESCRIPTORS, "{descriptors} descriptors");
         let status = std::fs::read_to_string(format!("{process}/status")).unwrap();
--- a/crates/entry/tests/path/connection.rs
+++ b/crates/entry/tests/path/connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::Request;
-use http_body_util::Full;
+use medlarreel_entry::body::Payload;
 use medlarreel_entry::connection::{BufferedResponse, Connection};
 use medlarreel_entry::error::Error;
 use medlarreel_standin::server::any_port;
@@ -80,7 +80,9 @@
     let exchange = async {
         let timeout = Duration::from_secs(5);
         let mut connection = Connection::connect(address, timeout).await?;
-        let request = Request::get("/x").header("host", "a").body(Full::default());
+        let request = Request::get("/x")
+            .header("host", "a")
+            .body(Payload::default());
         connection.send_request(request.unwrap(), timeout).await
     };
     LocalSet::new().run_until(exchange).await
@@ -97,7 +99,7 @@
     }
     let whole = get_cut_response(RESPONSE.as_bytes(), false).await.unwrap();
 
-    assert_eq!(whole.body, "body");
+    assert_eq!(whole.body.into_bytes(), "body");
 }
 
 /// Guards against a chunked response without its last chunk that is passed on as whole.
@@ -110,7 +112,7 @@
     }
     let whole = get_cut_response(chunked.as_bytes(), false).await.unwrap();
 
-    assert_eq!(whole.body, "body");
+    assert_eq!(whole.body.into_bytes(), "body");
 }
 
 /// Guards against a response without a length that is passed on as whole although its
@@ -122,7 +124,7 @@
     let closed = get_cut_response(response, false).await;
     let reset = get_cut_response(response, true).await;
 
-    assert_eq!(closed.unwrap().body, "body");
+    assert_eq!(closed.unwrap().body.into_bytes(), "body");
     assert!(matches!(reset, Err(Error::ConnectionLost(_))), "{reset:?}");
 }
 
--- a/crates/entry/tests/path/endless.rs
+++ b/crates/entry/tests/path/endless.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http::Request;
-use http_body_util::Full;
+use medlarreel_entry::body::Payload;
 use medlarreel_entry::bounded_stream::BoundedStream;
 use medlarreel_entry::connection::{BufferedResponse, Connection};
 use medlarreel_entry::error::Error;
@@ -51,7 +51,9 @@
 async fn get_without_limit(address: SocketAddr) -> Result<BufferedResponse, Error> {
     let exchange = async {
         let mut connection = Connection::connect(address, TEST_TIMEOUT).await?;
-        let request = Request::get("/x").header("host", "a").body(Full::default());
+        let request = Request::get("/x")
+            .header("host", "a")
+            .body(Payload::default());
         let no_limit = Duration::from_secs(3_600);
         connection.send_request(request.unwrap(), no_limit).await
     };
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -24,7 +24,7 @@
 
 /// A running instance, which is killed when dropped.
 pub struct Instance {
-    child: Child,
+    pub child: Child,
     directory: PathBuf,
     _ports: Vec<ReservedPort>,
     pub callers: SocketAddr,
@@ -40,16 +40,6 @@
         assert!(sent.success());
     }
 
-    /// Id of the process.
-    pub fn process_id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
-    }
-
     /// Waits until the process exits and returns whether it exited successfully.
     pub async fn wait_for_exit(&mut self) -> bool {
         let deadline = tokio::time::Instant::now() + TEST_TIMEOUT;
