Reject answers whose status is none

A server's answer with status 600 or 999 was passed on with its body, and 101 as the answer of a request that asked for no upgrade: the HTTP library takes any three digits from 100 on for a status, and 101 for a final one.

Connections to upstreams and to the store now take only 200 to 599 for a response. Anything else leaves the outcome unknown and ends the connection, for requests, grants, health checks and calls to the store alike.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -205,6 +205,7 @@
                 None => response_error(&error.into_error()),
             })?;
             let (parts, body) = response.into_parts();
+            check_status(parts.status)?;
             let length = announced_length(&body);
             self.allowance.set(MAX_FRAMING_BYTES);
             let body = body.map_frame(|frame| {
@@ -261,6 +262,15 @@
     error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Checks that a response is a final one of the protocol. No request asks for an upgrade, so
+/// 101 is none. What sends another status may have run the request or not.
+fn check_status(status: StatusCode) -> Result<(), Error> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        invalid => Err(Error::NoResponse(format!("status {invalid} is invalid"))),
+    }
+}
+
 fn response_error(error: &hyper::Error) -> Error {
     let cause = error.source();
     let cause = cause.and_then(|cause| cause.downcast_ref::<std::io::Error>());
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -21,4 +21,5 @@
 mod restored;
 mod settings;
 mod shutdown;
+mod statuses;
 mod store_client;
