--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,6 +7,7 @@
 //! request directly to the owner of its key.
 
 pub mod check;
+pub mod connections;
 pub mod difference;
 pub mod directory;
 pub mod doubt;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod limiter;
 pub mod map;
+pub mod memory;
 pub mod permit;
 pub mod plan;
 pub mod queue;
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of an entry instance.
 
 mod check;
+mod connections;
 mod directory;
 mod doubt;
 mod fixture;
@@ -9,6 +10,7 @@
 mod leadership;
 mod ledger;
 mod map;
+mod memory;
 mod ownership;
 mod plan;
 mod queue;
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -22,4 +22,5 @@
 mod restored;
 mod settings;
 mod shutdown;
+mod statuses;
 mod store_client;
