Limit the rate of requests to cold upstreams by permits

Change: a cold upstream of a service that names a rate is limited to it until it is warm; instances send only by permits, which the leader grants at a pace derived from the rate, the overage and the slack (docs/design/shared-rates.md). Permits now end counted from the demand instead of from their receipt, and a repeated reply or a restarted process brings none back. The capacity of a cold upstream in the plan follows its rate. Health checks that are sent anyway tell how long an upstream is cold.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -23,3 +23,4 @@
 pub mod suspects;
 pub mod transfer;
 pub mod upstream_state;
+pub mod warmup;
--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -322,8 +322,9 @@
                     true => None,
                     false => record.leaving_since.or(leaving),
                 };
+                let was_cold = now < record.warm_at;
                 record.warm_at = warm_at.max(record.cold_until);
-                self.warmth_version += 1;
+                self.warmth_version += u64::from(was_cold || now < record.warm_at);
                 self.occupy_address(key);
                 self.version += u64::from(changed);
                 return changed;
@@ -344,7 +345,7 @@
             warm_at,
             cold_until: Time(0),
         });
-        self.warmth_version += 1;
+        self.warmth_version += u64::from(now < warm_at);
         self.occupy_address(key);
         self.version += 1;
         true
--- a/crates/core/src/entry/permit.rs
+++ b/crates/core/src/entry/permit.rs
@@ -5,18 +5,24 @@
 //! one send. An instance that can't reach the leader keeps to a fixed share of a part of the
 //! rate, so that the leader's permits and the shares of all instances together stay within
 //! the bound that upstreams accept.
+//!
+//! An upstream is limited while it names a limit in its responses, while it is cold
+//! (`warmup`), or both; the lower rate counts. That it is cold is known from its registration
+//! and the configuration, without any response, and ends by time. There is no share without
+//! permits of the rate of a cold upstream.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use medlarreel_macros::data;
 
+use super::warmup::{Cold, Pace};
 use crate::ids::Upstream;
 use crate::time::Time;
 
 /// Time for which a permit may be used. A request that it was meant for may have been
 /// refused or sent elsewhere meanwhile; late permits would add to those of the next window.
-const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
+pub(super) const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
 
 /// Interval at which an unanswered or unchanged request for permits is repeated, since
 /// messages may be lost.
@@ -44,6 +50,22 @@
 /// Time for which a permit for such a request is asked for.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Age of an observation that was never made, in milliseconds.
+const NEVER_MS: u64 = u64::MAX;
+
+/// Age of an observation in milliseconds; `Time(0)` stands for none.
+pub(super) fn age_ms(now: Time, observed_at: Time) -> u64 {
+    match observed_at {
+        Time(0) => NEVER_MS,
+        _ => now.since(observed_at).as_millis() as u64,
+    }
+}
+
+/// Time of an observation of this age; `Time(0)` if it was never made.
+pub(super) fn observed_at(now: Time, age_ms: u64) -> Time {
+    now - Duration::from_millis(age_ms)
+}
+
 /// Requests per second, in thousandths.
 #[data(key)]
 pub struct Rate(pub u64);
@@ -80,8 +102,13 @@
     pub born: u64,
     /// Limit that it last named; `None` if it names none any more.
     pub limit: Option<Rate>,
-    /// Age of that observation, in milliseconds.
+    /// Age of that observation, in milliseconds; `u64::MAX` if there was none.
     pub age_ms: u64,
+    /// How the upstream is cold, as far as the instance knows, with the milliseconds until
+    /// it is warm.
+    pub cold: Option<(Pace, u64)>,
+    /// Time at the instance, which the reply repeats.
+    pub asked_at: Time,
     /// Number of requests that wait for a permit, by rank.
     pub waiting: Vec<(u8, u32)>,
     /// Epoch of the leader that has last granted permits, and the number that it had
@@ -111,10 +138,16 @@
     pub born: u64,
     /// Limit that the upstream is known to have named last.
     pub limit: Option<Rate>,
-    /// Age of that observation, in milliseconds.
+    /// Age of that observation, in milliseconds; `u64::MAX` if there was none.
     pub age_ms: u64,
     /// Number of permits granted to the receiver in this epoch.
     pub granted: u64,
+    /// Number of these that the receiver has not confirmed.
+    pub fresh: u32,
+    /// Time of the receiver's latest demand, by its clock.
+    pub asked_at: Time,
+    /// Milliseconds after `asked_at` at which the first of the fresh permits ends.
+    pub valid_ms: u64,
     /// Requests of other instances that wait for permits, by rank.
     pub backlog: Vec<(u8, u32)>,
     /// Time until the next permit accrues, in milliseconds.
@@ -138,8 +171,13 @@
 
 #[derive(Debug)]
 struct Limited {
-    rate: Rate,
+    /// Limit that the upstream names in its responses.
+    named: Option<Rate>,
+    /// Time of the latest response that says whether there is a limit; `Time(0)` if there
+    /// was none.
     observed_at: Time,
+    /// `None` if the upstream is warm.
+    cold: Option<Cold>,
     /// Times at which unused permits end.
     permits: Vec<Time>,
     /// Number of permits received in the current epoch.
@@ -161,10 +199,11 @@
 }
 
 impl Limited {
-    fn new(now: Time, rate: Rate) -> Limited {
+    fn new(now: Time) -> Limited {
         Limited {
-            rate,
-            observed_at: now,
+            named: None,
+            observed_at: Time(0),
+            cold: None,
             permits: Vec::new(),
             granted: 0,
             waiting: BTreeMap::new(),
@@ -177,6 +216,22 @@
         }
     }
 
+    /// Limit that the upstream has named at `observed_at`.
+    fn named(observed_at: Time, now: Time, rate: Rate) -> Limited {
+        Limited {
+            named: Some(rate),
+            observed_at,
+            ..Limited::new(now)
+        }
+    }
+
+    /// Requests per second that the upstream takes from all instances.
+    fn per_second(&self) -> f64 {
+        let cold = self.cold.map(|cold| cold.pace.certain);
+        let lowest = self.named.into_iter().chain(cold).min();
+        lowest.map_or(f64::INFINITY, Rate::per_second)
+    }
+
     fn is_leader_silent(&self, now: Time) -> bool {
         self.unanswered_since
             .is_some_and(|since| now.since(since) >= REPLY_TIMEOUT)
@@ -184,7 +239,10 @@
 
     /// Requests per second that each of `instances` may send without permits.
     fn unpermitted_share(&self, instances: usize) -> f64 {
-        self.rate.per_second() * UNPERMITTED_FRACTION / instances.max(1) as f64
+        match self.cold {
+            Some(_) => 0.0,
+            None => self.per_second() * UNPERMITTED_FRACTION / instances.max(1) as f64,
+        }
     }
 
     fn live_permits(&self, now: Time) -> usize {
@@ -213,6 +271,38 @@
         self.limited.contains_key(&upstream)
     }
 
+    /// Number of upstreams that are limited because they are cold.
+    pub fn cold_count(&self) -> usize {
+        let limited = self.limited.values();
+        limited.filter(|limited| limited.cold.is_some()).count()
+    }
+
+    /// Replaces the cold upstreams. They are limited from now on, and those that are not in
+    /// `cold` only if they name a limit.
+    pub fn set_cold(&mut self, now: Time, cold: &[(Upstream, Cold)]) {
+        for limited in self.limited.values_mut() {
+            limited.cold = None;
+        }
+        for (upstream, cold) in cold {
+            let limited = self.limited.entry(*upstream).or_insert_with(|| Limited {
+                // The leader knows already.
+                asked: Some((Vec::new(), now)),
+                ..Limited::new(now)
+            });
+            limited.cold = Some(*cold);
+            limited.reserve = (0.0, now);
+        }
+        self.end_cold(now);
+    }
+
+    /// Ends the limits of upstreams that are warm now and name none.
+    pub fn end_cold(&mut self, now: Time) {
+        self.limited.retain(|_, limited| {
+            limited.cold = limited.cold.filter(|cold| now < cold.until);
+            limited.cold.is_some() || limited.named.is_some()
+        });
+    }
+
     /// Number of upstreams that limit their rate.
     pub fn limited_count(&self) -> usize {
         self.limited.len()
@@ -233,23 +323,28 @@
             Notice::Limited(rate) if rate.per_second() < MAX_MEANINGFUL_RATE => {
                 let known = self.limited.get_mut(&upstream);
                 let Some(known) = known else {
-                    self.limited.insert(upstream, Limited::new(now, rate));
+                    let limited = Limited::named(now, now, rate);
+                    self.limited.insert(upstream, limited);
                     return true;
                 };
-                let changed = known.rate != rate;
-                known.rate = rate;
+                let changed = known.named != Some(rate);
+                known.named = Some(rate);
                 known.observed_at = now;
                 changed
             }
             Notice::Unlimited | Notice::Limited(_) => {
-                let known = self.limited.get(&upstream);
-                let ended = known.is_some_and(|known| sent_at >= known.observed_at);
-                if ended {
+                let known = self.limited.get_mut(&upstream);
+                let known = known.filter(|known| known.named.is_some());
+                let Some(known) = known.filter(|known| sent_at >= known.observed_at) else {
+                    return false;
+                };
+                (known.named, known.observed_at) = (None, now);
+                if known.cold.is_none() {
                     self.limited.remove(&upstream);
-                    self.ended.push(upstream);
-                    self.ended_at.insert(upstream, now);
                 }
-                ended
+                self.ended.push(upstream);
+                self.ended_at.insert(upstream, now);
+                true
             }
             Notice::Unreadable => false,
         }
@@ -294,14 +389,19 @@
         let wait = |requests: f64, rate: f64| {
             Duration::from_secs_f64((requests / rate.max(0.001)).clamp(0.0, 60.0))
         };
-        let rate = limited.rate.per_second();
+        let rate = limited.per_second();
+        let until_warm = |wait: Duration| match limited.cold {
+            Some(cold) if limited.named.is_none() => wait.min(cold.until.since(now)),
+            _ => wait,
+        };
         if limited.is_leader_silent(now) {
             let share = limited.unpermitted_share(self.instances);
             let missing = 1.0 - limited.reserve.0;
-            return (wait(f64::from(ahead) + missing, share), ahead == 0);
+            let wait = wait(f64::from(ahead) + missing, share);
+            return (until_warm(wait), ahead == 0);
         }
         let Some((reply, received)) = &limited.reply else {
-            return (wait(f64::from(ahead), rate), ahead == 0);
+            return (until_warm(wait(f64::from(ahead), rate)), ahead == 0);
         };
         let age = now.since(*received);
         // A reply soon goes out of date: each instance's requests leave the queue by
@@ -320,7 +420,7 @@
             return (Duration::ZERO, precede == 0);
         }
         let requests = f64::from(precede - covered);
-        (next + wait(requests, rate), precede == 0)
+        (until_warm(next + wait(requests, rate)), precede == 0)
     }
 
     /// Replaces the numbers of requests that wait for permits, by upstream and rank.
@@ -334,6 +434,7 @@
     /// one that other upstreams stand in for does not count as limited for good.
     pub fn probe_if_idle(&mut self, now: Time, upstream: Upstream) {
         if let Some(limited) = self.limited.get_mut(&upstream)
+            && limited.named.is_some()
             && now.since(limited.observed_at) >= PROBE_INTERVAL
             && now.since(limited.probe_until) >= PROBE_INTERVAL
         {
@@ -346,7 +447,9 @@
     pub fn is_probe_due(&self, now: Time, upstream: Upstream) -> bool {
         let limited = self.limited.get(&upstream);
         limited.is_some_and(|limited| {
-            limited.live_permits(now) > 0 && now.since(limited.observed_at) >= PROBE_INTERVAL
+            limited.named.is_some()
+                && limited.live_permits(now) > 0
+                && now.since(limited.observed_at) >= PROBE_INTERVAL
         })
     }
 
@@ -361,6 +464,8 @@
                     born: 0,
                     limit: None,
                     age_ms: 0,
+                    cold: None,
+                    asked_at: now,
                     waiting: Vec::new(),
                     granted: (epoch, 0),
                 };
@@ -389,8 +494,13 @@
             let demand = Demand {
                 id: String::new(),
                 born: 0,
-                limit: Some(limited.rate),
-                age_ms: now.since(limited.observed_at).as_millis() as u64,
+                limit: limited.named,
+                age_ms: age_ms(now, limited.observed_at),
+                cold: limited.cold.map(|cold| {
+                    let left = cold.until.since(now);
+                    (cold.pace, left.as_millis() as u64)
+                }),
+                asked_at: now,
                 waiting,
                 granted: (epoch, limited.granted),
             };
@@ -418,10 +528,16 @@
         let observed_at = now - age;
         let ended = self.ended_at.get(&upstream);
         let is_outdated = ended.is_some_and(|ended| *ended >= observed_at);
-        if is_outdated || self.is_limited(upstream) {
+        let known = self.limited.get_mut(&upstream);
+        let is_known = known.as_ref().is_some_and(|known| known.named.is_some());
+        if is_outdated || is_known {
             return false;
         }
-        let mut limited = Limited::new(observed_at, rate);
+        if let Some(known) = known {
+            (known.named, known.observed_at) = (Some(rate), observed_at);
+            return true;
+        }
+        let mut limited = Limited::named(observed_at, now, rate);
         // The leader knows already.
         limited.asked = Some((Vec::new(), now));
         self.limited.insert(upstream, limited);
@@ -443,19 +559,25 @@
         let Some(limited) = self.limited.get_mut(&upstream) else {
             return false;
         };
-        let observed_at = now - Duration::from_millis(grant.age_ms);
+        let observed_at = observed_at(now, grant.age_ms);
         if observed_at > limited.observed_at {
             limited.observed_at = observed_at;
-            let Some(rate) = grant.limit else {
-                self.limited.remove(&upstream);
+            limited.named = grant.limit;
+            if limited.named.is_none() {
                 self.ended_at.insert(upstream, observed_at);
-                return true;
-            };
-            limited.rate = rate;
+                if limited.cold.is_none() {
+                    self.limited.remove(&upstream);
+                    return true;
+                }
+            }
         }
         let further = grant.granted.saturating_sub(limited.granted);
+        // Permits that were granted to a process before this one at the address, or whose
+        // message was lost long ago, aren't used.
+        let further = further.min(grant.fresh.into());
         limited.granted = limited.granted.max(grant.granted);
-        let end = now + PERMIT_LIFETIME;
+        // The leader granted them after it had received the demand.
+        let end = grant.asked_at + Duration::from_millis(grant.valid_ms);
         limited.permits.retain(|end| now < *end);
         let further = usize::try_from(further).unwrap_or(usize::MAX).min(1_000);
         limited.permits.extend(std::iter::repeat_n(end, further));
@@ -471,6 +593,10 @@
     pub fn refill_reserves(&mut self, now: Time, instances: usize, phase: f64) {
         self.instances = instances;
         for limited in self.limited.values_mut() {
+            if limited.cold.is_some() {
+                limited.reserve = (0.0, now);
+                continue;
+            }
             if !limited.is_leader_silent(now) {
                 limited.reserve = (phase.min(MAX_PHASE), now);
                 continue;
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -323,6 +323,7 @@
     /// Each request with `Decision::Send` counts as in flight at its upstream until its
     /// result is passed to `record_finished`.
     pub fn decide(&mut self, now: Time, lookup: &dyn UpstreamLookup) -> Vec<(Ticket, Decision)> {
+        self.permits.end_cold(now);
         let mut decisions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|request| self.sort_key(now, request));
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic of an entry instance.
 
+mod cold;
 mod directory;
 mod doubt;
 mod fixture;
--- a/crates/core/tests/entry/rate_limit.rs
+++ b/crates/core/tests/entry/rate_limit.rs
@@ -302,6 +302,8 @@
         born: 1,
         limit: Some(rate(1.0)),
         age_ms: 0,
+        cold: None,
+        asked_at: at(0),
         waiting,
         granted: (1, 0),
     };
@@ -430,6 +432,9 @@
         limit: demand.limit,
         age_ms: 10_000,
         granted: 1,
+        fresh: 1,
+        asked_at: demand.asked_at,
+        valid_ms: 500,
         backlog: Vec::new(),
         next_ms: 0,
     };
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -19,6 +19,7 @@
 use medlarreel_core::entry::ledger::{self, Ledger};
 use medlarreel_core::entry::map::{Owner, OwnerMap};
 use medlarreel_core::entry::plan::{self, Candidate};
+use medlarreel_core::entry::warmup::Pace;
 use medlarreel_core::time::Time;
 use rand::Rng;
 use tokio::net::UdpSocket;
@@ -435,6 +436,10 @@
                 }
             }
         }
+        let (overage, slack) = {
+            let settings = state.settings.borrow();
+            (settings.warmup_overage, settings.warmup_slack)
+        };
         let limiter = state.limiter.borrow();
         let queue = state.queue.borrow();
         let mut holders: BTreeMap<&str, Vec<Owner>> = BTreeMap::new();
@@ -455,10 +460,14 @@
                 if !is_alive {
                     continue;
                 }
+                // Keys arrive as fast as a cold upstream may serve them.
+                let cold_rate = service.warmup_rate.filter(|_| now < record.warm_at);
+                let cold_rate = cold_rate.map(|rate| Pace::new(rate, overage, slack).certain);
+                let named = limiter.limit_of(&registration.id, registration.born);
                 let capacity = plan::capacity(
                     registration.slots,
                     self.demand.relative_run_time(&registration.id),
-                    limiter.limit_of(&registration.id, registration.born),
+                    named.into_iter().chain(cold_rate).min(),
                     queue.service_run_time(&registration.service),
                 );
                 candidates.push(Candidate { owner, capacity });
--- a/crates/entry/src/leader/probe.rs
+++ b/crates/entry/src/leader/probe.rs
@@ -70,6 +70,10 @@
                     let answered = Outcome::Answered;
                     probes.outcomes.borrow_mut().insert(upstream, answered);
                     probes.has_news.set(true);
+                    if let Some(left) = headers::parse_warmup(&headers) {
+                        let mut directory = state.directory.borrow_mut();
+                        directory.record_warmup(now, upstream, left);
+                    }
                     state
                         .order_pool
                         .put_idle(now, upstream, connection, &headers, 1);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,8 +41,12 @@
     pub latency: Histogram,
     /// Queued requests.
     pub waiting_requests: Gauge,
-    /// Upstreams that are known to limit their rate.
+    /// Upstreams that are known to limit their rate, also because they are cold.
     pub limited_upstreams: Gauge,
+    /// Cold upstreams whose service names a rate for them.
+    pub cold_upstreams: Gauge,
+    /// Permits that this instance has granted as the leader.
+    pub permits_granted: Counter,
     /// Requests under which upstreams have ended since they were last answered, also blocked
     /// ones.
     pub suspected_requests: Gauge,
@@ -75,6 +79,8 @@
             latency,
             waiting_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            permits_granted: Counter::default(),
             suspected_requests: Gauge::default(),
             blocked_requests: Gauge::default(),
             config_version: Gauge::default(),
@@ -110,6 +116,16 @@
             "Upstreams that limit the rate of requests",
             metrics.limited_upstreams.clone(),
         );
+        registry.register(
+            "cold_upstreams",
+            "Cold upstreams of limited rate",
+            metrics.cold_upstreams.clone(),
+        );
+        registry.register(
+            "permits_granted",
+            "Permits granted as the leader",
+            metrics.permits_granted.clone(),
+        );
         registry.register(
             "suspected_requests",
             "Requests under which upstreams ended since they were answered",
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -1,11 +1,13 @@
 //! Exchange of permits for upstreams that limit their rate, between the leader and the
 //! other instances.
 
+use std::cell::RefMut;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use medlarreel_core::entry::limiter::Limiter;
 use medlarreel_core::entry::permit::{Announcement, Demand, Grant, Notice};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
@@ -14,8 +16,18 @@
 use crate::peers::{self, Message};
 use crate::state::State;
 
-/// Interval at which demands are sent and accrued permits are granted, while there are any.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(10);
+/// Shortest interval at which demands are sent and accrued permits are granted, while there
+/// are any.
+const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Longest such interval. A demand that is older than 200 ms gets no usable permits of cold
+/// upstreams.
+const MAX_EXCHANGE_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Time per instance that is added to the interval as the fleet grows, so that all instances
+/// together send the leader no more than 2,000 demands a second: a tenth of a core handles
+/// about as many.
+const INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(500);
 
 /// Sends demands to the leader and, as the leader, grants permits, until the process ends.
 pub async fn exchange(state: Rc<State>, socket: Rc<UdpSocket>) {
@@ -27,14 +39,35 @@
             state.permits_wanted.notified().await;
         }
         send_demands(&state, &socket).await;
-        let grants = state.limiter.borrow_mut().issue(state.clock.now());
+        let grants = limiter(&state).issue(state.clock.now());
         send_grants(&state, &socket, grants).await;
         let due = state.limiter.borrow_mut().due_announcements(now);
+        let granted = state.limiter.borrow_mut().take_granted();
+        state.metrics.permits_granted.inc_by(granted);
         if !due.is_empty() {
             peers::broadcast(&state, &socket, &Message::RateLimits(due)).await;
         }
-        tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        tokio::time::sleep(exchange_interval(&state)).await;
+    }
+}
+
+/// Interval between two exchanges. A leader grants at the shortest one, since that takes no
+/// message as long as nothing is granted.
+fn exchange_interval(state: &State) -> Duration {
+    if state.leadership.borrow().epoch().is_some() {
+        return MIN_EXCHANGE_INTERVAL;
     }
+    let instances = state.members.borrow().len() as u32 + 1;
+    let interval = INTERVAL_PER_INSTANCE * instances;
+    interval.clamp(MIN_EXCHANGE_INTERVAL, MAX_EXCHANGE_INTERVAL)
+}
+
+/// Division of the rate limits, as certain as this instance is to lead alone.
+fn limiter(state: &State) -> RefMut<'_, Limiter> {
+    let is_certain = state.leadership.borrow().is_certain(state.clock.now());
+    let mut limiter = state.limiter.borrow_mut();
+    limiter.set_uncertain(!is_certain);
+    limiter
 }
 
 async fn send_demands(state: &Rc<State>, socket: &UdpSocket) {
@@ -82,7 +115,7 @@
         return;
     };
     let grants = {
-        let mut limiter = state.limiter.borrow_mut();
+        let mut limiter = limiter(state);
         let demands = demands.into_iter();
         demands
             .flat_map(|demand| limiter.handle_demand(now, epoch, from, demand))
--- a/crates/entry/src/platform/headers.rs
+++ b/crates/entry/src/platform/headers.rs
@@ -28,6 +28,8 @@
 /// ID of the upstream that responds, in responses to health checks and in refusals of what
 /// is addressed to another one.
 const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
+/// Milliseconds for which an upstream stays cold, in responses to health checks.
+const WARMUP_MS: HeaderName = HeaderName::from_static("warmup-ms");
 /// Shard key of a request, from 0 to 65535.
 pub const SHARD_KEY: HeaderName = HeaderName::from_static("shard-key");
 /// Opaque token that hands state over from one owner of a key range to the next.
@@ -70,6 +72,11 @@
     rate.map_or(Notice::Unreadable, Notice::Limited)
 }
 
+/// Parses how much longer an upstream is cold; `None` if the response doesn't say.
+pub fn parse_warmup(headers: &HeaderMap) -> Option<Duration> {
+    parse_u64(headers, &WARMUP_MS).map(Duration::from_millis)
+}
+
 /// Whether a response says that its upstream is leaving.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     headers
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use medlarreel_core::entry::queue::FinishedSend;
 use medlarreel_core::entry::upstream_state::{ReportedLoad, SendResult};
+use medlarreel_core::entry::warmup;
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
@@ -132,6 +133,10 @@
         }
     };
     let now = state.clock.now();
+    if now.since(in_flight_send.started) > warmup::MAX_SEND_DELAY && state.is_cold(now, upstream) {
+        // Its permit may have been granted too long ago.
+        return SendOutcome::NotSent("connected too late to a cold upstream".into());
+    }
     let remaining = request.deadline.since(now);
     let outgoing = match build_upstream_request(request, &upstream_id, remaining) {
         Ok(outgoing) => outgoing,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,6 +22,7 @@
 use medlarreel_core::entry::routes::{RouteTable, TrafficSplitter};
 use medlarreel_core::entry::suspects::{Fingerprint, Suspects, Trials};
 use medlarreel_core::entry::transfer::{FinalReport, Offer, Preparation, Request};
+use medlarreel_core::entry::warmup;
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::ServiceBudgets;
 use medlarreel_core::time::Time;
@@ -151,6 +152,9 @@
     pub queue: RefCell<Queue>,
     /// Division of the rate limits of upstreams; empty unless this instance leads.
     pub limiter: RefCell<Limiter>,
+    /// Versions of the warm-ups and of the configuration from which the cold upstreams of
+    /// the queue were taken.
+    cold_versions: Cell<(u64, u64)>,
     /// Wakes the task that exchanges permits.
     pub permits_wanted: Notify,
     /// Requests that are suspected of crashing upstreams.
@@ -261,6 +265,7 @@
             owner_map_received: Cell::default(),
             queue: RefCell::default(),
             limiter: RefCell::default(),
+            cold_versions: Cell::default(),
             permits_wanted: Notify::new(),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
@@ -451,13 +456,19 @@
     /// Sets the gauges of what this instance believes of upstreams and requests. These also
     /// change by time alone.
     pub fn update_gauges(&self) {
-        let limited = self.queue.borrow_mut().permits().limited_count();
+        let (limited, cold) = {
+            let mut queue = self.queue.borrow_mut();
+            let permits = queue.permits();
+            permits.end_cold(self.clock.now());
+            (permits.limited_count(), permits.cold_count())
+        };
         let suspects = self.suspects.borrow();
         let (suspected, blocked) = (
             suspects.suspect_count(),
             suspects.blocked_count(self.clock.now()),
         );
         self.metrics.limited_upstreams.set(limited as i64);
+        self.metrics.cold_upstreams.set(cold as i64);
         self.metrics.suspected_requests.set(suspected as i64);
         self.metrics.blocked_requests.set(blocked as i64);
     }
@@ -527,10 +538,43 @@
             .put_idle(now, upstream, connection, response_headers, max_idle);
     }
 
+    /// Whether an upstream is cold and its service names a rate for cold upstreams.
+    pub fn is_cold(&self, now: Time, upstream: Upstream) -> bool {
+        let directory = self.directory.borrow();
+        let table = self.route_table.borrow();
+        let cold = directory
+            .get(upstream)
+            .filter(|record| now < record.warm_at);
+        let service = cold.and_then(|record| table.service(&record.registration.service));
+        service.is_some_and(|service| service.warmup_rate.is_some())
+    }
+
+    /// Limits the rate of requests to the upstreams that are cold now, if others are than
+    /// before. Each decision depends on it, so that it is called before each.
+    fn limit_cold_upstreams(&self, now: Time) {
+        let directory = self.directory.borrow();
+        let table = self.route_table.borrow();
+        let versions = (directory.warmth_version(), table.config().version);
+        if self.cold_versions.replace(versions) == versions {
+            return;
+        }
+        let settings = self.settings.borrow();
+        let (overage, slack) = (settings.warmup_overage, settings.warmup_slack);
+        let cold = warmup::cold_upstreams(now, &directory, &table, overage, slack);
+        let mut queue = self.queue.borrow_mut();
+        let before = queue.permits().cold_count();
+        queue.permits().set_cold(now, &cold);
+        let count = queue.permits().cold_count();
+        if count != before {
+            tracing::info!(count, before, "cold upstreams of limited rate");
+        }
+    }
+
     /// Decides on the queued requests that can be sent or must be refused now, and passes
     /// the decisions to the tasks that wait for them.
     pub fn dispatch_decisions(&self) {
         let now = self.clock.now();
+        self.limit_cold_upstreams(now);
         let decisions = self.queue.borrow_mut().decide(now, self);
         if self.queue.borrow_mut().permits().is_active() {
             self.permits_wanted.notify_one();
