--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of an entry instance.
 
 mod check;
+mod cold;
 mod connections;
 mod directory;
 mod doubt;
