--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod doubt;
 pub mod era;
+pub mod evacuation;
 pub mod follow;
 pub mod fragments;
 pub mod leadership;
