--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -107,6 +107,8 @@
     first_seen: HashMap<String, Time>,
     demand: Demand,
     probes: Rc<Probes>,
+    /// Version of the evacuations that the last rebalancing pass used.
+    evacuations_version: u64,
     /// Last logged stage of the ledger's recovery.
     recovery_stage: &'static str,
     /// Epoch and version of the last owner map that was broadcast.
@@ -139,6 +141,7 @@
             first_seen: HashMap::new(),
             demand: Demand::default(),
             probes: Rc::default(),
+            evacuations_version: 0,
             recovery_stage: "complete",
             broadcast_revision: (0, 0),
             last_broadcast: Time(0),
@@ -376,9 +379,12 @@
         if self.state.leadership.borrow().active_epoch(now).is_some() {
             // Released keys cannot be granted again until a new record has been written.
             let store_writable = now.since(self.last_confirmed_write) < MAX_WRITE_AGE;
-            let is_due = now.since(self.last_rebalance) >= REBALANCE_INTERVAL;
+            let evacuations_version = self.state.evacuations.borrow().version();
+            let is_due = now.since(self.last_rebalance) >= REBALANCE_INTERVAL
+                || evacuations_version != self.evacuations_version;
             if store_writable && (is_due || self.probes.take_news()) {
                 self.last_rebalance = now;
+                self.evacuations_version = evacuations_version;
                 self.rebalance(now);
             }
             self.send_due_orders(now);
@@ -437,8 +443,12 @@
         }
         let limiter = state.limiter.borrow();
         let queue = state.queue.borrow();
+        let evacuations = state.evacuations.borrow();
         let mut holders: BTreeMap<&str, Vec<Owner>> = BTreeMap::new();
-        for (upstream, record) in directory.usable() {
+        let usable = directory.usable();
+        let usable =
+            usable.filter(|(_, record)| !evacuations.is_evacuated(&record.registration.domain));
+        for (upstream, record) in usable {
             let registration = &record.registration;
             let service = table.service(&registration.service);
             if let Some(service) = service.filter(|service| service.keyed) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,10 @@
     pub suspected_requests: Gauge,
     /// Requests that are blocked because upstreams have ended under them.
     pub blocked_requests: Gauge,
+    /// Failure domains that the operator has evacuated.
+    pub evacuated_domains: Gauge,
+    /// Keys of all services that upstreams of these domains own.
+    pub evacuated_keys: Gauge,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
     /// Epoch of the leader.
@@ -77,6 +81,8 @@
             limited_upstreams: Gauge::default(),
             suspected_requests: Gauge::default(),
             blocked_requests: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_keys: Gauge::default(),
             config_version: Gauge::default(),
             epoch: Gauge::default(),
             is_leader: Gauge::default(),
@@ -120,6 +126,16 @@
             "Requests that are blocked because upstreams ended under them",
             metrics.blocked_requests.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that the operator has evacuated",
+            metrics.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuated_keys",
+            "Keys that upstreams of evacuated failure domains own",
+            metrics.evacuated_keys.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
--- a/crates/entry/src/platform/config.rs
+++ b/crates/entry/src/platform/config.rs
@@ -13,6 +13,15 @@
 /// Key of the record that holds the current configuration.
 pub const RECORD_KEY: &str = "config";
 
+/// Beginning of the keys of records that evacuate a failure domain, whose name follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
+/// Failure domain that a record with this key evacuates; `None` if it is another record. One
+/// without a value withdraws the order.
+pub fn evacuated_domain(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX)
+}
+
 /// Maximum number of attempts for a route that does not set one.
 const DEFAULT_MAX_ATTEMPTS: u32 = 1;
 
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -9,6 +9,7 @@
 //! of the earlier one are dropped, and each topic is loaded again (`bootstrap`).
 
 pub mod bootstrap;
+mod evacuation;
 pub mod feed;
 pub mod history;
 
@@ -176,6 +177,9 @@
             return Ok(None);
         }
         let end = latest.next_offset;
+        if topic == Topic::Config {
+            evacuation::load(state, position.era(), &latest.records);
+        }
         apply_records(state, topic, &latest.records, true, Duration::ZERO);
         state
             .feed(topic)
@@ -236,7 +240,8 @@
 }
 
 /// Applies records forwarded by another instance. If earlier ones are missing, records
-/// that, and applies only configurations: each of them is complete.
+/// that, and applies only configurations, each of which is complete, and evacuations, which
+/// only stop requests.
 pub fn receive_records(state: &State, batch: RecordBatch) {
     state.observe_store_era(batch.era);
     let feed = state.feed(batch.topic);
@@ -255,7 +260,11 @@
         Fit::Gap => {
             feed.mark_behind(now);
             if batch.topic == Topic::Config {
-                apply_config(state, &to_keyed(&batch.records));
+                let mut records = to_keyed(&batch.records);
+                apply_config(state, &records);
+                records.retain(|record| record.value.is_some());
+                evacuation::apply(state, &records);
+                state.dispatch_decisions();
             }
         }
     }
@@ -283,8 +292,8 @@
     }
 }
 
-/// Applies records and returns those that a leader forwards: all configurations, all
-/// removals of registrations, and the registrations that change the directory, now or
+/// Applies records and returns those that a leader forwards: all configurations and
+/// evacuations, all removals of registrations, and the registrations that change the directory, now or
 /// after a delay. Upstreams
 /// repeat their registrations about once a second; forwarding all of them would be most
 /// of the traffic between the instances of a large fleet.
@@ -298,10 +307,13 @@
     let to_forward = match topic {
         Topic::Config => {
             apply_config(state, records);
-            let configs = records
-                .iter()
-                .filter(|record| record.key == config::RECORD_KEY);
-            configs.collect()
+            if !is_snapshot {
+                evacuation::apply(state, records);
+            }
+            let is_used = |record: &&KeyedRecord| {
+                record.key == config::RECORD_KEY || config::evacuated_domain(&record.key).is_some()
+            };
+            records.iter().filter(is_used).collect()
         }
         Topic::Directory => apply_registrations(state, records, is_snapshot, grace),
     };
--- a/crates/entry/src/reader/bootstrap.rs
+++ b/crates/entry/src/reader/bootstrap.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::Registration;
+use medlarreel_core::entry::evacuation::Evacuation;
 use medlarreel_core::entry::follow::MAX_READ_AGE;
 use medlarreel_core::time::Time;
 use medlarreel_macros::data;
@@ -45,8 +46,13 @@
 
 #[data(value)]
 enum Content {
-    /// Encoded configuration.
-    Config(Vec<u8>),
+    /// What the operator has ordered.
+    Config {
+        /// Encoded configuration.
+        config: Vec<u8>,
+        /// Orders to evacuate failure domains.
+        evacuations: Vec<Evacuation>,
+    },
     /// Registrations of upstreams.
     Directory {
         /// Registrations of all registered upstreams.
@@ -107,7 +113,10 @@
         return None;
     }
     let content = match topic {
-        Topic::Config => Content::Config(state.config_record.borrow().clone()?),
+        Topic::Config => Content::Config {
+            config: state.config_record.borrow().clone()?,
+            evacuations: state.evacuations.borrow().snapshot(now),
+        },
         Topic::Directory => {
             let directory = state.directory.borrow();
             let registered: Vec<Registration> = directory.registered(now).collect();
@@ -134,7 +143,7 @@
 /// among those that the store no longer has.
 pub fn receive_snapshot(state: &State, snapshot: Snapshot) {
     let topic = match &snapshot.content {
-        Content::Config(_) => Topic::Config,
+        Content::Config { .. } => Topic::Config,
         Content::Directory { .. } => Topic::Directory,
     };
     let Progress { era, end, age_ms } = snapshot.progress;
@@ -148,13 +157,17 @@
         return;
     }
     match snapshot.content {
-        Content::Config(value) => {
+        Content::Config {
+            config,
+            evacuations,
+        } => {
             let record = KeyedRecord {
                 key: config::RECORD_KEY.to_owned(),
-                value: Some(value.into()),
+                value: Some(config.into()),
                 offset: 0,
             };
             super::apply_config(state, &[record]);
+            super::evacuation::load_snapshot(state, era, snapshot.requested_at, &evacuations);
         }
         Content::Directory {
             registered,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,10 +12,11 @@
 use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
 use medlarreel_core::entry::doubt::Doubts;
 use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::evacuation::{EVACUATED_WAIT, Evacuations};
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
 use medlarreel_core::entry::limiter::Limiter;
-use medlarreel_core::entry::map::{ChangeLog, OwnerMap, OwnerMapChange};
+use medlarreel_core::entry::map::{ChangeLog, Owner, OwnerMap, OwnerMapChange};
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, Queue, Ticket, UpstreamLookup,
 };
@@ -125,6 +126,8 @@
     pub route_table: RefCell<Rc<RouteTable>>,
     /// Encoded configuration in force; `None` before the first.
     pub config_record: RefCell<Option<Vec<u8>>>,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// Distribution of the requests of routes with a traffic split.
     pub traffic_splitter: RefCell<TrafficSplitter>,
     /// Registered upstreams.
@@ -248,6 +251,7 @@
             started,
             route_table: RefCell::default(),
             config_record: RefCell::default(),
+            evacuations: RefCell::default(),
             traffic_splitter: RefCell::default(),
             directory: RefCell::default(),
             config_feed: Feed::default(),
@@ -460,6 +464,30 @@
         self.metrics.limited_upstreams.set(limited as i64);
         self.metrics.suspected_requests.set(suspected as i64);
         self.metrics.blocked_requests.set(blocked as i64);
+        let evacuations = self.evacuations.borrow();
+        self.metrics
+            .evacuated_domains
+            .set(evacuations.count() as i64);
+        self.metrics.evacuated_keys.set(self.evacuated_key_count());
+    }
+
+    /// Number of keys, of all services, that upstreams of evacuated domains own.
+    fn evacuated_key_count(&self) -> i64 {
+        let evacuations = self.evacuations.borrow();
+        if evacuations.is_empty() {
+            return 0;
+        }
+        let directory = self.directory.borrow();
+        let is_evacuated = |owner: &Owner| {
+            let found = directory.find(&owner.id);
+            found.is_some_and(|(_, record)| evacuations.is_evacuated(&record.registration.domain))
+        };
+        let owner_map = self.owner_map.borrow();
+        let ranges = owner_map.services.values().flatten();
+        ranges
+            .filter(|range| range.owner.as_ref().is_some_and(is_evacuated))
+            .map(|range| i64::from(range.last) - i64::from(range.first) + 1)
+            .sum()
     }
 
     /// Removes all registrations whose removal is due, and applies those that count again
@@ -631,6 +659,7 @@
         let now = self.clock.now();
         let directory = self.directory.borrow();
         let settings = self.settings.borrow();
+        let evacuations = self.evacuations.borrow();
         let candidate = |upstream, record: &UpstreamRecord| Candidate {
             upstream,
             slots: record.registration.slots,
@@ -639,12 +668,18 @@
         };
         let Some(key) = key else {
             let usable = directory.usable();
-            let candidates = usable
+            let mut usable = usable
                 .filter(|(_, record)| record.registration.service == service)
-                .map(|(upstream, record)| candidate(upstream, record));
+                .peekable();
+            let has_usable = usable.peek().is_some();
+            let candidates: Vec<Candidate> = usable
+                .filter(|(_, record)| !evacuations.is_evacuated(&record.registration.domain))
+                .map(|(upstream, record)| candidate(upstream, record))
+                .collect();
+            let only_evacuated = has_usable && candidates.is_empty();
             return Availability {
-                candidates: candidates.collect(),
-                available_at: None,
+                candidates,
+                available_at: only_evacuated.then(|| now + EVACUATED_WAIT),
             };
         };
         let mut availability = Availability {
@@ -670,6 +705,14 @@
             availability.available_at = doubted_until;
             return availability;
         }
+        let is_admitted = current.is_none_or(|(_, record)| {
+            let domain = &record.registration.domain;
+            evacuations.admits_owner(now, domain, settings.evacuation_limit)
+        });
+        if !is_admitted {
+            availability.available_at = Some(now + EVACUATED_WAIT);
+            return availability;
+        }
         availability
             .candidates
             .extend(current.and_then(|(upstream, record)| {
