--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod doubt;
+mod evacuation;
 mod fixture;
 mod follow;
 mod fragments;
