--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -147,10 +147,15 @@
 impl TestCluster {
     /// Registers upstream `number` of both services with the given state.
     pub fn register_upstreams(&mut self, number: usize, state: &str) {
+        self.register_upstreams_in("a", number, state);
+    }
+
+    /// Registers upstream `number` of both services in the given failure domain.
+    pub fn register_upstreams_in(&mut self, domain: &str, number: usize, state: &str) {
         let keyed = self.keyed[number].address();
         let plain = self.plain[number].address();
-        self.register("keyed", &format!("k{number}"), keyed, state);
-        self.register("plain", &format!("p{number}"), plain, state);
+        self.register_in(domain, "keyed", &format!("k{number}"), keyed, state);
+        self.register_in(domain, "plain", &format!("p{number}"), plain, state);
     }
 
     /// Registers a further upstream of the plain service.
@@ -164,10 +169,21 @@
     }
 
     fn register(&mut self, service: &str, id: &str, address: SocketAddr, state: &str) {
+        self.register_in("a", service, id, address, state);
+    }
+
+    fn register_in(
+        &mut self,
+        domain: &str,
+        service: &str,
+        id: &str,
+        address: SocketAddr,
+        state: &str,
+    ) {
         self.sequence += 1;
         let registration = json!({
             "service": service, "address": address.to_string(),
-            "zone": "a", "version": "v1", "slots": 6, "state": state,
+            "zone": domain, "version": "v1", "slots": 6, "state": state,
             "warmupLeftS": 0, "sequence": self.sequence, "born": 1000,
         });
         self.store
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod decoding;
 mod endless;
+mod evacuation;
 mod faults;
 mod fixture;
 mod fleet;
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -55,6 +55,8 @@
     /// Length of the lease from receipt on, in seconds.
     #[serde(rename = "holdS")]
     hold_s: Option<f64>,
+    /// Token of the release by the last holder.
+    handover: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -78,6 +80,8 @@
     pub last_key: u16,
     /// Fence of the grant.
     pub fence: u64,
+    /// Whether it had the token of the last holder's release.
+    pub has_handover: bool,
 }
 
 /// A request that was run.
@@ -245,6 +249,7 @@
                 first_key: update.from,
                 last_key: update.target,
                 fence: update.fence,
+                has_handover: update.handover.is_some(),
             });
         } else {
             let token = HeaderValue::from_static("5c0e7a21d94b36f8");
