Pass on that an upstream has become cold again, and mark failure domains as cold

Cause: a registration that only says that its upstream is cold again was not passed on, so that only the leader knew it. After an evacuation, registrations may be older than the upstreams' cold state.

Change: Directory::is_changed_by takes the time and counts a later end of the warm-up as a change; Directory::mark_cold makes all upstreams of a failure domain cold until a time by service, which their registrations of the same incarnation do not end.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -37,6 +37,10 @@
     heartbeat_interval * EXPIRY_HEARTBEATS + REREGISTRATION_GRACE
 }
 
+/// Difference in the end of a warm-up that counts as a change. The remaining time is as old
+/// as the delay of the read, which varies by less on calm days.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(250);
+
 /// Registration that an upstream publishes about itself.
 #[data(value)]
 pub struct Registration {
@@ -85,6 +89,8 @@
     pub said_leaving: bool,
     /// Time at which the upstream's warm-up ends.
     pub warm_at: Time,
+    /// Time until which the upstream counts as cold, whatever its registration says.
+    cold_until: Time,
 }
 
 /// All upstreams that this process has ever seen.
@@ -98,6 +104,7 @@
     /// which they count again.
     returns: HashMap<String, (Registration, Time)>,
     version: u64,
+    warmth_version: u64,
 }
 
 impl UpstreamRecord {
@@ -116,6 +123,12 @@
             && registration.sequence == self.registration.sequence
     }
 
+    /// Whether the upstream is cold for longer than is known.
+    fn is_cooled_by(&self, now: Time, registration: &Registration) -> bool {
+        !registration.warmup.is_zero()
+            && now + registration.warmup > self.warm_at + WARMUP_TOLERANCE
+    }
+
     fn schedule_removal(&mut self, since: Time, at: Time) {
         if self.removed {
             return;
@@ -133,6 +146,40 @@
         self.version
     }
 
+    /// Counter that increases whenever the end of a warm-up changes.
+    pub fn warmth_version(&self) -> u64 {
+        self.warmth_version
+    }
+
+    /// Latest incarnations of upstreams that are cold now.
+    pub fn cold(&self, now: Time) -> impl Iterator<Item = (Upstream, &UpstreamRecord)> {
+        let keys = self.current.values();
+        keys.map(|key| (*key, &self.records[key.0 as usize]))
+            .filter(move |(_, record)| now < record.warm_at)
+    }
+
+    /// Records that all upstreams of a failure domain are cold, each at least until `until`
+    /// says for its service. Their registrations of this incarnation may be older, so that
+    /// they do not end this.
+    pub fn mark_cold(&mut self, domain: &str, until: impl Fn(&str) -> Time) {
+        for key in self.current.values() {
+            let record = &mut self.records[key.0 as usize];
+            if record.registration.domain == domain {
+                record.cold_until = record.cold_until.max(until(&record.registration.service));
+                record.warm_at = record.warm_at.max(record.cold_until);
+            }
+        }
+        self.warmth_version += 1;
+    }
+
+    /// Records how much longer an upstream has said that it is cold.
+    pub fn record_warmup(&mut self, now: Time, upstream: Upstream, left: Duration) {
+        if let Some(record) = self.records.get_mut(upstream.0 as usize) {
+            record.warm_at = record.cold_until.max(now + left);
+            self.warmth_version += 1;
+        }
+    }
+
     /// Looks up an incarnation by its `Upstream` key, even if it is no longer usable.
     pub fn get(&self, upstream: Upstream) -> Option<&UpstreamRecord> {
         self.records.get(upstream.0 as usize)
@@ -183,9 +230,9 @@
     }
 
     /// Whether a registration changes anything, rather than only confirming that its
-    /// upstream is alive. A change of the remaining warm-up time alone does not count,
-    /// nor does an outdated registration.
-    pub fn is_changed_by(&self, registration: &Registration) -> bool {
+    /// upstream is alive. That the upstream is cold for longer counts, and that it is warm
+    /// sooner does not, nor does an outdated registration.
+    pub fn is_changed_by(&self, now: Time, registration: &Registration) -> bool {
         if self.has_successor(registration) {
             return false;
         }
@@ -200,6 +247,7 @@
         !record.is_newer_than(registration)
             && (unchanged != *registration
                 || record.removal_at.is_some()
+                || record.is_cooled_by(now, registration)
                 || record.usable == (registration.draining || record.said_leaving))
     }
 
@@ -274,7 +322,8 @@
                     true => None,
                     false => record.leaving_since.or(leaving),
                 };
-                record.warm_at = warm_at;
+                record.warm_at = warm_at.max(record.cold_until);
+                self.warmth_version += 1;
                 self.occupy_address(key);
                 self.version += u64::from(changed);
                 return changed;
@@ -293,7 +342,9 @@
             leaving_since: leaving,
             said_leaving: false,
             warm_at,
+            cold_until: Time(0),
         });
+        self.warmth_version += 1;
         self.occupy_address(key);
         self.version += 1;
         true
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -75,7 +75,7 @@
     };
 
     directory.apply(at(1_000), at(0), successor);
-    let is_change = directory.is_changed_by(&delayed);
+    let is_change = directory.is_changed_by(at(0), &delayed);
     directory.apply(at(1_200), at(0), delayed);
 
     let usable: Vec<&str> = directory
@@ -161,12 +161,12 @@
     };
 
     assert!(
-        directory.is_changed_by(&registration(1)),
+        directory.is_changed_by(at(0), &registration(1)),
         "unknown upstream"
     );
     directory.apply(at(0), at(0), later(5));
     assert!(
-        !directory.is_changed_by(&later(6)),
+        !directory.is_changed_by(at(0), &later(6)),
         "unchanged registration"
     );
 
@@ -174,30 +174,33 @@
         slots: 3,
         ..later(6)
     };
-    assert!(directory.is_changed_by(&slots));
+    assert!(directory.is_changed_by(at(0), &slots));
     let draining = Registration {
         draining: true,
         ..later(6)
     };
-    assert!(directory.is_changed_by(&draining));
+    assert!(directory.is_changed_by(at(0), &draining));
     let outdated = Registration {
         draining: true,
         ..later(4)
     };
-    assert!(!directory.is_changed_by(&outdated), "outdated registration");
+    assert!(
+        !directory.is_changed_by(at(0), &outdated),
+        "outdated registration"
+    );
     let restarted = Registration {
         born: 2,
         ..later(1)
     };
-    assert!(directory.is_changed_by(&restarted));
+    assert!(directory.is_changed_by(at(0), &restarted));
     directory.schedule_removal("u1", at(10), at(20));
     assert!(
-        directory.is_changed_by(&later(6)),
+        directory.is_changed_by(at(0), &later(6)),
         "registered again before its removal"
     );
     directory.expire(at(20));
     assert!(
-        directory.is_changed_by(&later(6)),
+        directory.is_changed_by(at(0), &later(6)),
         "registered again after its removal"
     );
 }
@@ -237,7 +240,7 @@
     directory.schedule_removal("u2", at(10), at(2_000));
 
     for number in [1, 2] {
-        assert!(!directory.is_changed_by(&registration(number)));
+        assert!(!directory.is_changed_by(at(0), &registration(number)));
         assert!(!directory.apply(at(1_000), at(900), registration(number)));
     }
     directory.expire(at(2_000));
@@ -257,7 +260,7 @@
     }
 
     directory.schedule_removals_except(&["u3"], at(10), at(2_000));
-    assert!(directory.is_changed_by(&registration(1)));
+    assert!(directory.is_changed_by(at(0), &registration(1)));
     directory.apply(at(1_000), at(900), registration(1));
     let expired = directory.expire(at(2_000));
     assert_eq!(expired.len(), 1);
@@ -408,7 +411,7 @@
         sequence: 2,
         ..registration(1)
     };
-    let is_change = directory.is_changed_by(&ready);
+    let is_change = directory.is_changed_by(at(0), &ready);
     directory.apply(at(2_000), at(1_000), ready);
     let record = directory.get(upstream).unwrap().clone();
     let next = Registration {
@@ -422,3 +425,57 @@
     assert_eq!(record.leaving_since, Some(at(1_000)));
     assert!(directory.find("u1").unwrap().1.usable);
 }
+
+/// Guards against followers that send an upstream the full rate after it has become cold
+/// again, since its registration is not passed on.
+#[test]
+fn upstream_that_becomes_cold_again_is_a_change() {
+    let mut directory = Directory::default();
+    let later = |sequence, warmup| Registration {
+        warmup: ms(warmup),
+        sequence,
+        ..registration(1)
+    };
+    directory.apply(at(0), at(0), later(1, 3_000));
+
+    let as_expected = directory.is_changed_by(at(1_000), &later(2, 2_000));
+    let warm_early = directory.is_changed_by(at(2_000), &later(3, 0));
+    directory.apply(at(2_000), at(1_900), later(3, 0));
+    let cold_again = directory.is_changed_by(at(5_000), &later(4, 3_000));
+
+    assert_eq!((as_expected, warm_early, cold_again), (false, false, true));
+}
+
+/// Guards against upstreams of a failure domain that count as warm because of a registration
+/// from before they became cold.
+#[test]
+fn marked_upstreams_stay_cold_whatever_they_register() {
+    let mut directory = Directory::default();
+    for number in [1, 2] {
+        directory.apply(at(0), at(0), registration(number));
+    }
+    let other = Registration {
+        domain: "b".into(),
+        ..registration(3)
+    };
+    directory.apply(at(0), at(0), other);
+
+    directory.mark_cold("a", |_| at(4_000));
+    let repeated = Registration {
+        sequence: 2,
+        ..registration(1)
+    };
+    directory.apply(at(1_500), at(1_400), repeated);
+    let restarted = Registration {
+        born: 2,
+        ..registration(2)
+    };
+    directory.apply(at(1_500), at(1_400), restarted);
+
+    let cold: Vec<&str> = directory
+        .cold(at(2_000))
+        .map(|(_, record)| record.registration.id.as_str())
+        .collect();
+    assert_eq!(cold, ["u1"]);
+    assert_eq!(directory.cold(at(4_000)).count(), 0);
+}
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -399,7 +399,7 @@
             }
             continue;
         }
-        if directory.is_changed_by(&registration) {
+        if directory.is_changed_by(now, &registration) {
             to_forward.push(record);
         }
         let (id, draining) = (registration.id.clone(), registration.draining);
