Treat the upstreams of a domain that is taken back as cold

The operator takes a domain back before the registrations say that its upstreams are cold. They count as cold for the service's warm-up from the read of the withdrawal on.

--- a/crates/entry/src/reader/evacuation.rs
+++ b/crates/entry/src/reader/evacuation.rs
@@ -28,11 +28,26 @@
                 log_order(domain);
             }
         } else if evacuations.withdraw(domain) {
-            log_withdrawal(domain);
+            take_back(state, domain);
         }
     }
 }
 
+/// Handles the end of an evacuation. The upstreams of the domain may be cold since then, and
+/// their registrations may not say so yet.
+fn take_back(state: &State, domain: &str) {
+    tracing::info!(domain, "evacuation withdrawn");
+    let now = state.clock.now();
+    let table = state.route_table.borrow();
+    let cold_until = |service: &str| {
+        let service = table.service(service);
+        let limited = service.filter(|service| service.warmup_rate.is_some());
+        limited.map_or(now, |service| now + service.warmup)
+    };
+    let mut directory = state.directory.borrow_mut();
+    directory.mark_cold(domain, cold_until);
+}
+
 /// Applies the orders among the latest records of all keys.
 pub(super) fn load(state: &State, era: Era, records: &[KeyedRecord]) {
     let since = read_before(state);
@@ -42,25 +57,21 @@
         .collect();
     let mut evacuations = state.evacuations.borrow_mut();
     let (ordered, withdrawn) = evacuations.load(era, since, &domains);
-    log_changes(&ordered, &withdrawn);
+    finish_load(state, &ordered, &withdrawn);
 }
 
 /// Applies the orders that another instance knew at `requested_at` or later.
 pub(super) fn load_snapshot(state: &State, era: Era, requested_at: Time, received: &[Evacuation]) {
     let mut evacuations = state.evacuations.borrow_mut();
     let (ordered, withdrawn) = evacuations.load_snapshot(era, requested_at, received);
-    log_changes(&ordered, &withdrawn);
+    finish_load(state, &ordered, &withdrawn);
 }
 
-fn log_changes(ordered: &[String], withdrawn: &[String]) {
+fn finish_load(state: &State, ordered: &[String], withdrawn: &[String]) {
     ordered.iter().for_each(|domain| log_order(domain));
-    withdrawn.iter().for_each(|domain| log_withdrawal(domain));
+    withdrawn.iter().for_each(|domain| take_back(state, domain));
 }
 
 fn log_order(domain: &str) {
     tracing::info!(domain, "failure domain evacuated");
 }
-
-fn log_withdrawal(domain: &str) {
-    tracing::info!(domain, "evacuation withdrawn");
-}
