Let keys leave an evacuated domain in steps

Released all at once, the keys of a whole domain are without an owner if the store goes away at that moment. They leave in four steps, busiest upstreams first, and all at once after half of the time. Requests of the demand decay by time, not by planning pass.

--- a/crates/core/src/entry/evacuation.rs
+++ b/crates/core/src/entry/evacuation.rs
@@ -17,6 +17,7 @@
 use medlarreel_macros::data;
 
 use super::era::Era;
+use super::map::Owner;
 use crate::time::Time;
 
 /// Time before the limit at which the last request is sent to the owner of a key. Between the
@@ -29,6 +30,36 @@
 /// the store cannot be written, which also lasts for seconds, or there is no other domain.
 pub const EVACUATED_WAIT: Duration = Duration::from_secs(3);
 
+/// Number of steps in which the keys of a service leave the evacuated domains. If the store
+/// goes away meanwhile, only the keys of one step are without an owner. A step takes a run, a
+/// write and a call, and all of them about half of the usual limit.
+const STEPS: usize = 4;
+
+/// An upstream of an evacuated domain that may hold keys of a service.
+#[data(plain)]
+pub struct Occupant {
+    /// Current incarnation of the upstream.
+    pub owner: Owner,
+    /// Weight of the keys that it holds.
+    pub weight: f64,
+    /// Whether its keys must leave now, since half of the time that they have has passed.
+    pub is_urgent: bool,
+}
+
+/// Upstreams that keep their keys for now. The others, those with the highest weight first,
+/// give them up, once the keys of the step before have owners. `count` is the number of all
+/// upstreams of the service in evacuated domains.
+pub fn staying(mut occupants: Vec<Occupant>, count: usize, is_settled: bool) -> Vec<Owner> {
+    occupants.retain(|occupant| !occupant.is_urgent);
+    occupants.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.owner.cmp(&b.owner)));
+    let leaving = match is_settled {
+        true => count.div_ceil(STEPS),
+        false => 0,
+    };
+    let staying = occupants.into_iter().skip(leaving);
+    staying.map(|occupant| occupant.owner).collect()
+}
+
 /// An order as it is passed to an instance that loads all of them.
 #[data(value)]
 pub struct Evacuation {
@@ -175,4 +206,17 @@
         let since = self.orders.get(domain).and_then(|order| order.since);
         since.is_some_and(|since| now < since + limit.saturating_sub(SEND_RESERVE))
     }
+
+    /// Whether the keys in a domain must leave now, since half of the time has passed for which
+    /// their owners get requests.
+    pub fn is_urgent(&self, now: Time, domain: &str, limit: Duration) -> bool {
+        let since = self.orders.get(domain).and_then(|order| order.since);
+        since.is_none_or(|since| now >= since + limit.saturating_sub(SEND_RESERVE) / 2)
+    }
+
+    /// Whether keys are about to leave a domain, since the limit of an order has not passed.
+    pub fn is_recent(&self, now: Time, limit: Duration) -> bool {
+        let mut orders = self.orders.values();
+        orders.any(|order| order.since.is_some_and(|since| now < since + limit))
+    }
 }
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -330,6 +330,17 @@
         owners
     }
 
+    /// Weight of the keys of a service that an upstream holds.
+    pub fn held_weight(&self, service: &str, owner: &Owner, weights: &KeyWeights) -> f64 {
+        let ranges = self.services.get(service).into_iter().flatten();
+        ranges
+            .filter(
+                |range| matches!(&range.state, State::Held { owner: holder, .. } if holder == owner),
+            )
+            .map(|range| weights.range_weight(range.first, range.last))
+            .sum()
+    }
+
     /// Makes a renewal of all grants due at once.
     pub fn renew_all(&mut self, now: Time) {
         let overdue = now - self.hold;
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -4,6 +4,10 @@
 //! upstreams. A range keeps its owner unless that owner is gone or carries far more
 //! than its share, or another upstream carries far less. A key that alone takes up its
 //! owner's share gets that owner to itself.
+//!
+//! An upstream without capacity keeps the ranges that it has and gets no more. The shares of
+//! the others foresee that they will have these as well: a range that leaves is split into
+//! fewer parts than if each step of a move were even.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -50,7 +54,8 @@
 pub struct Candidate {
     /// Current incarnation of the upstream.
     pub owner: Owner,
-    /// Number of requests that it can run concurrently, weighted by its speed.
+    /// Number of requests that it can run concurrently, weighted by its speed. 0 if it keeps
+    /// its keys for now, but gets no more.
     pub capacity: f64,
 }
 
@@ -183,7 +188,8 @@
             .sum()
     };
     let mut loads: Vec<f64> = assigned.iter().map(|ranges| load(ranges)).collect();
-    let any_underloaded = (0..shares.len()).any(|owner| {
+    let open = |owner: &usize| shares[*owner] > 0.0;
+    let any_underloaded = (0..shares.len()).filter(open).any(|owner| {
         let load = loads[owner] + weights.noise_tolerance(shares[owner]);
         assigned[owner].is_empty() || load < shares[owner] * UNDERLOAD_RATIO
     });
@@ -194,7 +200,7 @@
     } else {
         OVERLOAD_RATIO
     };
-    for owner in 0..assigned.len() {
+    for owner in (0..assigned.len()).filter(open) {
         if loads[owner] > shares[owner] * limit + weights.noise_tolerance(shares[owner]) {
             shed_excess(
                 &mut assigned[owner],
@@ -283,6 +289,7 @@
         let headroom = |owner: usize| (shares[owner] - loads[owner]) / shares[owner];
         // The first of equals is chosen, so that equal inputs give equal plans.
         let owners = (0..shares.len()).rev();
+        let owners = owners.filter(|owner| shares[*owner] > 0.0);
         let least_loaded = owners.max_by(|a, b| headroom(*a).total_cmp(&headroom(*b)));
         let Some(least_loaded) = least_loaded else {
             return;
@@ -294,7 +301,10 @@
                 end.checked_add(1) == Some(first) || last.checked_add(1) == Some(*start)
             })
         };
-        let fits = |owner: &usize| loads[*owner] + weight <= shares[*owner] * (1.0 + SLACK_RATIO);
+        let fits = |owner: &usize| {
+            let limit = shares[*owner] * (1.0 + SLACK_RATIO);
+            shares[*owner] > 0.0 && loads[*owner] + weight <= limit
+        };
         let adjacent_owner =
             (0..shares.len()).find(|owner| is_adjacent(&assigned[*owner]) && fits(owner));
         let is_underloaded = headroom(least_loaded) > 1.0 - UNDERLOAD_RATIO;
--- a/crates/core/tests/entry/evacuation.rs
+++ b/crates/core/tests/entry/evacuation.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::era::Era;
-use medlarreel_core::entry::evacuation::{Evacuation, Evacuations};
+use medlarreel_core::entry::evacuation::{Evacuation, Evacuations, Occupant, staying};
+use medlarreel_core::entry::map::Owner;
 
-use crate::fixture::{at, ms};
+use crate::fixture::{at, ms, owner};
 
 /// Time from the acknowledgement of an order until no request may arrive.
 const LIMIT: Duration = Duration::from_secs(5);
@@ -192,3 +193,37 @@
 
     assert_eq!(versions, [0, 1, 1, 2]);
 }
+
+/// Upstreams 1 to `count`, of which each has a higher weight than the one before.
+fn occupants(count: u8, is_urgent: bool) -> Vec<Occupant> {
+    let occupant = |number| Occupant {
+        owner: owner(number),
+        weight: f64::from(number),
+        is_urgent,
+    };
+    (1..=count).map(occupant).collect()
+}
+
+/// Guards against a store that goes away and leaves all keys of a domain without an owner: they
+/// leave in steps, those that carry most first, and each step waits for the one before.
+#[test]
+fn keys_leave_in_steps_the_heaviest_first() {
+    let first = staying(occupants(8, false), 8, true);
+    let meanwhile = staying(occupants(6, false), 8, false);
+    let last = staying(occupants(2, false), 8, true);
+
+    assert_eq!(first, (1..=6).rev().map(owner).collect::<Vec<Owner>>());
+    assert_eq!(meanwhile.len(), 6);
+    assert_eq!(last, []);
+}
+
+/// Guards against keys that still wait for a step when the limit comes, since one key does not
+/// get an owner.
+#[test]
+fn keys_leave_at_once_when_half_of_the_time_has_passed() {
+    let evacuations = ordered(&["a"]);
+
+    assert!(!evacuations.is_urgent(at(1_999), "a", LIMIT));
+    assert!(evacuations.is_urgent(at(2_000), "a", LIMIT));
+    assert_eq!(staying(occupants(8, true), 8, false), []);
+}
--- a/crates/core/tests/entry/plan.rs
+++ b/crates/core/tests/entry/plan.rs
@@ -176,3 +176,26 @@
     assert!(load(&before, &upstreams[0], &weights) > 0.3);
     assert!(share > 0.0 && share < 0.1, "{share}");
 }
+
+/// Guards against keys that an upstream loses before its step of an evacuation, against ones
+/// that it gains, and against others that get more than their share at the end.
+#[test]
+fn upstream_without_capacity_keeps_its_keys_and_gets_no_more() {
+    let mut candidates = candidates(4);
+    let weights = KeyWeights::default();
+    let before = assign_ranges(&unassigned(), &candidates, &weights);
+    let staying = candidates[0].owner.clone();
+    let kept = load(&before, &candidates[0], &weights);
+    candidates[0].capacity = 0.0;
+    candidates.remove(1);
+
+    let after = assign_ranges(&before, &candidates, &weights);
+
+    assert_eq!(candidates[0].owner, staying);
+    assert!((load(&after, &candidates[0], &weights) - kept).abs() < 1e-9);
+    assert!((moved_fraction(&before, &after) - 0.25).abs() < 0.01);
+    for candidate in &candidates[1..] {
+        let relative = load(&after, candidate, &weights) * 2.0;
+        assert!(relative < MAX_IMBALANCE, "{relative}");
+    }
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -15,10 +15,11 @@
 
 use medlarreel_core::entry::directory::{REREGISTRATION_GRACE, Registration};
 use medlarreel_core::entry::era::{Era, is_same_claim, transferred_epoch};
+use medlarreel_core::entry::evacuation::{self, Occupant};
 use medlarreel_core::entry::leadership;
 use medlarreel_core::entry::ledger::{self, Ledger};
 use medlarreel_core::entry::map::{Owner, OwnerMap};
-use medlarreel_core::entry::plan::{self, Candidate};
+use medlarreel_core::entry::plan::{self, Candidate, KeyWeights};
 use medlarreel_core::time::Time;
 use rand::Rng;
 use tokio::net::UdpSocket;
@@ -57,6 +58,10 @@
 /// Interval between rebalancing passes.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between rebalancing passes while keys leave an evacuated failure domain, so that
+/// the pauses between its steps are short beside a run.
+const EVACUATION_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Maximum age of the leader's last confirmed write at which keys are still moved. The
 /// leader writes about once a second.
 const MAX_WRITE_AGE: Duration = Duration::from_millis(2_000);
@@ -101,6 +106,7 @@
     last_confirmed_write: Time,
     last_heartbeat: Time,
     last_rebalance: Time,
+    last_demand_update: Time,
     last_campaign_check: Time,
     /// Time at which each keyed service was first seen with a usable upstream in the
     /// current epoch.
@@ -137,6 +143,7 @@
             last_confirmed_write: Time(0),
             last_heartbeat: Time(0),
             last_rebalance: Time(0),
+            last_demand_update: Time(0),
             last_campaign_check: Time(0),
             first_seen: HashMap::new(),
             demand: Demand::default(),
@@ -380,7 +387,7 @@
             // Released keys cannot be granted again until a new record has been written.
             let store_writable = now.since(self.last_confirmed_write) < MAX_WRITE_AGE;
             let evacuations_version = self.state.evacuations.borrow().version();
-            let is_due = now.since(self.last_rebalance) >= REBALANCE_INTERVAL
+            let is_due = now.since(self.last_rebalance) >= self.rebalance_interval(now)
                 || evacuations_version != self.evacuations_version;
             if store_writable && (is_due || self.probes.take_news()) {
                 self.last_rebalance = now;
@@ -414,9 +421,21 @@
         epoch.is_some_and(|epoch| Era::of_epoch(epoch) < self.state.store_era.get())
     }
 
+    fn rebalance_interval(&self, now: Time) -> Duration {
+        let limit = self.state.settings.borrow().evacuation_limit;
+        match self.state.evacuations.borrow().is_recent(now, limit) {
+            true => EVACUATION_INTERVAL,
+            false => REBALANCE_INTERVAL,
+        }
+    }
+
     /// Plans the owners of the keys of each keyed service and starts the required moves.
     fn rebalance(&mut self, now: Time) {
-        self.demand.update(&self.state);
+        // The counts decay by a fixed factor with each update.
+        if now.since(self.last_demand_update) >= REBALANCE_INTERVAL {
+            self.last_demand_update = now;
+            self.demand.update(&self.state);
+        }
         let state = Rc::clone(&self.state);
         let mut ledger = state.ledger.borrow_mut();
         let Some(ledger) = ledger.as_mut() else {
@@ -445,13 +464,23 @@
         let queue = state.queue.borrow();
         let evacuations = state.evacuations.borrow();
         let mut holders: BTreeMap<&str, Vec<Owner>> = BTreeMap::new();
-        let usable = directory.usable();
-        let usable =
-            usable.filter(|(_, record)| !evacuations.is_evacuated(&record.registration.domain));
-        for (upstream, record) in usable {
+        let evacuation_limit = state.settings.borrow().evacuation_limit;
+        let mut occupants: BTreeMap<&str, Vec<Occupant>> = BTreeMap::new();
+        for (upstream, record) in directory.usable() {
             let registration = &record.registration;
             let service = table.service(&registration.service);
             if let Some(service) = service.filter(|service| service.keyed) {
+                if evacuations.is_evacuated(&registration.domain) {
+                    let is_urgent =
+                        evacuations.is_urgent(now, &registration.domain, evacuation_limit);
+                    let occupants = occupants.entry(&registration.service).or_default();
+                    occupants.push(Occupant {
+                        owner: owner_of(registration),
+                        weight: 0.0,
+                        is_urgent,
+                    });
+                    continue;
+                }
                 let candidates = candidates.entry(&registration.service).or_default();
                 let holders = holders
                     .entry(&registration.service)
@@ -480,8 +509,11 @@
             if ledger.holders(service).is_empty() && now.since(since) < INITIAL_PLACEMENT_DELAY {
                 continue;
             }
-            upstreams.sort_by(|a, b| a.owner.cmp(&b.owner));
             let weights = self.demand.weights(service);
+            let occupants = occupants.remove(service).unwrap_or_default();
+            let staying = staying_candidates(ledger, service, &weights, occupants);
+            upstreams.extend(staying);
+            upstreams.sort_by(|a, b| a.owner.cmp(&b.owner));
             ledger.rebalance(now, service, &upstreams, &weights);
         }
     }
@@ -620,6 +652,26 @@
     }
 }
 
+/// Upstreams of evacuated failure domains that keep their keys of a service for now, as
+/// candidates without capacity. `occupants` are all of the service.
+fn staying_candidates(
+    ledger: &Ledger,
+    service: &str,
+    weights: &KeyWeights,
+    mut occupants: Vec<Occupant>,
+) -> impl Iterator<Item = Candidate> {
+    let count = occupants.len();
+    for occupant in &mut occupants {
+        occupant.weight = ledger.held_weight(service, &occupant.owner, weights);
+    }
+    occupants.retain(|occupant| occupant.weight > 0.0);
+    let staying = evacuation::staying(occupants, count, ledger.is_settled(service));
+    staying.into_iter().map(|owner| Candidate {
+        owner,
+        capacity: 0.0,
+    })
+}
+
 /// The incarnation that a registration describes.
 fn owner_of(registration: &Registration) -> Owner {
     Owner {
