--- a/crates/core/tests/entry/ledger.rs
+++ b/crates/core/tests/entry/ledger.rs
@@ -668,7 +668,7 @@
         for (_, sent, order) in replies.extract_if(.., |(due, ..)| *due <= now) {
             ledger.handle_reply(now, sent, &order, &done_reply());
         }
-        if now.since(at(0)).as_millis() % 150 == 0 {
+        if now.since(at(0)).as_millis().is_multiple_of(150) {
             let is_urgent = now.since(at(0)) >= evacuation_time / 2;
             let staying = staying_candidates(&ledger, evacuated, is_urgent);
             let assignable = [staying, remaining.to_vec()].concat();
