--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod directory;
 mod doubt;
+mod evacuation;
 mod fixture;
 mod follow;
 mod fragments;
