--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -163,12 +163,31 @@
         self.register("keyed", id, address, "ready");
     }
 
+    /// Registers the upstreams of the keyed service as cold for `warmup_s` seconds from now.
+    pub fn register_keyed_as_cold(&mut self, warmup_s: f64) {
+        for number in 0..self.keyed.len() {
+            let (id, address) = (format!("k{number}"), self.keyed[number].address());
+            self.register_with("keyed", &id, address, "ready", warmup_s);
+        }
+    }
+
     fn register(&mut self, service: &str, id: &str, address: SocketAddr, state: &str) {
+        self.register_with(service, id, address, state, 0.0);
+    }
+
+    fn register_with(
+        &mut self,
+        service: &str,
+        id: &str,
+        address: SocketAddr,
+        state: &str,
+        warmup_s: f64,
+    ) {
         self.sequence += 1;
         let registration = json!({
             "service": service, "address": address.to_string(),
             "zone": "a", "version": "v1", "slots": 6, "state": state,
-            "warmupLeftS": 0, "sequence": self.sequence, "born": 1000,
+            "warmupLeftS": warmup_s, "sequence": self.sequence, "born": 1000,
         });
         self.store
             .service()
@@ -186,7 +205,8 @@
         let service = |name: &str, keyed: bool| {
             json!({"entryType": "services", "metadata": {"name": name}, "spec": {
                 "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-                "tls": false, "sharded": keyed, "warmS": 5.0, "grants": "per_call"}})
+                "tls": false, "sharded": keyed, "warmS": 5.0,
+                "warmupS": 3.0, "warmupPerS": 5.0, "grants": "per_call"}})
         };
         let config = json!({"version": version, "resources": [
             route("status", "safe", "keyed"), route("booking", "unsafe", "keyed"),
--- a/crates/entry/tests/path/rate_limit.rs
+++ b/crates/entry/tests/path/rate_limit.rs
@@ -119,3 +119,54 @@
         .filter(|text| text.starts_with("HTTP/1.1 200"));
     assert_eq!(served.count(), responses.len());
 }
+
+/// Guards against an upstream that becomes cold again while it is in use and gets more
+/// requests in a second than its service names, because followers do not hear of it; and
+/// against a limit that goes on once it is warm.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_become_cold_again_get_no_more_than_their_rate() {
+    let mut cluster = start_cluster().await;
+    let followers = start_followers(&cluster, 2).await;
+    let mut callers = vec![cluster.instance.callers];
+    callers.extend(followers.iter().map(|follower| follower.callers));
+    cluster.set_mode(ResponseMode::Serve(Duration::from_millis(20)));
+    flood(&callers, "/status/x", Duration::from_secs(1)).await;
+    let warmup = Duration::from_secs(4);
+
+    cluster.register_keyed_as_cold(warmup.as_secs_f64());
+    let cold_at = Instant::now();
+    // The registration reaches all instances within this time.
+    sleep(Duration::from_millis(800)).await;
+    let limited_at = Instant::now();
+    let limited = flood(&callers, "/status/x", Duration::from_secs(3)).await;
+    sleep((cold_at + warmup + Duration::from_secs(1)).duration_since(Instant::now())).await;
+    let warm = flood(&callers, "/status/x", Duration::from_secs(1)).await;
+
+    let served = |responses: &[String]| {
+        let served = responses.iter();
+        served
+            .filter(|text| text.starts_with("HTTP/1.1 200"))
+            .count()
+    };
+    for upstream in &cluster.keyed {
+        let arrivals = upstream.service().arrivals();
+        let counted = arrivals
+            .iter()
+            .filter(|at| **at >= limited_at && **at < cold_at + warmup);
+        let counted: Vec<Instant> = counted.copied().collect();
+        for start in &counted {
+            let window = counted.iter().filter(|at| **at >= *start);
+            let count = window
+                .filter(|at| **at < *start + Duration::from_secs(1))
+                .count();
+            assert!(count <= 5, "{count} requests in a second");
+        }
+    }
+    assert!(
+        served(&limited) >= 3,
+        "{} of {}",
+        served(&limited),
+        limited.len()
+    );
+    assert_eq!(served(&warm), warm.len());
+}
