Count upstreams that have refused a connection as cold when they come back

Cause: an upstream that ends and comes back under its id takes requests before its registration says that it is cold; requests that have waited for it arrive together.

Change: a refused connection makes an upstream of a service with a warm-up rate count as cold, at all instances (message Absent, through the leader), until it registers as the same process or its warm-up has passed since it accepted a connection. Connecting reports a refusal as an error of its own.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -41,6 +41,10 @@
 /// as the delay of the read, which varies by less on calm days.
 const WARMUP_TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Time for which an upstream whose address has refused a connection counts as cold, unless
+/// it accepts one before. Within it, the store removes the registration of one that has ended.
+pub const ABSENCE_PERIOD: Duration = Duration::from_secs(10);
+
 /// Registration that an upstream publishes about itself.
 #[data(value)]
 pub struct Registration {
@@ -91,6 +95,9 @@
     pub warm_at: Time,
     /// Time until which the upstream counts as cold, whatever its registration says.
     cold_until: Time,
+    /// Since when and until when the upstream counts as cold because its address has refused
+    /// a connection; its process may have been replaced by one with the same id.
+    absent: Option<(Time, Time)>,
 }
 
 /// All upstreams that this process has ever seen.
@@ -180,6 +187,38 @@
         }
     }
 
+    /// Records that an upstream may have ended and come back cold, so that it counts as cold
+    /// until `until` or until it registers as the same process again. Returns whether it was
+    /// not known to be cold.
+    pub fn record_absence(&mut self, now: Time, upstream: Upstream, until: Time) -> bool {
+        let Some(record) = self.records.get_mut(upstream.0 as usize) else {
+            return false;
+        };
+        let was_cold = now < record.warm_at;
+        record.absent = Some((now, until));
+        record.warm_at = record.warm_at.max(until);
+        self.warmth_version += 1;
+        !was_cold
+    }
+
+    /// Records that an upstream that may have come back cold has accepted a connection, so
+    /// that it is warm `warmup` from now at the latest.
+    pub fn record_return(&mut self, now: Time, upstream: Upstream, warmup: Duration) {
+        let record = self.records.get_mut(upstream.0 as usize);
+        let Some(record) = record.filter(|record| now < record.warm_at) else {
+            return;
+        };
+        if let Some((since, until)) = record.absent
+            && now + warmup < until
+        {
+            record.absent = Some((since, now + warmup));
+            if record.warm_at == until {
+                record.warm_at = record.cold_until.max(now + warmup);
+            }
+            self.warmth_version += 1;
+        }
+    }
+
     /// Looks up an incarnation by its `Upstream` key, even if it is no longer usable.
     pub fn get(&self, upstream: Upstream) -> Option<&UpstreamRecord> {
         self.records.get(upstream.0 as usize)
@@ -323,7 +362,10 @@
                     false => record.leaving_since.or(leaving),
                 };
                 let was_cold = now < record.warm_at;
-                record.warm_at = warm_at.max(record.cold_until);
+                // What the same process has written later shows that it has not ended.
+                record.absent = record.absent.filter(|(absent_at, _)| since < *absent_at);
+                let absent_until = record.absent.map_or(Time(0), |(_, until)| until);
+                record.warm_at = warm_at.max(record.cold_until).max(absent_until);
                 self.warmth_version += u64::from(was_cold || now < record.warm_at);
                 self.occupy_address(key);
                 self.version += u64::from(changed);
@@ -344,6 +386,7 @@
             said_leaving: false,
             warm_at,
             cold_until: Time(0),
+            absent: None,
         });
         self.warmth_version += u64::from(now < warm_at);
         self.occupy_address(key);
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -479,3 +479,45 @@
     assert_eq!(cold, ["u1"]);
     assert_eq!(directory.cold(at(4_000)).count(), 0);
 }
+
+/// Guards against an upstream that ends and comes back under its id, and is sent the full rate
+/// before its registration says that it is cold; and against one that stays limited although
+/// it has not ended.
+#[test]
+fn upstream_that_refused_a_connection_counts_as_cold() {
+    let mut directory = Directory::default();
+    for number in [1, 2] {
+        directory.apply(at(0), at(0), registration(number));
+    }
+    let keys: Vec<_> = directory.usable().map(|(upstream, _)| upstream).collect();
+    let sequel = |number| Registration {
+        sequence: 2,
+        ..registration(number)
+    };
+
+    let is_new = keys
+        .iter()
+        .map(|key| directory.record_absence(at(1_000), *key, at(11_000)));
+    let is_new: Vec<bool> = is_new.collect();
+    directory.apply(at(1_200), at(900), sequel(1));
+    let before = directory.cold(at(1_300)).count();
+    directory.apply(
+        at(1_800),
+        at(1_700),
+        Registration {
+            sequence: 3,
+            ..sequel(1)
+        },
+    );
+    let (second, _) = directory.find("u2").unwrap();
+    directory.record_return(at(4_000), second, ms(3_000));
+
+    let cold = |now| -> Vec<String> {
+        let cold = directory.cold(now);
+        cold.map(|(_, record)| record.registration.id.clone())
+            .collect()
+    };
+    assert_eq!((is_new, before), (vec![true, true], 2));
+    assert_eq!(cold(at(6_900)), ["u2"]);
+    assert!(cold(at(7_000)).is_empty());
+}
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -73,11 +73,11 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if no connection is established.
+    /// Returns `NotSent` if no connection is established, `NoListener` if it is refused.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
         let started = Instant::now();
         let connecting = async {
-            let stream = open_stream(address).await.map_err(not_sent)?;
+            let stream = open_stream(address).await.map_err(connect_error)?;
             let stream = BoundedStream::new(stream);
             let allowance = stream.allowance();
             allowance.set(MAX_HEAD_BYTES);
@@ -213,6 +213,13 @@
     Error::NotSent(error.to_string())
 }
 
+fn connect_error(error: std::io::Error) -> Error {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => Error::NoListener,
+        _ => not_sent(error),
+    }
+}
+
 /// Whether a server refuses connections, as the address of an ended process does. Errors
 /// other than a refusal show nothing, nor does a connection that isn't established within
 /// `timeout`.
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -7,6 +7,9 @@
 pub enum Error {
     /// The connection failed, or nothing was sent on it.
     NotSent(String),
+    /// The address refused the connection, as that of a process does that has ended. Nothing
+    /// was sent.
+    NoListener,
     /// The server accepted the connection and closed it at once, as one does that is at its
     /// connection limit. Nothing was sent.
     NotAccepted,
@@ -29,6 +32,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::NotSent(why) => write!(f, "not sent: {why}"),
+            Error::NoListener => write!(f, "not sent: connection refused"),
             Error::NotAccepted => write!(f, "not sent: closed after connecting"),
             Error::NoOldConnection => write!(f, "not sent: no connection is old enough"),
             Error::NoResponse(why) | Error::ConnectionLost(why) => write!(f, "no answer: {why}"),
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -32,7 +32,7 @@
 pub(super) async fn execute_order(state: &Rc<State>, sent: Time, order: Order) {
     let reply = match send_order(state, sent, &order).await {
         Ok(reply) => reply,
-        Err(Error::NotSent(_) | Error::NotAccepted) => Reply::NotSent,
+        Err(Error::NotSent(_) | Error::NoListener | Error::NotAccepted) => Reply::NotSent,
         Err(Error::NoOldConnection) => Reply::Withheld,
         Err(_) => Reply::Unknown,
     };
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -212,6 +212,8 @@
         /// Those of the requests that the sender blocks.
         crashes: Vec<Crash>,
     },
+    /// Id and start of upstreams that have refused a connection, to the leader or from it.
+    Absent(Vec<(String, u64)>),
 }
 
 /// Sends a message. Errors are only logged: a message that cannot be sent counts as lost.
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -226,6 +226,13 @@
             }
         }
         Message::Leaving(upstreams) => state.record_all_leaving(&upstreams),
+        Message::Absent(upstreams) => {
+            let unknown = state.record_all_absent(upstreams);
+            if state.leadership.borrow().epoch().is_some() {
+                state.absent_upstreams.borrow_mut().extend(unknown);
+                state.permits_wanted.notify_one();
+            }
+        }
         Message::PermitDemands(demands) => {
             permits::handle_demands(state, socket, from, demands).await;
         }
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -38,6 +38,7 @@
         if !is_active {
             state.permits_wanted.notified().await;
         }
+        tell_absent(&state, &socket).await;
         send_demands(&state, &socket).await;
         let grants = limiter(&state).issue(state.clock.now());
         send_grants(&state, &socket, grants).await;
@@ -51,6 +52,21 @@
     }
 }
 
+/// Tells the leader, or all instances as the leader, which upstreams have refused a
+/// connection. An instance that connects later would not know that they may be cold.
+async fn tell_absent(state: &State, socket: &UdpSocket) {
+    let absent = state.absent_upstreams.take();
+    if absent.is_empty() {
+        return;
+    }
+    let message = Message::Absent(absent);
+    if state.leadership.borrow().epoch().is_some() {
+        peers::broadcast(state, socket, &message).await;
+    } else if let Some(leader) = state.leader_address() {
+        peers::send(socket, leader, &message).await;
+    }
+}
+
 /// Interval between two exchanges. A leader grants at the shortest one, since that takes no
 /// message as long as nothing is granted.
 fn exchange_interval(state: &State) -> Duration {
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -126,12 +126,16 @@
                 in_flight_send.result = SendResult::Refused;
                 progress.closed_connects += 1;
             } else {
+                if error == Error::NoListener {
+                    state.record_absence(upstream);
+                }
                 in_flight_send.result = SendResult::ConnectFailed;
                 progress.connect_failures += 1;
             }
             return SendOutcome::NotSent(error.to_string());
         }
     };
+    state.record_return(upstream);
     let now = state.clock.now();
     if now.since(in_flight_send.started) > warmup::MAX_SEND_DELAY && state.is_cold(now, upstream) {
         // Its permit may have been granted too long ago.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
+use medlarreel_core::entry::directory::{ABSENCE_PERIOD, Directory, UpstreamRecord};
 use medlarreel_core::entry::doubt::Doubts;
 use medlarreel_core::entry::era::Era;
 use medlarreel_core::entry::leadership::Leadership;
@@ -234,6 +234,9 @@
     pub run_times: RefCell<HashMap<Upstream, (u32, u64)>>,
     /// Id and start of upstreams that have said that they are leaving since the last report.
     pub leaving_upstreams: RefCell<Vec<(String, u64)>>,
+    /// Id and start of upstreams that have refused a connection and that the other instances
+    /// are to be told of.
+    pub absent_upstreams: RefCell<Vec<(String, u64)>>,
     next_ticket: Cell<u64>,
 }
 
@@ -303,6 +306,7 @@
             key_counts: RefCell::default(),
             run_times: RefCell::default(),
             leaving_upstreams: RefCell::default(),
+            absent_upstreams: RefCell::default(),
             next_ticket: Cell::new(0),
         })
     }
@@ -549,6 +553,82 @@
         service.is_some_and(|service| service.warmup_rate.is_some())
     }
 
+    /// Warm-up of an upstream whose service names a rate for cold ones.
+    fn limited_warmup(&self, upstream: Upstream) -> Option<Duration> {
+        let directory = self.directory.borrow();
+        let record = directory.get(upstream)?;
+        let table = self.route_table.borrow();
+        let service = table.service(&record.registration.service)?;
+        service.warmup_rate.map(|_| service.warmup)
+    }
+
+    /// Records that the address of an upstream has refused a connection. One that listens
+    /// there again may be cold, whether or not its id is another.
+    pub fn record_absence(&self, upstream: Upstream) {
+        if self.limited_warmup(upstream).is_none() {
+            return;
+        }
+        let now = self.clock.now();
+        let until = now + ABSENCE_PERIOD;
+        let is_new = {
+            let mut directory = self.directory.borrow_mut();
+            directory.record_absence(now, upstream, until)
+        };
+        if is_new {
+            self.log_absence(upstream, "connection");
+            let incarnation = self.incarnation(upstream);
+            self.absent_upstreams.borrow_mut().extend(incarnation);
+            self.permits_wanted.notify_one();
+        }
+    }
+
+    /// Records that upstreams, named by id and start, have refused a connection of another
+    /// instance. Returns those for which that was not known.
+    pub fn record_all_absent(&self, upstreams: Vec<(String, u64)>) -> Vec<(String, u64)> {
+        let now = self.clock.now();
+        let mut unknown = upstreams;
+        unknown.retain(|(id, born)| {
+            let Some(upstream) = self.find_incarnation(id, *born) else {
+                return false;
+            };
+            let until = now + ABSENCE_PERIOD;
+            let mut directory = self.directory.borrow_mut();
+            let is_new = directory.record_absence(now, upstream, until);
+            drop(directory);
+            if is_new {
+                self.log_absence(upstream, "instance");
+            }
+            is_new
+        });
+        unknown
+    }
+
+    /// Records that an upstream has accepted a connection or kept one open.
+    pub fn record_return(&self, upstream: Upstream) {
+        if let Some(warmup) = self.limited_warmup(upstream) {
+            let now = self.clock.now();
+            let mut directory = self.directory.borrow_mut();
+            directory.record_return(now, upstream, warmup);
+        }
+    }
+
+    fn incarnation(&self, upstream: Upstream) -> Option<(String, u64)> {
+        let directory = self.directory.borrow();
+        let registration = &directory.get(upstream)?.registration;
+        Some((registration.id.clone(), registration.born))
+    }
+
+    /// Logs that an upstream may have ended. `source` is where this was seen: by a
+    /// `connection` of this instance, or by another `instance`.
+    fn log_absence(&self, upstream: Upstream, source: &str) {
+        let id = self.incarnation(upstream).map(|(id, _)| id);
+        tracing::info!(
+            upstream = id,
+            source,
+            "upstream refuses connections, counts as cold"
+        );
+    }
+
     /// Limits the rate of requests to the upstreams that are cold now, if others are than
     /// before. Each decision depends on it, so that it is called before each.
     fn limit_cold_upstreams(&self, now: Time) {
