--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -251,6 +251,13 @@
             }
         }
         Message::Leaving(upstreams) => state.record_all_leaving(&upstreams),
+        Message::Absent(upstreams) => {
+            let unknown = state.record_all_absent(upstreams);
+            if state.leadership.borrow().epoch().is_some() {
+                state.absent_upstreams.borrow_mut().extend(unknown);
+                state.permits_wanted.notify_one();
+            }
+        }
         Message::PermitDemands(demands) => {
             permits::handle_demands(state, socket, from, demands).await;
         }
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -161,8 +161,8 @@
     pub fn register_upstreams_in(&mut self, domain: &str, number: usize, state: &str) {
         let keyed = self.keyed[number].address();
         let plain = self.plain[number].address();
-        self.register_in(domain, "keyed", &format!("k{number}"), keyed, state);
-        self.register_in(domain, "plain", &format!("p{number}"), plain, state);
+        self.register_as(domain, "keyed", &format!("k{number}"), keyed, state, 0.0);
+        self.register_as(domain, "plain", &format!("p{number}"), plain, state, 0.0);
     }
 
     /// Registers a further upstream of the plain service.
@@ -175,23 +175,32 @@
         self.register("keyed", id, address, "ready");
     }
 
+    /// Registers the upstreams of the keyed service as cold for `warmup_s` seconds from now.
+    pub fn register_keyed_as_cold(&mut self, warmup_s: f64) {
+        for number in 0..self.keyed.len() {
+            let (id, address) = (format!("k{number}"), self.keyed[number].address());
+            self.register_as("a", "keyed", &id, address, "ready", warmup_s);
+        }
+    }
+
     fn register(&mut self, service: &str, id: &str, address: SocketAddr, state: &str) {
-        self.register_in("a", service, id, address, state);
+        self.register_as("a", service, id, address, state, 0.0);
     }
 
-    fn register_in(
+    fn register_as(
         &mut self,
         domain: &str,
         service: &str,
         id: &str,
         address: SocketAddr,
         state: &str,
+        warmup_s: f64,
     ) {
         self.sequence += 1;
         let registration = json!({
             "service": service, "address": address.to_string(),
             "zone": domain, "version": "v1", "slots": 6, "state": state,
-            "warmupLeftS": 0, "sequence": self.sequence, "born": 1000,
+            "warmupLeftS": warmup_s, "sequence": self.sequence, "born": 1000,
         });
         self.store
             .service()
@@ -268,7 +277,8 @@
     let service = |name: &str, keyed: bool| {
         json!({"entryType": "services", "metadata": {"name": name}, "spec": {
             "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-            "tls": false, "sharded": keyed, "warmS": 5.0, "grants": "per_call"}})
+            "tls": false, "sharded": keyed, "warmS": 5.0,
+                "warmupS": 3.0, "warmupPerS": 5.0, "grants": "per_call"}})
     };
     let config = json!({"version": version, "resources": [
         route("status", "safe", "keyed"), route("booking", "unsafe", "keyed"),
