Order large responses on the link, and bound bodies at upstreams

Small responses waited behind large ones on narrow links, requests were run whose responses could not cross the link in time, and nothing bounded the bytes of requests at one upstream, which ends when they exceed its memory.

Responses above 32 KiB are now written in pieces as the rate of the settings allows, by rank and age; a request whose response is expected to be large is refused if it can't cross the link by its deadline. An instance has no more bytes of large bodies in flight to an upstream than the largest body that the configuration allows.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -7,13 +7,15 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use medlarreel_core::entry::link::PIECE_BYTES;
 use medlarreel_core::entry::memory::SMALL_BODY_BYTES;
 
+use crate::link::Transfer;
 use crate::memory::Lease;
 
 /// Size of all parts but the last, in bytes.
@@ -22,6 +24,81 @@
 /// Size of the buffer in which a body of unknown length begins, in bytes.
 const FIRST_PART_BYTES: usize = 4 * 1024;
 
+/// A complete body that is written as the link permits.
+#[derive(Debug, Default)]
+pub struct Response {
+    payload: Payload,
+    /// Transfer of a large response; `None` for a small one.
+    transfer: Option<Transfer>,
+}
+
+impl Response {
+    /// Creates the body of a response that is written in pieces, as `transfer` permits.
+    pub fn paced(payload: Payload, transfer: Transfer) -> Response {
+        Response {
+            payload,
+            transfer: Some(transfer),
+        }
+    }
+
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.payload.len()
+    }
+
+    /// Whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.payload.is_empty()
+    }
+
+    /// Memory that the body is counted in.
+    pub fn lease(&self) -> Option<&Arc<Lease>> {
+        self.payload.lease()
+    }
+}
+
+impl From<Payload> for Response {
+    fn from(payload: Payload) -> Response {
+        Response {
+            payload,
+            transfer: None,
+        }
+    }
+}
+
+impl Body for Response {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let body = &mut *self;
+        let Some(transfer) = &mut body.transfer else {
+            return Pin::new(&mut body.payload).poll_frame(context);
+        };
+        let next = body.payload.parts.front().map_or(0, Bytes::len);
+        let length = next.min(PIECE_BYTES);
+        if length > 0 {
+            ready!(transfer.poll_permit(context, length));
+        }
+        Poll::Ready(
+            body.payload
+                .take(length)
+                .map(|piece| Ok(Frame::data(piece))),
+        )
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.payload.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.payload.size_hint()
+    }
+}
+
 /// A complete body.
 #[derive(Clone, Debug, Default)]
 pub struct Payload {
@@ -52,6 +129,17 @@
         self.lease.as_ref()
     }
 
+    /// Takes the next `length` bytes, which are all in the first part.
+    fn take(&mut self, length: usize) -> Option<Bytes> {
+        let part = self.parts.front_mut()?;
+        let piece = part.split_to(length);
+        if part.is_empty() {
+            self.parts.pop_front();
+        }
+        self.length -= length;
+        Some(piece)
+    }
+
     /// The whole body in one piece, which is a copy if it has several parts.
     pub fn into_bytes(mut self) -> Bytes {
         if self.parts.len() <= 1 {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod error;
 pub mod leader;
+pub mod link;
 pub mod listeners;
 pub mod log;
 pub mod memory;
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use crate::body::Payload;
+use crate::body;
 use crate::bounded_stream::BoundedStream;
 use crate::callers::OpenConnection;
 use crate::platform::headers::READY_PATH;
@@ -168,7 +168,7 @@
     state: &Rc<State>,
     socket: &ReadAheadStream,
     request: Request<Incoming>,
-) -> std::io::Result<Response<Payload>> {
+) -> std::io::Result<Response<body::Response>> {
     // Pipelined requests that arrived before the close are dropped as well.
     let caller_left = || std::io::Error::from(std::io::ErrorKind::BrokenPipe);
     if socket.is_closed() {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -60,6 +60,8 @@
     pub store_restores: Counter,
     /// Bytes that bodies and connections of callers hold.
     pub held_bytes: Gauge,
+    /// Bytes of large responses that are expected or wait for the link.
+    pub link_pending_bytes: Gauge,
     /// Open connections of callers.
     pub connections: Gauge,
     /// Bodies that were given up because memory was short.
@@ -93,6 +95,7 @@
             members: Gauge::default(),
             store_restores: Counter::default(),
             held_bytes: Gauge::default(),
+            link_pending_bytes: Gauge::default(),
             connections: Gauge::default(),
             evictions: Counter::default(),
             refused_connections: Counter::default(),
@@ -161,6 +164,11 @@
             "Bytes that bodies and connections of callers hold",
             metrics.held_bytes.clone(),
         );
+        registry.register(
+            "link_pending_bytes",
+            "Bytes of large responses that are expected or wait for the link",
+            metrics.link_pending_bytes.clone(),
+        );
         registry.register(
             "connections",
             "Open connections of callers",
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -21,8 +21,9 @@
 use response::{empty_response, forwarded_response, refusal_response, with_connection_close};
 use send::{SendOutcome, send_to_upstream};
 
-use crate::body::Payload;
+use crate::body;
 use crate::crashes::trials::{self, Clearance};
+use crate::link::Transfer;
 use crate::state::State;
 
 /// Number of connection failures up to which a request that was never sent is retried.
@@ -45,7 +46,10 @@
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// Serves a caller's request and returns the response by its deadline.
-pub async fn serve_request(state: &Rc<State>, incoming: Request<Incoming>) -> Response<Payload> {
+pub async fn serve_request(
+    state: &Rc<State>,
+    incoming: Request<Incoming>,
+) -> Response<body::Response> {
     let arrived = state.clock.now();
     let request = match read_request(state, incoming, arrived).await {
         Ok(request) => request,
@@ -58,6 +62,13 @@
     }
     state.earn_retry_budget(arrived, &request.service);
     count_keyed_request(state, &request);
+    let run_time = state.queue.borrow().expected_run_time(&request.route.name);
+    let (route, deadline) = (&request.route, request.deadline);
+    let transfer = state.link.open(&route.name, route.rank, run_time, deadline);
+    let mut transfer = match transfer {
+        Ok(transfer) => Some(transfer),
+        Err(after) => return refuse_for_link(state, &request, after),
+    };
     let mut open_request = OpenRequest {
         state,
         request: &request,
@@ -67,7 +78,7 @@
     let remaining = request.deadline.since(arrived);
     let served = tokio::time::timeout(
         remaining,
-        send_with_retries(state, &request, &mut open_request.progress),
+        send_with_retries(state, &request, &mut open_request.progress, &mut transfer),
     );
     let result = tokio::select! {
         result = served => result.ok(),
@@ -142,7 +153,8 @@
     state: &Rc<State>,
     request: &RoutedRequest,
     progress: &mut SendProgress,
-) -> Response<Payload> {
+    transfer: &mut Option<Transfer>,
+) -> Response<body::Response> {
     loop {
         let decision = match wait_for_upstream(state, request, progress).await {
             Ok(decision) => decision,
@@ -177,7 +189,7 @@
         let (outcome, why) = match sent {
             SendOutcome::Responded(response) => {
                 state.metrics.count_request(&request.route.name, "answered");
-                return forwarded_response(request, response);
+                return forwarded_response(request, response, transfer.take());
             }
             SendOutcome::NotRun(why) => (Outcome::NotRun, why.to_owned()),
             SendOutcome::NotSent(why) => (Outcome::NotRun, why),
@@ -380,7 +392,7 @@
     progress: &SendProgress,
     outcome: Outcome,
     why: &str,
-) -> Response<Payload> {
+) -> Response<body::Response> {
     let not_run = outcome == Outcome::NotRun && !progress.may_have_run();
     let label = if not_run { "refused" } else { "failed" };
     state.metrics.count_request(&request.route.name, label);
@@ -404,7 +416,7 @@
     progress: &SendProgress,
     reason: Reason,
     after: Duration,
-) -> Response<Payload> {
+) -> Response<body::Response> {
     let now = state.clock.now();
     let waited_ms = now.since(request.arrived).as_millis() as u64;
     let owners_revision = state.owner_map.borrow().revision();
@@ -425,6 +437,23 @@
     }
 }
 
+/// Refuses a request whose response could not cross the link of this machine in time.
+fn refuse_for_link(
+    state: &State,
+    request: &RoutedRequest,
+    after: Duration,
+) -> Response<body::Response> {
+    tracing::info!(
+        id = request.id,
+        route = request.route.name,
+        reason = "link",
+        pending_bytes = state.link.pending(),
+        "request refused"
+    );
+    state.metrics.count_request(&request.route.name, "no_link");
+    refusal_response(retry_after(state, request, after))
+}
+
 /// Refuses a request that is suspected of crashing upstreams. This attempt has not run,
 /// unless it was sent before; earlier ones may have.
 fn refuse_suspect(
@@ -432,7 +461,7 @@
     request: &RoutedRequest,
     progress: &SendProgress,
     until: Time,
-) -> Response<Payload> {
+) -> Response<body::Response> {
     let after = until.since(state.clock.now());
     tracing::info!(
         id = request.id,
@@ -456,7 +485,7 @@
     state: &State,
     request: &RoutedRequest,
     progress: &SendProgress,
-) -> Response<Payload> {
+) -> Response<body::Response> {
     tracing::info!(
         id = request.id,
         route = request.route.name,
--- a/crates/entry/src/proxy/request.rs
+++ b/crates/entry/src/proxy/request.rs
@@ -74,7 +74,7 @@
     state: &State,
     incoming: Request<Incoming>,
     arrived: Time,
-) -> Result<RoutedRequest, Box<Response<Payload>>> {
+) -> Result<RoutedRequest, Box<Response<body::Response>>> {
     let (parts, body) = incoming.into_parts();
     let id = parts.headers.get(&headers::ATTEMPT_ID);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -54,6 +54,34 @@
     is_unanswered: bool,
 }
 
+/// Bytes of a request body in flight to an upstream, which end with the send.
+struct BodyInFlight<'a> {
+    state: &'a State,
+    upstream: Upstream,
+    bytes: usize,
+}
+
+impl<'a> BodyInFlight<'a> {
+    /// Adds a body; `None` if there is no room for it at the upstream.
+    fn begin(state: &'a State, upstream: Upstream, bytes: usize) -> Option<BodyInFlight<'a>> {
+        let limit = state.route_table.borrow().config().limits.body_bytes;
+        let mut bodies = state.bodies_in_flight.borrow_mut();
+        let fits = bodies.begin(upstream, bytes, limit);
+        fits.then(|| BodyInFlight {
+            state,
+            upstream,
+            bytes,
+        })
+    }
+}
+
+impl Drop for BodyInFlight<'_> {
+    fn drop(&mut self) {
+        let mut bodies = self.state.bodies_in_flight.borrow_mut();
+        bodies.end(self.upstream, self.bytes);
+    }
+}
+
 impl Drop for InFlightSend<'_> {
     fn drop(&mut self) {
         if self.is_unanswered {
@@ -106,6 +134,10 @@
     else {
         return SendOutcome::NotRun("upstream unknown");
     };
+    let Some(_body) = BodyInFlight::begin(state, upstream, request.body.len()) else {
+        progress.connect_failures += 1;
+        return SendOutcome::NotSent("the upstream holds too many bytes".into());
+    };
     let now = state.clock.now();
     let connect_timeout = CONNECT_TIMEOUT.min(request.deadline.since(now));
     let usage = Usage {
@@ -140,6 +172,7 @@
         }
     };
     let sent_at = now;
+    state.link.record_write(request.body.len());
     in_flight_send.is_unanswered = true;
     progress.in_flight = true;
     progress.sends += 1;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,6 +12,7 @@
 use medlarreel_core::entry::directory::{Directory, UpstreamRecord};
 use medlarreel_core::entry::doubt::Doubts;
 use medlarreel_core::entry::era::Era;
+use medlarreel_core::entry::in_flight::BodiesInFlight;
 use medlarreel_core::entry::leadership::Leadership;
 use medlarreel_core::entry::ledger::{Ledger, LedgerSnapshot};
 use medlarreel_core::entry::limiter::Limiter;
@@ -36,6 +37,7 @@
 use crate::connection::Connection;
 use crate::crashes::outbox::{Abandoned, Outbox};
 use crate::crashes::pending::PendingTrials;
+use crate::link::Link;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -116,7 +118,7 @@
 #[derive(Debug)]
 pub struct State {
     /// Current settings, replaced on a reload. Changes of the addresses and of the retry
-    /// ratio, memory and descriptors take effect only after a restart, and a changed lease duration when this
+    /// ratio, memory, descriptors and link take effect only after a restart, and a changed lease duration when this
     /// instance next becomes leader. The processor time is announced only at startup.
     pub settings: RefCell<Settings>,
     /// Clock of the process.
@@ -185,6 +187,10 @@
     pub order_pool: Pool,
     /// Memory that bodies and connections of callers hold.
     pub memory: Memory,
+    /// Bytes of request bodies in flight to upstreams.
+    pub bodies_in_flight: RefCell<BodiesInFlight>,
+    /// Network link of this machine.
+    pub link: Link,
     /// Open connections of callers.
     pub callers: Rc<Callers>,
     /// Metrics of this instance.
@@ -249,6 +255,7 @@
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(0, |since| since.as_millis() as u64);
         let memory = Memory::new(clock, settings.memory);
+        let link = Link::new(clock, settings.link);
         let callers = Callers::new(clock, memory.clone(), settings.descriptors);
         Rc::new(State {
             settings: RefCell::new(settings),
@@ -285,6 +292,8 @@
             pool: Pool::default(),
             order_pool: Pool::default(),
             memory,
+            bodies_in_flight: RefCell::default(),
+            link,
             callers,
             metrics: Metrics::default(),
             leadership: RefCell::new(Leadership::new(now)),
@@ -471,6 +480,8 @@
         let counted = self.metrics.evictions.get();
         self.metrics.evictions.inc_by(evictions - counted);
         self.metrics.held_bytes.set(held as i64);
+        let pending = self.link.pending();
+        self.metrics.link_pending_bytes.set(pending as i64);
         self.metrics
             .connections
             .set(self.callers.open_count() as i64);
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the entry: the real program runs as a process between callers and
 //! stand-ins for the store and the upstreams.
 
+mod bodies;
 mod connection;
 mod crashes;
 mod decoding;
