--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -89,7 +89,7 @@
         tokio::time::timeout(timeout, waiting).await.is_ok()
     }
 
-    /// Adds a connection, whose longest head has `head_bytes`.
+    /// Adds a connection, which is idle.
     pub fn open(self: &Rc<Self>) -> Rc<OpenConnection> {
         let id = self.table.borrow_mut().open(self.clock.now());
         let abort = Arc::new(Notify::new());
