--- a/crates/entry/tests/path/evacuation.rs
+++ b/crates/entry/tests/path/evacuation.rs
@@ -18,6 +18,9 @@
 /// Default of `evacuate` in the settings.
 const LIMIT: Duration = Duration::from_secs(5);
 
+/// Time for which a read waits for a record at most, and some more.
+const READ_WAIT: Duration = Duration::from_millis(800);
+
 /// Number of keys of a service.
 const KEY_COUNT: usize = 1 << 16;
 
@@ -132,10 +135,14 @@
 async fn requests_are_refused_while_all_domains_are_evacuated() {
     let cluster = start_domains().await;
     let all = [upstreams_of(&cluster, 0), upstreams_of(&cluster, 1)].concat();
+    // Both orders are read at once: between two reads, keys would begin to move.
+    cluster.store.service().set_unavailable(true);
+    sleep(READ_WAIT).await;
     let ordered = Instant::now();
 
     evacuate(&cluster, "a");
     evacuate(&cluster, "b");
+    cluster.store.service().set_unavailable(false);
     sleep(LIMIT).await;
     let limit = Instant::now();
     let newcomer = start_instance(cluster.store.address()).await;
