--- a/crates/standin/tests/platform_upstream.rs
+++ b/crates/standin/tests/platform_upstream.rs
@@ -127,6 +127,7 @@
         first_key,
         last_key,
         fence,
+        has_handover: false,
     };
     let expected = [grant(0, 1, 2, 5), grant(0, 1, 2, 5), grant(1, 2, 3, 4)];
     assert_eq!(server.service().accepted_grants(), expected);
