Divide the upstreams of services without keys among the instances

With 60 instances each pair of an instance and an upstream meets once in some five seconds, while runs take 0.1 to 0.3 s. What instances know of loads is old, and all of them chose the same upstream as the best.

Each instance now prefers ten upstreams of each such service (core subset), in an order of its own, and uses the rest when these have no room. An upstream with an old report counts as loaded as the others of its service, rather than idle. Measured run times fade when an upstream isn't used, and the fourth figure of a load report is used while it is new. Connections to an upstream, in use and idle, are bounded by a share of its limit (core connection_share); a reset while connecting counts as a full upstream rather than a failed one.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -6,6 +6,7 @@
 //! upstreams use fencing to refuse grants of earlier leaders, and every instance sends a
 //! request directly to the owner of its key.
 
+pub mod connection_share;
 pub mod directory;
 pub mod doubt;
 pub mod era;
@@ -20,6 +21,7 @@
 pub mod queue;
 pub mod relay;
 pub mod routes;
+pub mod subset;
 pub mod suspects;
 pub mod transfer;
 pub mod upstream_state;
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -19,6 +19,7 @@
 
 use selection::{QUEUE_DEPTH, Selection};
 
+use super::connection_share::{self, Shares};
 use super::permit::Permits;
 use super::upstream_state::{ReportedLoad, SendResult, UpstreamState};
 use crate::ids::Upstream;
@@ -180,6 +181,11 @@
     rank_last_seen: HashMap<String, BTreeMap<u8, Time>>,
     /// Permits for upstreams that limit their rate.
     permits: Permits,
+    /// Upstreams that requests without a key prefer, and their places in this instance's
+    /// order, from 0 to 1; empty if there is no preference.
+    preferred: HashMap<Upstream, f64>,
+    /// Connections that this instance may have to each upstream.
+    connections: Shares,
 }
 
 /// What happens to a queued request.
@@ -198,11 +204,21 @@
     updated_at: Time,
     /// Run time in seconds.
     run_time: f64,
+    /// Requests of other instances per slot at its upstreams, by their reports.
+    load: f64,
+    reported_at: Time,
 }
 
 /// Time constant of the moving average of response rates.
 const RATE_AVERAGING_TIME: Duration = Duration::from_secs(1);
 
+/// Smoothing factor of the moving average of reported loads: the weight of the latest report.
+const LOAD_SMOOTHING: f64 = 0.1;
+
+/// Time without any report of a service after which its average load counts a third. A queue
+/// of ten requests at an upstream is done within a second.
+const LOAD_FADING_TIME: Duration = Duration::from_millis(500);
+
 /// Minimum fraction of a service's throughput that one of several instances is
 /// assumed to get.
 const MIN_THROUGHPUT_FRACTION: f64 = 0.05;
@@ -214,6 +230,18 @@
         self.run_time += (took - self.run_time) * RUN_TIME_SMOOTHING;
     }
 
+    fn record_load(&mut self, now: Time, load: f64) {
+        self.load = self.load_at(now) + (load - self.load_at(now)) * LOAD_SMOOTHING;
+        self.reported_at = now;
+    }
+
+    /// Load at a time. Without reports it fades, so that an instance that holds requests
+    /// back learns of upstreams that have become free.
+    fn load_at(&self, now: Time) -> f64 {
+        let age = now.since(self.reported_at).as_secs_f64();
+        self.load * (-age / LOAD_FADING_TIME.as_secs_f64()).exp()
+    }
+
     fn per_second_at(&self, now: Time) -> f64 {
         let age = now.since(self.updated_at).as_secs_f64();
         self.per_second * (-age / RATE_AVERAGING_TIME.as_secs_f64()).exp()
@@ -250,6 +278,40 @@
         &mut self.permits
     }
 
+    /// Sets the upstreams that requests without a key prefer (`subset`), those of each
+    /// service in the order of this instance. If there are none, all are alike.
+    pub fn set_preferred(&mut self, services: &[Vec<Upstream>]) {
+        let places = services.iter().flat_map(|upstreams| {
+            let count = upstreams.len() as f64;
+            let indexes = (0..upstreams.len()).map(move |index| index as f64 / count);
+            upstreams.iter().copied().zip(indexes)
+        });
+        self.preferred = places.collect();
+    }
+
+    /// Sets the number of connections, and thus of requests in flight, that this instance may
+    /// have to each upstream.
+    pub fn set_connections(&mut self, shares: Shares) {
+        self.connections = shares;
+    }
+
+    /// Number of idle connections to an upstream that may be kept beside those in use.
+    pub fn max_idle(&self, upstream: Upstream) -> usize {
+        connection_share::max_idle(self.connections.of(upstream), self.in_use(upstream))
+    }
+
+    /// Number of idle connections to an upstream that may be kept, including one that is in
+    /// use until now.
+    pub fn max_idle_after_return(&self, upstream: Upstream) -> usize {
+        let in_use = self.in_use(upstream).saturating_sub(1);
+        connection_share::max_idle(self.connections.of(upstream), in_use)
+    }
+
+    fn in_use(&self, upstream: Upstream) -> u32 {
+        let state = self.upstreams.get(&upstream);
+        state.map_or(0, UpstreamState::in_flight)
+    }
+
     /// Adds a request to the queue.
     ///
     /// # Errors
@@ -381,6 +443,11 @@
         let expected = self.expected_run_time(send.route);
         if let Some(state) = self.upstreams.get_mut(&send.upstream) {
             state.record_result(now, send.result, send.load, send.took, expected);
+            if send.load.is_some()
+                && let Some(averages) = self.services.get_mut(send.service)
+            {
+                averages.record_load(now, state.reported_load());
+            }
         }
         if send.result == SendResult::Ran {
             let took = send.took.as_secs_f64();
@@ -393,6 +460,8 @@
                         per_second: 0.0,
                         updated_at: now,
                         run_time: took,
+                        load: 0.0,
+                        reported_at: now,
                     });
             averages.record_response(now, took);
         }
@@ -462,6 +531,9 @@
             candidates: &availability.candidates,
             upstreams: &self.upstreams,
             permits: &self.permits,
+            preferred: &self.preferred,
+            connections: &self.connections,
+            usual_load: self.usual_load(now, request),
             expected,
             is_outranked: self.is_outranked(now, request),
         });
@@ -477,6 +549,17 @@
         })
     }
 
+    /// Requests of other instances per slot that upstreams without a recent report are taken
+    /// to have. The owner of a key is not like the others: what they report says nothing of
+    /// it.
+    fn usual_load(&self, now: Time, request: &QueuedRequest) -> f64 {
+        if request.key.is_some() {
+            return 0.0;
+        }
+        let averages = self.services.get(&request.service);
+        averages.map_or(0.0, |averages| averages.load_at(now))
+    }
+
     /// Owner of the request's key, if it limits its rate.
     fn limited_owner(&self, request: &QueuedRequest, candidates: &[Candidate]) -> Option<Upstream> {
         request.key?;
--- a/crates/core/src/entry/upstream_state.rs
+++ b/crates/core/src/entry/upstream_state.rs
@@ -16,6 +16,18 @@
 /// run for 0.1 s to 0.5 s.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
 
+/// Time after which a reported slowness counts half. Upstreams are slow for some 400 ms at a
+/// time.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// Time after the last run after which a measured run time counts half, so that an upstream
+/// that was slow is tried again.
+const RUN_TIME_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Load that is assumed of an upstream that turns a request away without a report, in
+/// requests per slot: it has as many in its queue as it runs.
+const ASSUMED_FULL_LOAD: f64 = 2.0;
+
 /// Smoothing factor of the moving average of relative run times: the weight of the
 /// latest run.
 const RUN_TIME_SMOOTHING: f64 = 0.1;
@@ -59,7 +71,7 @@
 pub enum SendResult {
     /// The upstream ran the request and responded.
     Ran,
-    /// The upstream refused the request.
+    /// The upstream refused the request, or reset a new connection since it is full.
     Refused,
     /// No usable response was received.
     Failed,
@@ -77,6 +89,10 @@
     /// Requests of other instances at the upstream at `reported_at`.
     other_requests: f64,
     reported_at: Time,
+    /// Reported slowness as a factor, 1 being the usual.
+    slowness: f64,
+    /// Time of the last run.
+    last_run: Time,
     /// Moving average of the ratio of the actual to the expected run time.
     relative_run_time: f64,
     consecutive_failures: u32,
@@ -95,6 +111,8 @@
             in_flight: 0,
             other_requests: 0.0,
             reported_at: Time(0),
+            slowness: 1.0,
+            last_run: Time(0),
             relative_run_time: 1.0,
             consecutive_failures: 0,
             penalized_until: Time(0),
@@ -120,11 +138,35 @@
         self.relative_run_time
     }
 
+    /// Estimated run time at this moment, relative to the expected one; 1 before the first
+    /// run. The slowness of the machine, if it has reported one, soon counts no more.
+    pub fn current_run_time(&self, now: Time) -> f64 {
+        let weight = half_life_weight(now, self.last_run, RUN_TIME_HALF_LIFE);
+        let average = 1.0 + (self.relative_run_time - 1.0) * weight;
+        average * self.current_slowness(now)
+    }
+
+    fn current_slowness(&self, now: Time) -> f64 {
+        1.0 + (self.slowness - 1.0) * half_life_weight(now, self.reported_at, SLOWNESS_HALF_LIFE)
+    }
+
     /// Estimated number of requests of all instances at the upstream.
     pub fn occupancy(&self, now: Time) -> f64 {
-        let age = now.since(self.reported_at).as_secs_f64();
-        let decayed = self.other_requests * 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
-        f64::from(self.in_flight) + decayed
+        self.occupancy_among(now, 0.0)
+    }
+
+    /// Estimated number of requests of all instances at the upstream, if others of its
+    /// service have `usual_load` requests of other instances per slot. The older the last
+    /// report, the more it is taken to be like these.
+    pub fn occupancy_among(&self, now: Time, usual_load: f64) -> f64 {
+        let weight = half_life_weight(now, self.reported_at, REPORT_HALF_LIFE);
+        let usual = usual_load * f64::from(self.slots);
+        f64::from(self.in_flight) + self.other_requests * weight + usual * (1.0 - weight)
+    }
+
+    /// Requests of other instances per slot at the time of the last report.
+    pub fn reported_load(&self) -> f64 {
+        self.other_requests / f64::from(self.slots)
     }
 
     /// Estimates the time until a request is sent that has `ahead` requests of this
@@ -137,7 +179,7 @@
         expected: Duration,
         depth: f64,
     ) -> Duration {
-        let run_time = expected.as_secs_f64() * self.relative_run_time;
+        let run_time = expected.as_secs_f64() * self.relative_run_time * self.current_slowness(now);
         let slots = f64::from(self.slots);
         let excess = (self.occupancy(now) + 1.0 - slots - depth).max(0.0);
         let seconds = (excess + ahead as f64 * COMPETITION_FACTOR) * run_time / slots;
@@ -198,6 +240,7 @@
             // The report may or may not include the request that it answers.
             self.other_requests = (total - f64::from(self.in_flight) - 1.0).max(0.0);
             self.reported_at = now;
+            self.slowness = f64::from(load.slowness) / f64::from(ReportedLoad::USUAL_SLOWNESS);
         }
         match result {
             SendResult::ConnectFailed => self.failed_connects += 1,
@@ -208,13 +251,16 @@
             SendResult::Ran => {
                 self.consecutive_failures = 0;
                 self.penalized_until = Time(0);
-                let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                self.last_run = now;
+                // What is due to a short slowness says nothing of later runs.
+                let usual = took.as_secs_f64() / self.current_slowness(now).max(1.0);
+                let ratio = usual / expected.as_secs_f64().max(0.001);
                 self.relative_run_time +=
                     (ratio.min(10.0) - self.relative_run_time) * RUN_TIME_SMOOTHING;
             }
             SendResult::Refused => {
                 if load.is_none() {
-                    self.other_requests = f64::from(self.slots);
+                    self.other_requests = f64::from(self.slots) * ASSUMED_FULL_LOAD;
                     self.reported_at = now;
                 }
             }
@@ -227,3 +273,8 @@
         }
     }
 }
+
+/// Weight, from 1 to 0, of what was observed at `since`.
+fn half_life_weight(now: Time, since: Time, half_life: Duration) -> f64 {
+    0.5_f64.powf(now.since(since).as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod doubt;
+mod even_load;
 mod fixture;
 mod follow;
 mod fragments;
@@ -15,5 +16,6 @@
 mod recovery;
 mod relay;
 mod routes;
+mod subset;
 mod suspects;
 mod transfer;
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -367,3 +367,52 @@
     assert_eq!(sent_tickets(&paused), Vec::<u64>::new());
     assert_eq!(sent_tickets(&resumed), [3]);
 }
+
+/// Guards against requests for an owner that is known to be slow at this moment, which would
+/// be cut at their deadline: its report says that runs take three times as long.
+#[test]
+fn slowness_of_an_owner_counts_and_soon_fades() {
+    let (upstreams, load) = (upstreams(1), |slowness| ReportedLoad {
+        running: 6,
+        waiting: 2,
+        slots: 6,
+        slowness,
+    });
+    let is_kept = |slowness, waited: u64| {
+        let mut queue = Queue::default();
+        let keyed = |ticket, now| QueuedRequest {
+            key: Some(7),
+            ..request(ticket, 0, now, ms(260))
+        };
+        queue.enqueue(at(0), keyed(0, at(0)), &upstreams).unwrap();
+        queue.decide(at(0), &upstreams);
+        finish_run(&mut queue, at(0), 0, Some(load(slowness)), ms(150));
+        let now = at(waited);
+        queue.enqueue(now, keyed(1, now), &upstreams).is_ok()
+            && queue.enqueue(now, keyed(2, now), &upstreams).is_ok()
+            && queue.enqueue(now, keyed(3, now), &upstreams).is_ok()
+    };
+
+    assert!(is_kept(100, 0));
+    assert!(!is_kept(300, 0));
+    assert!(is_kept(300, 1_000));
+}
+
+/// Guards against more connections to an upstream than the share of this instance, which the
+/// upstream would reset.
+#[test]
+fn requests_wait_when_the_share_of_connections_is_in_use() {
+    let (mut queue, upstreams, now) = (Queue::default(), upstreams(2), at(0));
+    queue.set_connections([(Upstream(0), 2), (Upstream(1), 3)].into_iter().collect());
+    for ticket in 0..10 {
+        queue
+            .enqueue(now, request(ticket, 0, now, ms(5_000)), &upstreams)
+            .ok();
+    }
+
+    let decisions = queue.decide(now, &upstreams);
+
+    assert_eq!(sent_tickets(&decisions).len(), 5);
+    assert_eq!(queue.max_idle(Upstream(0)), 0);
+    assert_eq!(queue.max_idle_after_return(Upstream(0)), 1);
+}
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -73,11 +73,12 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if no connection is established.
+    /// Returns `NotAccepted` if the server resets the connection, and `NotSent` if none is
+    /// established otherwise.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
         let started = Instant::now();
         let connecting = async {
-            let stream = open_stream(address).await.map_err(not_sent)?;
+            let stream = open_stream(address).await.map_err(connect_error)?;
             let stream = BoundedStream::new(stream);
             let allowance = stream.allowance();
             allowance.set(MAX_HEAD_BYTES);
@@ -209,6 +210,14 @@
     socket.connect(address).await
 }
 
+/// A server at its connection limit may reset a connection before it counts as established.
+fn connect_error(error: std::io::Error) -> Error {
+    match error.kind() {
+        ErrorKind::ConnectionReset => Error::NotAccepted,
+        _ => not_sent(error),
+    }
+}
+
 fn not_sent(error: impl std::fmt::Display) -> Error {
     Error::NotSent(error.to_string())
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::reader;
 use crate::reader::feed::Topic;
 use crate::settings::Settings;
+use crate::sharing::Division;
 use crate::state::State;
 
 const USAGE: &str = "usage: medlarreel-entry [--settings FILE] [--check]";
@@ -133,12 +134,16 @@
     }
 }
 
-/// Periodically closes stale idle connections, drops the queue's state of upstreams that
+/// Periodically divides the upstreams among the instances, closes stale idle connections, drops the queue's state of upstreams that
 /// have ended, looks for upstreams that have crashed, and counts dropped log lines.
 async fn sweep_periodically(state: Rc<State>, dropped: ErrorCounter) {
     let mut counted = 0;
+    let mut division = Division::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        division.update(&state);
+        let opened = state.pool.take_opened();
+        state.metrics.connections_opened.inc_by(opened);
         let lines = dropped.dropped_lines();
         state
             .metrics
--- a/crates/entry/src/leader/handover.rs
+++ b/crates/entry/src/leader/handover.rs
@@ -188,6 +188,7 @@
         idempotent: false,
         attempt: "",
         min_age: Duration::ZERO,
+        max_idle: usize::MAX,
     };
     let now = state.clock.now();
     let connecting = state
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -86,6 +86,7 @@
             idempotent: false,
             attempt: "",
             min_age,
+            max_idle: usize::MAX,
         });
         if usage.is_none() && !min_age.is_zero() {
             return Err(Error::NoOldConnection);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod read_ahead;
 pub mod reader;
 pub mod settings;
+pub mod sharing;
 pub mod state;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,12 @@
     pub latency: Histogram,
     /// Queued requests.
     pub waiting_requests: Gauge,
+    /// Upstreams of services without keys that this instance prefers.
+    pub preferred_upstreams: Gauge,
+    /// Connections that were opened to upstreams.
+    pub connections_opened: Counter,
+    /// Connections that an upstream at its limit reset before anything was sent.
+    pub connections_refused: Counter,
     /// Upstreams that are known to limit their rate.
     pub limited_upstreams: Gauge,
     /// Requests under which upstreams have ended since they were last answered, also blocked
@@ -74,6 +80,9 @@
             calls: Family::default(),
             latency,
             waiting_requests: Gauge::default(),
+            preferred_upstreams: Gauge::default(),
+            connections_opened: Counter::default(),
+            connections_refused: Counter::default(),
             limited_upstreams: Gauge::default(),
             suspected_requests: Gauge::default(),
             blocked_requests: Gauge::default(),
@@ -105,6 +114,21 @@
             "Requests that wait",
             metrics.waiting_requests.clone(),
         );
+        registry.register(
+            "preferred_upstreams",
+            "Upstreams of services without keys that this instance prefers",
+            metrics.preferred_upstreams.clone(),
+        );
+        registry.register(
+            "connections_opened",
+            "Connections opened to upstreams",
+            metrics.connections_opened.clone(),
+        );
+        registry.register(
+            "connections_refused",
+            "Connections reset by upstreams at their limit before a request was sent",
+            metrics.connections_refused.clone(),
+        );
         registry.register(
             "limited_upstreams",
             "Upstreams that limit the rate of requests",
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to upstreams.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     pub attempt: &'a str,
     /// Minimum age of the connection. A new one is opened only if this is zero.
     pub min_age: Duration,
+    /// Number of idle connections that may remain beside a new one.
+    pub max_idle: usize,
 }
 
 #[derive(Debug)]
@@ -49,6 +51,8 @@
 /// Idle connections, by upstream.
 #[derive(Debug, Default)]
 pub struct Pool {
+    /// Connections opened since they were last counted.
+    opened: Cell<u64>,
     idle: RefCell<HashMap<Upstream, Vec<IdleConnection>>>,
 }
 
@@ -75,6 +79,10 @@
         if usage.is_some_and(|usage| !usage.min_age.is_zero()) {
             return Err(Error::NoOldConnection);
         }
+        if let Some(usage) = usage {
+            self.close_oldest(usage.upstream, usage.max_idle);
+        }
+        self.opened.set(self.opened.get() + 1);
         let connection = Connection::connect(address, connect_timeout).await?;
         connection.confirm_accepted().await?;
         Ok(connection)
@@ -100,6 +108,21 @@
         Some(connections.remove(position).connection)
     }
 
+    /// Closes the connections to an upstream that have been idle for the longest time, until
+    /// `max_idle` are left.
+    fn close_oldest(&self, upstream: Upstream, max_idle: usize) {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(connections) = idle.get_mut(&upstream) {
+            let excess = connections.len().saturating_sub(max_idle);
+            connections.drain(..excess);
+        }
+    }
+
+    /// Takes the number of connections opened since the last call.
+    pub fn take_opened(&self) -> u64 {
+        self.opened.take()
+    }
+
     /// Number of idle connections to an upstream.
     pub fn idle_count(&self, upstream: Upstream) -> usize {
         let idle = self.idle.borrow();
@@ -132,12 +155,9 @@
             max_idle_time,
         };
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(upstream).or_default();
-        if connections.len() >= max_idle {
-            // Drops the connection that has been idle for the longest time.
-            connections.remove(0);
-        }
-        connections.push(idle_connection);
+        idle.entry(upstream).or_default().push(idle_connection);
+        drop(idle);
+        self.close_oldest(upstream, max_idle);
     }
 
     /// Drops connections that are closed or have been idle for too long, and those to
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -114,6 +114,7 @@
         idempotent: request.route.idempotent,
         attempt: &request.id,
         min_age: Duration::ZERO,
+        max_idle: state.queue.borrow().max_idle(upstream),
     };
     let connection = state
         .pool
@@ -123,6 +124,7 @@
         Err(error) => {
             if error == Error::NotAccepted {
                 in_flight_send.result = SendResult::Refused;
+                state.metrics.connections_refused.inc();
                 progress.closed_connects += 1;
             } else {
                 in_flight_send.result = SendResult::ConnectFailed;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -505,8 +505,8 @@
             .collect()
     }
 
-    /// Returns a connection to the pool. The instances share the connection limit of the
-    /// upstream evenly, and a fifth of it is reserved for connections that are in use.
+    /// Returns a connection to the pool, which keeps as many idle ones as the share of this
+    /// instance leaves.
     pub fn return_connection(
         &self,
         now: Time,
@@ -514,15 +514,7 @@
         connection: Connection,
         response_headers: &HeaderMap,
     ) {
-        let directory = self.directory.borrow();
-        let record = directory.get(upstream);
-        let limit = record.and_then(|record| {
-            let table = self.route_table.borrow();
-            let service = table.service(&record.registration.service)?;
-            Some(service.max_connections)
-        });
-        let instances = self.members.borrow().len() + 1;
-        let max_idle = limit.map_or(1, |limit| (limit * 4 / 5 / instances).max(1));
+        let max_idle = self.queue.borrow().max_idle_after_return(upstream);
         self.pool
             .put_idle(now, upstream, connection, response_headers, max_idle);
     }
