--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,6 +7,7 @@
 //! request directly to the owner of its key.
 
 pub mod check;
+pub mod connection_share;
 pub mod connections;
 pub mod difference;
 pub mod directory;
@@ -27,6 +28,7 @@
 pub mod queue;
 pub mod relay;
 pub mod routes;
+pub mod subset;
 pub mod suspects;
 pub mod transfer;
 pub mod upstream_state;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -76,7 +76,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` if no connection is established, `NoListener` if it is refused.
+    /// Returns `NoListener` if the connection is refused, `NotAccepted` if the server resets
+    /// it, and `NotSent` if none is established otherwise.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
         let started = Instant::now();
         let connecting = async {
@@ -249,6 +250,7 @@
     socket.connect(address).await
 }
 
+/// A server at its connection limit may reset a connection before it counts as established.
 fn not_sent(error: impl std::fmt::Display) -> Error {
     Error::NotSent(error.to_string())
 }
@@ -256,6 +258,7 @@
 fn connect_error(error: std::io::Error) -> Error {
     match error.kind() {
         ErrorKind::ConnectionRefused => Error::NoListener,
+        ErrorKind::ConnectionReset => Error::NotAccepted,
         _ => not_sent(error),
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod read_ahead;
 pub mod reader;
 pub mod settings;
+pub mod sharing;
 pub mod state;
