Refuse and order requests by target and return, and promise only what is certain

Cause: callers that were refused came back behind first ones, late requests took the place of those that could still be in time, the queue of an upstream wasn't counted, and what may be promised of a request's runs was kept in flags of the proxy.

Change: outcome::Progress follows the sends of a request and gives the reply; a request isn't written if it can't end in time, and upstreams get a deadline 15 ms earlier, so that their word that they did not begin arrives. queue::arrival tells returned, first and pressing callers apart by the time they have left; queue::estimate counts the upstream's own queue; Retry-After is at least 100 ms and spread.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod limiter;
 pub mod map;
+pub mod outcome;
 pub mod permit;
 pub mod plan;
 pub mod queue;
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -6,10 +6,14 @@
 //! of a more urgent rank arrive. A request that can no longer be answered before its
 //! deadline is refused as soon as that is known.
 //!
-//! Within a rank, requests that have waited for long are sent after newer ones.
-//! Otherwise all callers of an overloaded upstream would get late responses; this
-//! way most of those that it can serve get prompt ones.
-
+//! Within a rank, requests that can no longer be answered within the target of their
+//! route are sent after those that can, and so are requests that have waited for long.
+//! Otherwise all callers of an overloaded upstream would get late responses; this way
+//! most of those that it can serve get prompt ones. Equally urgent requests are sent in
+//! the order of `arrival::Arrival`: callers that come back as they were told go first.
+
+pub mod arrival;
+mod estimate;
 mod selection;
 
 use std::collections::{BTreeMap, HashMap};
@@ -17,7 +21,9 @@
 
 use medlarreel_macros::data;
 
-use selection::{QUEUE_DEPTH, Selection};
+use arrival::{Arrival, Arrivals, MIN_RETRY_AFTER, Standing};
+use estimate::{RUN_TIME_SMOOTHING, ServiceAverages, return_delay};
+use selection::Selection;
 
 use super::permit::Permits;
 use super::upstream_state::{ReportedLoad, SendResult, UpstreamState};
@@ -32,17 +38,9 @@
 /// any upstream.
 const OWNER_REPLACEMENT_TIME: Duration = Duration::from_millis(1_200);
 
-/// Smoothing factor of the moving average of a route's run times: the weight of the
-/// latest run.
-const RUN_TIME_SMOOTHING: f64 = 0.05;
-
 /// Run time assumed for a route without any completed run.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(150);
 
-/// Fraction of the average run time that must remain before the deadline for a
-/// request to be sent.
-const REQUIRED_RUN_FRACTION: f64 = 0.6;
-
 /// Waiting time, in average run times of the route, after which a request is sorted
 /// behind all requests of its rank that have waited less than their own threshold.
 /// Callers expect a response within three to five run times.
@@ -52,8 +50,8 @@
 /// cannot exhaust its memory. Not applied to requests that have no usable upstream yet.
 const MAX_QUEUED_REQUESTS: usize = 512;
 
-/// Shortest retry delay reported to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Callers obey a told delay up to what they have left, divided by this number.
+pub const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// Identifier of a queued request.
 #[data(key)]
@@ -79,6 +77,8 @@
     /// Upstreams that the request was already sent to. A request without a key is not
     /// sent to them again.
     pub tried: Vec<Upstream>,
+    /// What is known of the caller, as `Queue::judge` said when the request arrived.
+    pub standing: Standing,
 }
 
 /// An upstream that a request can be sent to.
@@ -102,6 +102,8 @@
     NoUpstream,
     /// No upstream has capacity early enough to respond before the deadline.
     NoRoom,
+    /// There is room before the deadline, but not early enough to meet the target.
+    Late,
     /// The queue is full.
     Full,
     /// The instance is shutting down.
@@ -127,8 +129,8 @@
     Refuse {
         /// Reason for the refusal.
         reason: Reason,
-        /// Estimated time until there is capacity, or just `MIN_RETRY_AFTER` if the
-        /// request was queued until it was too late.
+        /// Estimated time until there is capacity, at least `MIN_RETRY_AFTER`, and up to
+        /// half as much longer, so that callers refused together return one by one.
         after: Duration,
     },
 }
@@ -174,12 +176,16 @@
     upstreams: HashMap<Upstream, UpstreamState>,
     /// Average run time in seconds, by route.
     run_times: HashMap<String, f64>,
+    /// The same over runs at upstreams that reported no queue.
+    bare_run_times: HashMap<String, f64>,
     /// Averages over all routes, by service.
     services: HashMap<String, ServiceAverages>,
     /// Time of the last request, by service and rank.
     rank_last_seen: HashMap<String, BTreeMap<u8, Time>>,
     /// Permits for upstreams that limit their rate.
     permits: Permits,
+    /// Times that the callers of each route bring.
+    arrivals: Arrivals,
 }
 
 /// What happens to a queued request.
@@ -188,36 +194,18 @@
     Wait {
         /// Upstream that could run the request, but limits its rate.
         permit_from: Option<Upstream>,
+        /// Owner of the request's key.
+        owner: Option<Upstream>,
     },
 }
 
-#[derive(Clone, Copy, Debug)]
-struct ServiceAverages {
-    /// Recent responses per second.
-    per_second: f64,
-    updated_at: Time,
-    /// Run time in seconds.
-    run_time: f64,
-}
-
-/// Time constant of the moving average of response rates.
-const RATE_AVERAGING_TIME: Duration = Duration::from_secs(1);
-
-/// Minimum fraction of a service's throughput that one of several instances is
-/// assumed to get.
-const MIN_THROUGHPUT_FRACTION: f64 = 0.05;
-
-impl ServiceAverages {
-    fn record_response(&mut self, now: Time, took: f64) {
-        self.per_second = self.per_second_at(now) + 1.0 / RATE_AVERAGING_TIME.as_secs_f64();
-        self.updated_at = now;
-        self.run_time += (took - self.run_time) * RUN_TIME_SMOOTHING;
-    }
-
-    fn per_second_at(&self, now: Time) -> f64 {
-        let age = now.since(self.updated_at).as_secs_f64();
-        self.per_second * (-age / RATE_AVERAGING_TIME.as_secs_f64()).exp()
-    }
+/// Requests that go on waiting before the one that is decided on.
+#[derive(Debug, Default)]
+struct Ahead {
+    /// Requests that wait for permits, by upstream and rank.
+    permit_demand: BTreeMap<Upstream, BTreeMap<u8, u32>>,
+    /// Requests with a key, by its owner.
+    owners: BTreeMap<Upstream, u32>,
 }
 
 impl Queue {
@@ -250,6 +238,18 @@
         &mut self.permits
     }
 
+    /// Judges the caller of a request that has just arrived, before the request is queued for
+    /// the first time. `patience` is the time that the caller has left, if it says so.
+    pub fn judge(
+        &mut self,
+        now: Time,
+        route: &str,
+        patience: Option<Duration>,
+        target_latency: Duration,
+    ) -> Standing {
+        self.arrivals.judge(now, route, patience, target_latency)
+    }
+
     /// Adds a request to the queue.
     ///
     /// # Errors
@@ -267,12 +267,12 @@
             .entry(request.service.clone())
             .or_default();
         ranks.insert(request.rank, now);
-        let refuse = |reason, after: Duration| {
-            let after = after.max(MIN_RETRY_AFTER);
-            Err(Decision::Refuse { reason, after })
-        };
         let remaining = request.deadline.since(now);
         let required_time = self.required_time(&request);
+        let refuse = |reason, wait| {
+            let after = return_delay(request.ticket, wait, remaining, required_time);
+            Err(Decision::Refuse { reason, after })
+        };
         let availability = lookup.availability(&request.service, request.key);
         let unreachable_until = self
             .owner_unreachable_until(now, &request, &availability)
@@ -289,6 +289,13 @@
             if wait + required_time > remaining {
                 return refuse(Reason::NoRoom, wait);
             }
+            let owner = request.key.and(availability.candidates.first());
+            let owner = owner.map(|owner| owner.upstream);
+            if self.should_return(now, &request, wait)
+                || self.presses_without_room(now, &request, owner, wait)
+            {
+                return refuse(Reason::Late, wait);
+            }
             if let Some(owner) = self.limited_owner(&request, &availability.candidates) {
                 let ahead = self.requests_ahead(now, &request, owner, lookup);
                 if let Some(wait) = self.excess_permit_wait(now, &request, owner, ahead) {
@@ -303,14 +310,40 @@
         Ok(())
     }
 
-    /// Key by which queued requests are sorted: rank, whether the request has waited
-    /// for too long, deadline.
-    fn sort_key(&self, now: Time, request: &QueuedRequest) -> (u8, bool, Time) {
-        let threshold = self
-            .expected_run_time(&request.route)
-            .mul_f64(DEMOTION_THRESHOLD_RUNS);
-        let is_demoted = now.since(request.arrived) > threshold;
-        (request.rank, is_demoted, request.deadline)
+    /// Key by which queued requests are sorted: rank, whether the target can't be met any
+    /// more, whether the request has waited for too long, arrival, deadline.
+    fn sort_key(&self, now: Time, request: &QueuedRequest) -> (u8, bool, bool, Arrival, Time) {
+        let expected = self.expected_run_time(&request.route);
+        let is_late = !request.is_on_target(now + expected);
+        let is_demoted = now.since(request.arrived) > expected.mul_f64(DEMOTION_THRESHOLD_RUNS);
+        let arrival = request.standing.arrival;
+        (request.rank, is_late, is_demoted, arrival, request.deadline)
+    }
+
+    /// Whether a request that would be sent after `wait` is better refused: it would miss its
+    /// target in the queue, and its caller, which has not come back as told, can do so.
+    fn should_return(&self, now: Time, request: &QueuedRequest, wait: Duration) -> bool {
+        let remaining = request.deadline.since(now);
+        let expected = self.expected_run_time(&request.route);
+        request.standing.arrival != Arrival::Returned
+            && wait >= MIN_RETRY_AFTER
+            && wait * RETRY_AFTER_DIVISOR <= remaining
+            && !request.is_on_target(now + wait + expected)
+    }
+
+    /// Whether the caller of a request did not wait as told and there is no idle room for it.
+    /// It would take the place of those that wait.
+    fn presses_without_room(
+        &self,
+        now: Time,
+        request: &QueuedRequest,
+        owner: Option<Upstream>,
+        wait: Duration,
+    ) -> bool {
+        let run_time = self.bare_run_time(&request.route);
+        let owner = owner.and_then(|owner| self.upstreams.get(&owner));
+        let is_busy = owner.is_some_and(|state| !state.queue_wait(now, run_time).is_zero());
+        request.standing.arrival == Arrival::Pressing && (is_busy || !wait.is_zero())
     }
 
     /// Removes a request whose caller has disconnected.
@@ -326,16 +359,18 @@
         let mut decisions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|request| self.sort_key(now, request));
-        // Requests that wait for permits, by upstream and rank.
-        let mut permit_demand: BTreeMap<Upstream, BTreeMap<u8, u32>> = BTreeMap::new();
+        let mut ahead = Ahead::default();
         waiting.retain(|request| {
-            let decision = match self.evaluate(now, request, lookup, &permit_demand) {
+            let decision = match self.evaluate(now, request, lookup, &ahead) {
                 Evaluation::Decided(decision) => decision,
-                Evaluation::Wait { permit_from } => {
+                Evaluation::Wait { permit_from, owner } => {
                     if let Some(upstream) = permit_from {
-                        let ranks = permit_demand.entry(upstream).or_default();
+                        let ranks = ahead.permit_demand.entry(upstream).or_default();
                         *ranks.entry(request.rank).or_default() += 1;
                     }
+                    if let Some(owner) = owner {
+                        *ahead.owners.entry(owner).or_default() += 1;
+                    }
                     return true;
                 }
             };
@@ -356,7 +391,7 @@
             false
         });
         self.waiting = waiting;
-        self.permits.set_waiting(&permit_demand);
+        self.permits.set_waiting(&ahead.permit_demand);
         decisions
     }
 
@@ -386,14 +421,15 @@
             let took = send.took.as_secs_f64();
             let average = self.run_times.entry(send.route.to_owned()).or_insert(took);
             *average += (took - *average) * RUN_TIME_SMOOTHING;
-            let averages =
-                self.services
-                    .entry(send.service.to_owned())
-                    .or_insert(ServiceAverages {
-                        per_second: 0.0,
-                        updated_at: now,
-                        run_time: took,
-                    });
+            if send.load.is_some_and(|load| load.waiting == 0) {
+                let bare = self.bare_run_times.entry(send.route.to_owned());
+                let average = bare.or_insert(took);
+                *average += (took - *average) * RUN_TIME_SMOOTHING;
+            }
+            let averages = self
+                .services
+                .entry(send.service.to_owned())
+                .or_insert(ServiceAverages::new(now, took));
             averages.record_response(now, took);
         }
     }
@@ -414,48 +450,56 @@
         self.permits.retain(known);
     }
 
-    /// Decides on a queued request. `permit_demand` has the requests before it that wait
-    /// for permits.
+    /// Decides on a queued request.
     fn evaluate(
         &self,
         now: Time,
         request: &QueuedRequest,
         lookup: &dyn UpstreamLookup,
-        permit_demand: &BTreeMap<Upstream, BTreeMap<u8, u32>>,
+        ahead: &Ahead,
     ) -> Evaluation {
-        let wait = Evaluation::Wait { permit_from: None };
         let remaining = request.deadline.since(now);
         let expected = self.expected_run_time(&request.route);
         let availability = lookup.availability(&request.service, request.key);
+        let owner = request.key.and(availability.candidates.first());
+        let wait = |permit_from| Evaluation::Wait {
+            permit_from,
+            owner: owner.map(|owner| owner.upstream),
+        };
         if remaining < self.required_time(request) {
             let reason = match availability.candidates.is_empty() {
                 true => Reason::NoUpstream,
                 false => Reason::NoRoom,
             };
-            let after = MIN_RETRY_AFTER;
-            return Evaluation::Decided(Decision::Refuse { reason, after });
+            return self.refuse(now, request, reason, Duration::ZERO);
         }
         if self
             .owner_unreachable_until(now, request, &availability)
             .is_some()
         {
-            return wait;
+            return wait(None);
         }
         if let Some(owner) = self.limited_owner(request, &availability.candidates)
             && !self.permits.may_send(now, owner)
         {
-            let ahead = permit_demand.get(&owner);
-            let ahead = ahead.map_or(0, |ranks| ranks.values().sum());
-            return match self.excess_permit_wait(now, request, owner, ahead) {
-                Some(after) => Evaluation::Decided(Decision::Refuse {
-                    reason: Reason::RateLimited,
-                    after: after.max(MIN_RETRY_AFTER),
-                }),
-                None => Evaluation::Wait {
-                    permit_from: Some(owner),
-                },
+            let demand = ahead.permit_demand.get(&owner);
+            let before = demand.map_or(0, |ranks| ranks.values().sum());
+            return match self.excess_permit_wait(now, request, owner, before) {
+                Some(wait) => self.refuse(now, request, Reason::RateLimited, wait),
+                None => wait(Some(owner)),
             };
         }
+        if let Some(owner) = owner {
+            let before = ahead.owners.get(&owner.upstream).copied().unwrap_or(0);
+            let until_sent = self.owner_wait(now, owner, before, expected);
+            let required = self.required_time_at(now, request, owner.upstream);
+            if until_sent.max(required) > remaining {
+                return self.refuse(now, request, Reason::NoRoom, until_sent);
+            }
+            if self.is_owner_full(now, request, owner.upstream) {
+                return wait(None);
+            }
+        }
         let choice = selection::choose(&Selection {
             now,
             request,
@@ -466,9 +510,7 @@
             is_outranked: self.is_outranked(now, request),
         });
         let Some(candidate) = choice.candidate else {
-            return Evaluation::Wait {
-                permit_from: choice.limited,
-            };
+            return wait(choice.limited);
         };
         Evaluation::Decided(Decision::Send {
             upstream: candidate.upstream,
@@ -477,51 +519,25 @@
         })
     }
 
-    /// Owner of the request's key, if it limits its rate.
-    fn limited_owner(&self, request: &QueuedRequest, candidates: &[Candidate]) -> Option<Upstream> {
-        request.key?;
-        let owner = candidates.first()?.upstream;
-        self.permits.is_limited(owner).then_some(owner)
-    }
-
-    /// Estimated time until the request gets a permit of the owner of its key, if that is
-    /// too long for it to be kept in the queue; `None` if it may wait. Newer requests
-    /// overtake one that has waited for `DEMOTION_THRESHOLD_RUNS`, so that it would be
-    /// refused in the end. The first in line waits for as long as its deadline allows:
-    /// otherwise nobody would use the next permit of a slow upstream.
-    fn excess_permit_wait(
+    /// Refuses a queued request, for which there is room after `wait`.
+    fn refuse(
         &self,
         now: Time,
         request: &QueuedRequest,
-        owner: Upstream,
-        ahead: u32,
-    ) -> Option<Duration> {
-        let (wait, is_first) = self.permits.estimated_wait(now, owner, request.rank, ahead);
-        let is_late = wait + self.required_time(request) > request.deadline.since(now);
-        let threshold = self
-            .expected_run_time(&request.route)
-            .mul_f64(DEMOTION_THRESHOLD_RUNS);
-        let is_overtaken = !is_first && now.since(request.arrived) + wait > threshold;
-        (is_late || is_overtaken).then_some(wait)
+        reason: Reason,
+        wait: Duration,
+    ) -> Evaluation {
+        let remaining = request.deadline.since(now);
+        let required = self.required_time(request);
+        let after = return_delay(request.ticket, wait, remaining, required);
+        Evaluation::Decided(Decision::Refuse { reason, after })
     }
 
-    /// Number of queued requests for the keys of `owner` that are sent before a request.
-    fn requests_ahead(
-        &self,
-        now: Time,
-        request: &QueuedRequest,
-        owner: Upstream,
-        lookup: &dyn UpstreamLookup,
-    ) -> u32 {
-        let key = self.sort_key(now, request);
-        let ahead = self.waiting.iter().filter(|other| {
-            other.service == request.service && self.sort_key(now, other) <= key && {
-                let availability = lookup.availability(&other.service, other.key);
-                let first = availability.candidates.first();
-                first.is_some_and(|candidate| candidate.upstream == owner)
-            }
-        });
-        ahead.count() as u32
+    /// Owner of the request's key, if it limits its rate.
+    fn limited_owner(&self, request: &QueuedRequest, candidates: &[Candidate]) -> Option<Upstream> {
+        request.key?;
+        let owner = candidates.first()?.upstream;
+        self.permits.is_limited(owner).then_some(owner)
     }
 
     /// Time until which the owner of the request's key is considered unreachable from
@@ -550,11 +566,6 @@
         candidates.iter().map(paused_until).min().flatten()
     }
 
-    fn required_time(&self, request: &QueuedRequest) -> Duration {
-        self.expected_run_time(&request.route)
-            .mul_f64(REQUIRED_RUN_FRACTION)
-    }
-
     /// Whether more urgent requests for the same service arrived recently.
     fn is_outranked(&self, now: Time, request: &QueuedRequest) -> bool {
         let ranks = self.rank_last_seen.get(&request.service);
@@ -563,36 +574,4 @@
             more_urgent.any(|(_, seen)| now.since(*seen) < RANK_ACTIVE_PERIOD)
         })
     }
-
-    /// Estimates the time until a request is sent, from the requests ahead of it.
-    fn estimated_wait(
-        &self,
-        now: Time,
-        request: &QueuedRequest,
-        candidates: &[Candidate],
-        lookup: &dyn UpstreamLookup,
-    ) -> Duration {
-        let expected = self.expected_run_time(&request.route);
-        if request.key.is_none() {
-            let key = self.sort_key(now, request);
-            let before = self.waiting.iter().filter(|other| {
-                other.service == request.service && self.sort_key(now, other) <= key
-            });
-            let ahead = before.count();
-            let slots: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
-            let averages = self.services.get(&request.service);
-            let rate = averages.map_or(0.0, |averages| averages.per_second_at(now));
-            let min_rate =
-                f64::from(slots) / expected.as_secs_f64().max(0.001) * MIN_THROUGHPUT_FRACTION;
-            let seconds = ahead as f64 / rate.max(min_rate);
-            return Duration::from_secs_f64(seconds.min(60.0));
-        }
-        let Some(owner) = candidates.first() else {
-            return Duration::ZERO;
-        };
-        let ahead = self.requests_ahead(now, request, owner.upstream, lookup);
-        let initial = UpstreamState::new(owner.slots);
-        let state = self.upstreams.get(&owner.upstream).unwrap_or(&initial);
-        state.estimated_wait(now, ahead as usize, expected, QUEUE_DEPTH)
-    }
 }
--- a/crates/core/src/entry/queue/selection.rs
+++ b/crates/core/src/entry/queue/selection.rs
@@ -12,7 +12,7 @@
 /// Number of requests beyond its slots up to which requests of rank 0 are sent to an
 /// upstream. While several instances send to it, filling its slots exactly would leave
 /// some of them idle.
-const URGENT_QUEUE_DEPTH: f64 = 2.0;
+pub(super) const URGENT_QUEUE_DEPTH: f64 = 2.0;
 
 /// Number of requests beyond its slots up to which requests of other ranks are sent to
 /// an upstream, unless more urgent ones arrive.
--- a/crates/core/src/entry/upstream_state.rs
+++ b/crates/core/src/entry/upstream_state.rs
@@ -127,6 +127,22 @@
         f64::from(self.in_flight) + decayed
     }
 
+    /// Least number of requests at the upstream if each run takes `run_time`: those that were
+    /// reported, less what it can have finished since, and those of this instance.
+    pub fn undrained_load(&self, now: Time, run_time: Duration) -> f64 {
+        let age = now.since(self.reported_at).as_secs_f64();
+        let finished = age / run_time.as_secs_f64().max(0.001) * f64::from(self.slots);
+        f64::from(self.in_flight) + (self.other_requests - finished).max(0.0)
+    }
+
+    /// Estimated time for which a request sent now waits in the upstream's own queue, if each
+    /// run takes `run_time`.
+    pub fn queue_wait(&self, now: Time, run_time: Duration) -> Duration {
+        let load = self.occupancy(now).max(self.undrained_load(now, run_time));
+        let excess = (load + 1.0 - f64::from(self.slots)).max(0.0);
+        run_time.mul_f64(excess / f64::from(self.slots))
+    }
+
     /// Estimates the time until a request is sent that has `ahead` requests of this
     /// instance before it. Each is assumed to run for `expected`, and up to `depth`
     /// requests may be queued at the upstream. The result is at most 60 s.
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic of an entry instance.
 
+mod admission;
 mod directory;
 mod doubt;
 mod fixture;
@@ -8,6 +9,7 @@
 mod leadership;
 mod ledger;
 mod map;
+mod outcome;
 mod ownership;
 mod plan;
 mod queue;
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use medlarreel_core::entry::queue::arrival::{Arrival, Standing};
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, FinishedSend, Queue, QueuedRequest, Reason, Ticket,
     UpstreamLookup,
@@ -56,6 +57,7 @@
         arrived: now,
         deadline: now + time_left,
         tried: Vec::new(),
+        standing: Standing::first(now + time_left),
     }
 }
 
@@ -367,3 +369,92 @@
     assert_eq!(sent_tickets(&paused), Vec::<u64>::new());
     assert_eq!(sent_tickets(&resumed), [3]);
 }
+
+/// Requests 1 to 6 fill an upstream; the tickets of the others are returned as they are sent
+/// when it has room again.
+fn order_of_sends(waiting: &[(u64, Arrival, Duration)]) -> Vec<u64> {
+    let (mut queue, upstreams, now) = (Queue::default(), upstreams(1), at(0));
+    for ticket in 1..=8 {
+        let request = QueuedRequest {
+            key: Some(7),
+            ..request(ticket, 0, now, ms(2_000))
+        };
+        queue.enqueue(now, request, &upstreams).unwrap();
+    }
+    queue.decide(now, &upstreams);
+    for (ticket, arrival, until_target) in waiting {
+        let standing = Standing {
+            arrival: *arrival,
+            target: now + *until_target,
+        };
+        let request = QueuedRequest {
+            key: Some(7),
+            standing,
+            ..request(*ticket, 0, now, ms(2_000))
+        };
+        queue.enqueue(now, request, &upstreams).unwrap();
+    }
+    let mut sent = Vec::new();
+    for _ in waiting {
+        finish_run(&mut queue, now, 0, None, ms(150));
+        sent.extend(sent_tickets(&queue.decide(now, &upstreams)));
+    }
+    sent
+}
+
+/// Guards against callers that come first being served before one that has come back as it
+/// was told.
+#[test]
+fn returned_callers_go_before_first_ones() {
+    let waiting = [
+        (12, Arrival::First, ms(800)),
+        (13, Arrival::Returned, ms(800)),
+    ];
+
+    let sent = order_of_sends(&waiting);
+
+    assert_eq!(sent, [13, 12]);
+}
+
+/// Guards against late answers being made while others could still be in time, and against
+/// late requests being left out where there is room.
+#[test]
+fn late_requests_yield_to_those_that_can_be_in_time() {
+    let waiting = [
+        (11, Arrival::Returned, ms(100)),
+        (12, Arrival::First, ms(800)),
+    ];
+
+    let sent = order_of_sends(&waiting);
+
+    assert_eq!(sent, [12, 11]);
+}
+
+/// Guards against a caller that comes back at once taking the place of those that wait, and
+/// against its being refused where there is idle room.
+#[test]
+fn pressing_caller_gets_only_idle_room() {
+    let (mut queue, upstreams, now) = (Queue::default(), upstreams(1), at(0));
+    let arriving = |ticket, arrival| QueuedRequest {
+        key: Some(7),
+        standing: Standing {
+            arrival,
+            target: at(800),
+        },
+        ..request(ticket, 0, now, ms(2_000))
+    };
+
+    let idle = queue.enqueue(now, arriving(1, Arrival::Pressing), &upstreams);
+    for ticket in 2..8 {
+        let request = arriving(ticket, Arrival::First);
+        queue.enqueue(now, request, &upstreams).unwrap();
+    }
+    queue.decide(now, &upstreams);
+    let pressing = queue.enqueue(now, arriving(8, Arrival::Pressing), &upstreams);
+    let first = queue.enqueue(now, arriving(9, Arrival::First), &upstreams);
+
+    let reason = Reason::Late;
+    assert_eq!(idle, Ok(()));
+    assert!(matches!(pressing, Err(Decision::Refuse { reason: given, .. }) if given == reason));
+    assert_eq!(first, Ok(()));
+}
--- a/crates/core/tests/entry/rate_limit.rs
+++ b/crates/core/tests/entry/rate_limit.rs
@@ -6,6 +6,7 @@
 
 use medlarreel_core::entry::limiter::Limiter;
 use medlarreel_core::entry::permit::{Announcement, Demand, Grant, Notice, Permits, Rate};
+use medlarreel_core::entry::queue::arrival::Standing;
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, FinishedSend, Queue, QueuedRequest, Reason, Ticket,
     UpstreamLookup,
@@ -51,6 +52,7 @@
         arrived: now,
         deadline: now + ms(3_000),
         tried: Vec::new(),
+        standing: Standing::first(now + ms(3_000)),
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics of one instance.
 
+use medlarreel_core::entry::queue::Reason;
+use medlarreel_core::entry::queue::arrival::Arrival;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -12,7 +14,7 @@
 pub struct RequestLabels {
     /// Name of the route; `-` if the request was not matched to one.
     pub route: String,
-    /// How the request ended, or why it was sent again.
+    /// How the request ended, why it was refused or sent again, or how it arrived.
     pub outcome: String,
 }
 
@@ -33,6 +35,12 @@
     registry: Registry,
     /// Requests by route and outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Refusals before a send, by route and reason.
+    pub refusals: Family<RequestLabels, Counter>,
+    /// Requests by route and by what is known of their callers.
+    pub arrivals: Family<RequestLabels, Counter>,
+    /// Answers after the target of the route, by route and by what is known of the caller.
+    pub late_answers: Family<RequestLabels, Counter>,
     /// Requests that were sent again, by route and reason.
     pub resends: Family<RequestLabels, Counter>,
     /// Calls to the store and orders to upstreams, by kind and outcome.
@@ -70,6 +78,9 @@
         let metrics = Metrics {
             registry: Registry::default(),
             requests: Family::default(),
+            refusals: Family::default(),
+            arrivals: Family::default(),
+            late_answers: Family::default(),
             resends: Family::default(),
             calls: Family::default(),
             latency,
@@ -89,6 +100,21 @@
             "Requests by route and outcome",
             metrics.requests.clone(),
         );
+        registry.register(
+            "refusals",
+            "Refusals before a send by route and reason",
+            metrics.refusals.clone(),
+        );
+        registry.register(
+            "arrivals",
+            "Requests by route and by whether their caller returns",
+            metrics.arrivals.clone(),
+        );
+        registry.register(
+            "late_answers",
+            "Answers after the target by route and by whether their caller returns",
+            metrics.late_answers.clone(),
+        );
         registry.register(
             "resends",
             "Second sends by route and reason",
@@ -177,6 +203,24 @@
             .inc();
     }
 
+    /// Counts a request that is refused before it is sent.
+    pub fn count_refusal(&self, route: &str, reason: Reason) {
+        let labels = RequestLabels::new(route, &format!("{reason:?}"));
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request by what is known of its caller.
+    pub fn count_arrival(&self, route: &str, arrival: Arrival) {
+        let labels = RequestLabels::new(route, &format!("{arrival:?}"));
+        self.arrivals.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer after the target of its route.
+    pub fn count_late_answer(&self, route: &str, arrival: Arrival) {
+        let labels = RequestLabels::new(route, &format!("{arrival:?}"));
+        self.late_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that is sent again. `reason` becomes its `outcome` label.
     pub fn count_resend(&self, route: &str, reason: &str) {
         self.resends
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -12,7 +12,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use medlarreel_core::code::Outcome;
-use medlarreel_core::entry::queue::{Decision, FinishedSend, QueuedRequest, Reason, Ticket};
+use medlarreel_core::entry::outcome::{Cause, Ending, Progress, Reply, Verdict};
+use medlarreel_core::entry::queue::arrival::{MIN_RETRY_AFTER, Standing};
+use medlarreel_core::entry::queue::{
+    Decision, FinishedSend, QueuedRequest, RETRY_AFTER_DIVISOR, Reason, Ticket,
+};
 use medlarreel_core::entry::upstream_state::SendResult;
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::retry::{Attempt, RetryDecision};
@@ -21,9 +25,10 @@
 
 use request::{RoutedRequest, count_keyed_request, read_request};
 use response::{empty_response, forwarded_response, refusal_response, with_connection_close};
-use send::{SendOutcome, send_to_upstream};
+use send::send_to_upstream;
 
 use crate::crashes::trials::{self, Clearance};
+use crate::platform::headers;
 use crate::state::State;
 
 /// Number of connection failures up to which a request that was never sent is retried.
@@ -36,15 +41,12 @@
 
 /// `Retry-After` of a request that is refused because this instance is shutting down. Other
 /// instances can serve it at once.
-const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
+const STOPPED_RETRY_AFTER: Duration = MIN_RETRY_AFTER;
 
 /// Number of average run times that must remain before the end of a shutdown for a request to
 /// be sent.
 const STOP_LEAD_RUNS: u32 = 3;
 
-/// `Retry-After` is at most the remaining time of the caller divided by this number.
-const RETRY_AFTER_DIVISOR: u32 = 3;
-
 /// Serves a caller's request and returns the response by its deadline.
 pub async fn serve_request(
     state: &Rc<State>,
@@ -60,18 +62,19 @@
         state.metrics.count_request(&request.route.name, "stopping");
         return with_connection_close(refusal_response(Some(STOPPED_RETRY_AFTER)));
     }
+    let standing = judge_caller(state, &request);
     state.earn_retry_budget(arrived, &request.service);
     count_keyed_request(state, &request);
     let mut open_request = OpenRequest {
         state,
         request: &request,
-        progress: SendProgress::default(),
+        progress: Progress::default(),
         answered: false,
     };
     let remaining = request.deadline.since(arrived);
     let served = tokio::time::timeout(
         remaining,
-        send_with_retries(state, &request, &mut open_request.progress),
+        send_with_retries(state, &request, standing, &mut open_request.progress),
     );
     let result = tokio::select! {
         result = served => result.ok(),
@@ -89,28 +92,12 @@
     response
 }
 
-/// State of the attempts to send a request.
-#[derive(Default)]
-struct SendProgress {
-    /// Whether an upstream is handling the request now.
-    in_flight: bool,
-    /// Whether an earlier send may have run without a usable response.
-    unresolved: bool,
-    tried: Vec<Upstream>,
-    sends: u32,
-    /// Number of sends that were refused because the upstream does not hold the key.
-    refused_by_owner: u32,
-    connect_failures: u32,
-    /// Number of new connections that the upstream has closed at once.
-    closed_connects: u32,
-}
-
 /// A request that has not been answered yet. It is dropped unanswered if the caller
 /// leaves, which is then counted and logged.
 struct OpenRequest<'a> {
     state: &'a State,
     request: &'a RoutedRequest,
-    progress: SendProgress,
+    progress: Progress,
     answered: bool,
 }
 
@@ -128,27 +115,36 @@
             id = self.request.id,
             route = self.request.route.name,
             key = self.request.key,
-            sends = self.progress.sends,
+            sends = self.progress.arrivals(),
             waited_ms,
             "caller left"
         );
     }
 }
 
-impl SendProgress {
-    /// Whether the request may be running or may have run at an upstream.
-    fn may_have_run(&self) -> bool {
-        self.in_flight || self.unresolved
-    }
+/// Judges by the time that the caller has left whether it has been refused before.
+fn judge_caller(state: &State, request: &RoutedRequest) -> Standing {
+    let patience = headers::parse_u64(&request.headers, &headers::DEADLINE_MS);
+    let patience = patience.map(Duration::from_millis);
+    let route = &request.route;
+    let standing = state.queue.borrow_mut().judge(
+        request.arrived,
+        &route.name,
+        patience,
+        route.target_latency,
+    );
+    state.metrics.count_arrival(&route.name, standing.arrival);
+    standing
 }
 
 async fn send_with_retries(
     state: &Rc<State>,
     request: &RoutedRequest,
-    progress: &mut SendProgress,
+    standing: Standing,
+    progress: &mut Progress,
 ) -> Response<Full<Bytes>> {
     loop {
-        let decision = match wait_for_upstream(state, request, progress).await {
+        let decision = match wait_for_upstream(state, request, standing, progress).await {
             Ok(decision) => decision,
             Err(until) => return refuse_suspect(state, request, progress, until),
         };
@@ -178,17 +174,25 @@
         assignment.begin_send();
         let sent = send_to_upstream(state, request, upstream, progress).await;
         drop(trial);
-        let (outcome, why) = match sent {
-            SendOutcome::Responded(response) => {
+        let (ending, why) = match sent {
+            Ok(response) => {
+                progress.end(Ending::Answered);
                 state.metrics.count_request(&request.route.name, "answered");
+                if state.clock.now() > standing.target {
+                    let metrics = &state.metrics;
+                    metrics.count_late_answer(&request.route.name, standing.arrival);
+                }
                 return forwarded_response(request, response);
             }
-            SendOutcome::NotRun(why) => (Outcome::NotRun, why.to_owned()),
-            SendOutcome::NotSent(why) => (Outcome::NotRun, why),
-            SendOutcome::Unknown(why) => (Outcome::Unknown, why),
+            Err(failure) => (failure.ending, failure.why),
+        };
+        progress.end(ending);
+        let outcome = match ending {
+            Ending::Doubtful => Outcome::Unknown,
+            _ => Outcome::NotRun,
         };
         if !approve_resend(state, request, progress, outcome, &why, expected) {
-            return give_up(state, request, progress, outcome, &why);
+            return give_up(state, request, progress, &why);
         }
     }
 }
@@ -201,7 +205,8 @@
 async fn wait_for_upstream(
     state: &Rc<State>,
     request: &RoutedRequest,
-    progress: &SendProgress,
+    standing: Standing,
+    progress: &Progress,
 ) -> Result<Decision, Time> {
     let fingerprint = || request.fingerprint();
     if let Some(until) = state.blocked_until(fingerprint) {
@@ -216,7 +221,8 @@
         rank: request.route.rank,
         arrived: request.arrived,
         deadline: request.deadline,
-        tried: progress.tried.clone(),
+        tried: progress.tried().to_vec(),
+        standing,
     };
     let now = state.clock.now();
     let enqueued = state
@@ -326,7 +332,7 @@
 fn approve_resend(
     state: &State,
     request: &RoutedRequest,
-    progress: &SendProgress,
+    progress: &Progress,
     outcome: Outcome,
     why: &str,
     expected: Duration,
@@ -339,22 +345,18 @@
         deadline: request.deadline,
     };
     // A failed connection reached no upstream and costs no retry budget.
-    let never_sent = progress.sends == 0;
+    let never_sent = progress.arrivals() == 0;
     let decision = match (is_in_time, never_sent) {
         (false, _) => RetryDecision::Late,
         (true, true)
-            if progress.connect_failures <= MAX_CONNECT_FAILURES
-                && progress.closed_connects <= MAX_CLOSED_CONNECTS =>
+            if progress.connect_failures() <= MAX_CONNECT_FAILURES
+                && progress.closed_connects() <= MAX_CLOSED_CONNECTS =>
         {
             RetryDecision::Send
         }
         (true, true) => RetryDecision::Spent,
         // The limit is on upstreams that may run the request.
-        (true, false)
-            if progress.sends - progress.refused_by_owner >= request.route.max_attempts =>
-        {
-            RetryDecision::Spent
-        }
+        (true, false) if progress.attempts() >= request.route.max_attempts => RetryDecision::Spent,
         (true, false) => {
             let mut budgets = state.retry_budgets.borrow_mut();
             budgets
@@ -370,7 +372,7 @@
         id = request.id,
         route = request.route.name,
         why,
-        sends = progress.sends,
+        sends = progress.arrivals(),
         left_ms,
         verdict = ?decision,
         "send failed"
@@ -381,11 +383,10 @@
 fn give_up(
     state: &State,
     request: &RoutedRequest,
-    progress: &SendProgress,
-    outcome: Outcome,
+    progress: &Progress,
     why: &str,
 ) -> Response<Full<Bytes>> {
-    let not_run = outcome == Outcome::NotRun && !progress.may_have_run();
+    let not_run = progress.verdict() == Verdict::NotRun;
     let label = if not_run { "refused" } else { "failed" };
     state.metrics.count_request(&request.route.name, label);
     tracing::info!(
@@ -396,16 +397,14 @@
         not_run,
         "request given up"
     );
-    match not_run {
-        true => refusal_response(retry_after(state, request, Duration::from_millis(100))),
-        false => empty_response(StatusCode::BAD_GATEWAY),
-    }
+    let after = retry_after(state, request, MIN_RETRY_AFTER);
+    failure_response(progress, Cause::GivenUp, after)
 }
 
 fn refuse_request(
     state: &State,
     request: &RoutedRequest,
-    progress: &SendProgress,
+    progress: &Progress,
     reason: Reason,
     after: Duration,
 ) -> Response<Full<Bytes>> {
@@ -418,15 +417,16 @@
         key = request.key,
         reason = ?reason,
         waited_ms,
+        left_ms = request.deadline.since(now).as_millis() as u64,
+        after_ms = after.as_millis() as u64,
         owners = ?owners_revision,
         waiting = state.queue.borrow().len(),
         "request refused"
     );
     state.metrics.count_request(&request.route.name, "refused");
-    match progress.may_have_run() {
-        true => empty_response(StatusCode::BAD_GATEWAY),
-        false => refusal_response(retry_after(state, request, after)),
-    }
+    state.metrics.count_refusal(&request.route.name, reason);
+    let after = retry_after(state, request, after);
+    failure_response(progress, Cause::GivenUp, after)
 }
 
 /// Refuses a request that is suspected of crashing upstreams. This attempt has not run,
@@ -434,7 +434,7 @@
 fn refuse_suspect(
     state: &State,
     request: &RoutedRequest,
-    progress: &SendProgress,
+    progress: &Progress,
     until: Time,
 ) -> Response<Full<Bytes>> {
     let after = until.since(state.clock.now());
@@ -443,36 +443,48 @@
         route = request.route.name,
         key = request.key,
         fingerprint = %request.fingerprint(),
-        sends = progress.sends,
+        sends = progress.arrivals(),
         blocked_s = after.as_secs(),
         "request refused: upstreams have ended under it"
     );
     state.metrics.count_request(&request.route.name, "blocked");
-    match progress.may_have_run() {
-        true => empty_response(StatusCode::BAD_GATEWAY),
-        // It will not be served in time, so the delay is not shortened to the deadline.
-        false => refusal_response(Some(after)),
-    }
+    // It will not be served in time, so the delay is not shortened to the deadline.
+    failure_response(progress, Cause::GivenUp, Some(after))
 }
 
 /// Returns the response for a request whose deadline, or the time of a shutdown, has passed.
 fn deadline_response(
     state: &State,
     request: &RoutedRequest,
-    progress: &SendProgress,
+    progress: &Progress,
 ) -> Response<Full<Bytes>> {
     tracing::info!(
         id = request.id,
         route = request.route.name,
         key = request.key,
-        sends = progress.sends,
+        sends = progress.arrivals(),
         stopping = state.stopping.get(),
         "deadline passed"
     );
-    state.metrics.count_request(&request.route.name, "late");
-    match progress.may_have_run() {
-        true => empty_response(StatusCode::GATEWAY_TIMEOUT),
-        false => refusal_response(None),
+    let label = match progress.verdict() {
+        Verdict::NotRun => "late",
+        Verdict::Unknown => "cut",
+    };
+    state.metrics.count_request(&request.route.name, label);
+    failure_response(progress, Cause::Deadline, None)
+}
+
+/// Returns the response that is true of what is known of the request's runs. `after` is the
+/// `Retry-After` of a refusal.
+fn failure_response(
+    progress: &Progress,
+    cause: Cause,
+    after: Option<Duration>,
+) -> Response<Full<Bytes>> {
+    match progress.reply(cause) {
+        Reply::Refusal => refusal_response(after),
+        Reply::Failure => empty_response(StatusCode::BAD_GATEWAY),
+        Reply::Timeout => empty_response(StatusCode::GATEWAY_TIMEOUT),
     }
 }
 
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
+use medlarreel_core::entry::outcome::{Ending, Progress};
 use medlarreel_core::entry::queue::FinishedSend;
 use medlarreel_core::entry::upstream_state::{ReportedLoad, SendResult};
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
-use super::SendProgress;
 use super::request::RoutedRequest;
 use super::response::end_to_end_headers;
 use crate::connection::BufferedResponse;
@@ -26,17 +26,24 @@
 /// second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Outcome of sending a request once. The texts are reasons for the log and for the label
-/// of the `resends` metric.
-pub(super) enum SendOutcome {
-    /// The upstream sent a complete, valid response.
-    Responded(BufferedResponse),
-    /// The upstream did not run the request.
-    NotRun(&'static str),
-    /// Nothing was sent, usually because no connection was established.
-    NotSent(String),
-    /// The request may have run.
-    Unknown(String),
+/// Time by which the deadline that an upstream is given is before that of the request. The
+/// upstream's word that it has not begun must arrive before the caller is answered: a round
+/// trip between failure domains, and some milliseconds for a busy instance to handle it.
+const UPSTREAM_RESERVE: Duration = Duration::from_millis(15);
+
+/// A send without a response that can be passed on.
+pub(super) struct Failure {
+    /// How the send ended.
+    pub(super) ending: Ending,
+    /// Reason for the log and for the label of the `resends` metric.
+    pub(super) why: String,
+}
+
+impl Failure {
+    fn new(ending: Ending, why: impl Into<String>) -> Failure {
+        let why = why.into();
+        Failure { ending, why }
+    }
 }
 
 /// A request that is being sent to an upstream. Dropping it records its result in the
@@ -83,13 +90,17 @@
     }
 }
 
-/// Sends a request to an upstream once and records the attempt in `progress`.
+/// Sends a request to an upstream once. `progress` learns when it is written.
+///
+/// # Errors
+///
+/// Returns how the send ended if there is no complete, valid response.
 pub(super) async fn send_to_upstream(
     state: &Rc<State>,
     request: &RoutedRequest,
     upstream: Upstream,
-    progress: &mut SendProgress,
-) -> SendOutcome {
+    progress: &mut Progress,
+) -> Result<BufferedResponse, Failure> {
     let mut in_flight_send = InFlightSend {
         state,
         request,
@@ -105,7 +116,7 @@
         .get(upstream)
         .map(|record| (record.registration.address, record.registration.id.clone()))
     else {
-        return SendOutcome::NotRun("upstream unknown");
+        return Err(Failure::new(Ending::NotWritten, "upstream unknown"));
     };
     let now = state.clock.now();
     let connect_timeout = CONNECT_TIMEOUT.min(request.deadline.since(now));
@@ -121,45 +132,44 @@
     let mut connection = match connection.await {
         Ok(connection) => connection,
         Err(error) => {
-            if error == Error::NotAccepted {
-                in_flight_send.result = SendResult::Refused;
-                progress.closed_connects += 1;
-            } else {
-                in_flight_send.result = SendResult::ConnectFailed;
-                progress.connect_failures += 1;
-            }
-            return SendOutcome::NotSent(error.to_string());
+            let (result, ending) = match error {
+                Error::NotAccepted => (SendResult::Refused, Ending::NotAccepted),
+                _ => (SendResult::ConnectFailed, Ending::NotWritten),
+            };
+            in_flight_send.result = result;
+            return Err(Failure::new(ending, error.to_string()));
         }
     };
     let now = state.clock.now();
     let remaining = request.deadline.since(now);
+    let can_end = state
+        .queue
+        .borrow()
+        .can_end(now, &request.route.name, request.deadline);
+    if !can_end {
+        state.return_connection(now, upstream, connection, &HeaderMap::new());
+        return Err(Failure::new(Ending::NotWritten, "too late to be sent"));
+    }
     let outgoing = match build_upstream_request(request, &upstream_id, remaining) {
         Ok(outgoing) => outgoing,
         Err(error) => {
             tracing::error!(id = request.id, %error, "failed to build upstream request");
-            return SendOutcome::NotRun("request can't be passed on");
+            return Err(Failure::new(
+                Ending::NotWritten,
+                "request can't be passed on",
+            ));
         }
     };
     let sent_at = now;
     in_flight_send.is_unanswered = true;
-    progress.in_flight = true;
-    progress.sends += 1;
-    if !progress.tried.contains(&upstream) {
-        progress.tried.push(upstream);
-    }
+    progress.begin_write(upstream);
     let sent = connection.send_request(outgoing, remaining).await;
     in_flight_send.is_unanswered = matches!(sent, Err(Error::NoResponse(_)));
     let response = match sent {
         Ok(response) => response,
-        Err(Error::NotSent(why)) => {
-            progress.in_flight = false;
-            progress.sends -= 1;
-            progress.connect_failures += 1;
-            return SendOutcome::NotSent(why);
-        }
+        Err(Error::NotSent(why)) => return Err(Failure::new(Ending::NotWritten, why)),
         Err(error) => {
             in_flight_send.result = SendResult::Failed;
-            (progress.in_flight, progress.unresolved) = (false, true);
             if matches!(error, Error::ConnectionLost(_)) {
                 let fingerprint = request.fingerprint();
                 tracing::info!(
@@ -171,10 +181,9 @@
                 );
                 crashes::record_lost_connection(state, upstream, fingerprint);
             }
-            return SendOutcome::Unknown(error.to_string());
+            return Err(Failure::new(Ending::Doubtful, error.to_string()));
         }
     };
-    progress.in_flight = false;
     in_flight_send.load = headers::parse_load(&response.headers);
     let ran = validate_response(request, &response, connection.has_refused());
     if response.status != StatusCode::MISDIRECTED_REQUEST
@@ -209,7 +218,7 @@
             }
             let now = state.clock.now();
             state.return_connection(now, upstream, connection, &response.headers);
-            SendOutcome::Responded(response)
+            Ok(response)
         }
         Ok(false) => {
             if connection.record_refusal(&request.id) {
@@ -218,17 +227,20 @@
             }
             match response.status {
                 StatusCode::MISDIRECTED_REQUEST => {
-                    progress.refused_by_owner += u32::from(request.key.is_some());
                     record_ownership(state, request, upstream, false);
-                    SendOutcome::NotRun("not the owner")
+                    let ending = match request.key {
+                        Some(_) => Ending::NotOwner,
+                        None => Ending::NotExecuted,
+                    };
+                    Err(Failure::new(ending, "not the owner"))
+                }
+                _ => {
+                    let why = "refused by the upstream";
+                    Err(Failure::new(Ending::NotExecuted, why))
                 }
-                _ => SendOutcome::NotRun("refused by the upstream"),
             }
         }
-        Err(why) => {
-            progress.unresolved = true;
-            SendOutcome::Unknown(why.into())
-        }
+        Err(why) => Err(Failure::new(Ending::Doubtful, why)),
     }
 }
 
@@ -284,7 +296,11 @@
     if !request.body.is_empty() || request.headers.contains_key(header::CONTENT_LENGTH) {
         fields.insert(header::CONTENT_LENGTH, request.body.len().into());
     }
-    fields.insert(headers::DEADLINE_MS, (remaining.as_millis() as u64).into());
+    let upstream_deadline = remaining.saturating_sub(UPSTREAM_RESERVE);
+    fields.insert(
+        headers::DEADLINE_MS,
+        (upstream_deadline.as_millis() as u64).into(),
+    );
     fields.insert(
         headers::TARGET_INSTANCE,
         HeaderValue::try_from(upstream_id)?,
