--- a/crates/core/src/entry/queue/arrival.rs
+++ b/crates/core/src/entry/queue/arrival.rs
@@ -148,15 +148,13 @@
         }
         let sample = self.routes.get_mut(route).expect("just inserted");
         sample.record(patience);
-        let spent = sample.usual.map_or(Duration::ZERO, |usual| {
+        sample.usual.map_or(Duration::ZERO, |usual| {
             let spent = usual.saturating_sub(patience);
-            if spent <= tolerance(usual) {
-                Duration::ZERO
-            } else {
-                spent
+            match spent <= tolerance(usual) {
+                true => Duration::ZERO,
+                false => spent,
             }
-        });
-        spent
+        })
     }
 }
 
--- a/crates/core/src/entry/routes.rs
+++ b/crates/core/src/entry/routes.rs
@@ -52,8 +52,8 @@
     pub idempotent: bool,
     /// Maximum time that a caller waits for a response.
     pub timeout: Duration,
-    /// Latency that responses should stay within, as set by the operator. Nothing is done
-    /// if a response exceeds it.
+    /// Latency that responses should stay within, as set by the operator; zero if none is set.
+    /// Requests that can't meet it any more yield to those that can.
     pub target_latency: Duration,
     /// Rank, 0 being the most urgent.
     pub rank: u8,
--- a/crates/core/tests/entry/admission.rs
+++ b/crates/core/tests/entry/admission.rs
@@ -140,10 +140,10 @@
             let is_over = server.running.first_key_value()?.0.0 <= now;
             is_over.then(|| server.running.pop_first()).flatten()
         };
-        for index in 0..servers.len() {
-            while let Some(((_, id), sent)) = finished(&mut servers[index]) {
-                servers[index].start_runs(now);
-                let report = servers[index].load();
+        for (index, server) in servers.iter_mut().enumerate() {
+            while let Some(((_, id), sent)) = finished(server) {
+                server.start_runs(now);
+                let report = server.load();
                 let caller = &callers[&id];
                 let result = SendResult::Ran;
                 let queue = &mut queues[(caller.instance % INSTANCES) as usize];
@@ -152,23 +152,23 @@
             }
             let is_cut = |id: u64| now.since(callers[&id].began) >= PATIENCE;
             let cut: Vec<(u64, Time)> = {
-                let running = servers[index].running.iter();
+                let running = server.running.iter();
                 let running = running.map(|((_, id), sent)| (*id, *sent));
-                let waiting = servers[index].waiting.iter().copied();
+                let waiting = server.waiting.iter().copied();
                 running
                     .chain(waiting)
                     .filter(|(id, _)| is_cut(*id))
                     .collect()
             };
             for (id, sent) in cut {
-                servers[index].running.retain(|(_, other), _| *other != id);
-                servers[index].waiting.retain(|(other, _)| *other != id);
+                server.running.retain(|(_, other), _| *other != id);
+                server.waiting.retain(|(other, _)| *other != id);
                 let caller = callers.remove(&id).unwrap();
                 let queue = &mut queues[(caller.instance % INSTANCES) as usize];
                 record(queue, now, index, SendResult::CallerLeft, None, sent);
                 tally.cut += u32::from(caller.began >= at(4_000));
             }
-            servers[index].start_runs(now);
+            server.start_runs(now);
         }
         while let Some(((time, id), ())) = returns.pop_first() {
             if time > now {
