--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod map;
 pub mod memory;
+pub mod outcome;
 pub mod permit;
 pub mod plan;
 pub mod queue;
--- a/crates/core/tests/entry/even_load.rs
+++ b/crates/core/tests/entry/even_load.rs
@@ -7,6 +7,7 @@
 use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::time::Duration;
 
+use medlarreel_core::entry::queue::arrival::Standing;
 use medlarreel_core::entry::queue::{
     Availability, Candidate, Decision, FinishedSend, Queue, QueuedRequest, Ticket, UpstreamLookup,
 };
@@ -447,6 +448,7 @@
             arrived: request.arrived,
             deadline,
             tried: request.tried.clone(),
+            standing: Standing::first(deadline),
         };
         if instance.queue.enqueue(self.now, queued, &lookup).is_err() {
             self.figures.late += 1;
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic of an entry instance.
 
+mod admission;
 mod check;
 mod cold;
 mod connections;
@@ -16,6 +17,7 @@
 mod link;
 mod map;
 mod memory;
+mod outcome;
 mod ownership;
 mod plan;
 mod queue;
