Count the time without reads from the last read, not from the last heartbeat

Cause: a leader that was cut off from the store went on naming its last read in heartbeats for 1 s, and the others waited 1 s more after that before they read.

Change: what counts is the time of the last read itself. The leader's reads wait 400 ms instead of 600, so that the interval between the reads that others hear of stays below the threshold.

--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -166,7 +166,7 @@
             return false;
         }
         self.observe_era(era);
-        self.reader_heard = Some(now);
+        self.reader_heard = self.reader_heard.max(Some(now - age));
         match self.next_offset() {
             Some(next) if end <= next => self.as_of = self.as_of.max(now - age),
             _ => self.mark_behind(now),
@@ -203,7 +203,7 @@
         !self.readable && waited >= stagger(reader_position.unwrap_or(u32::MAX))
     }
 
-    /// Whether no other instance that reads the topic has been heard for `MAX_READ_AGE`.
+    /// Whether nothing that another instance has read within `MAX_READ_AGE` has been heard of.
     pub fn is_silent(&self, now: Time) -> bool {
         let heard = self.reader_heard;
         heard.is_none_or(|heard| now.since(heard) >= MAX_READ_AGE)
--- a/crates/core/tests/entry/follow.rs
+++ b/crates/core/tests/entry/follow.rs
@@ -106,6 +106,20 @@
     assert!(!position.should_ask_leader(), "records were received");
 }
 
+/// Guards against records that arrive twice as late if the leader is cut off from the store:
+/// the age of its last read and the time without news of a later one must not add up.
+#[test]
+fn time_without_reads_counts_from_the_last_read() {
+    let mut position = loaded();
+
+    for now in (0..1_000).step_by(250) {
+        position.observe_reader(at(now), ERA, 100, ms(now));
+    }
+
+    assert!(!position.should_read(at(990), false, 0));
+    assert!(position.should_read(at(1_000), false, 0));
+}
+
 /// Guards against trusting a leader that itself gets no responses from the store.
 #[test]
 fn outdated_reads_do_not_count() {
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -31,8 +31,10 @@
 use crate::state::State;
 
 /// Time for which a read by the leader waits for a record. If the connection stalls, new
-/// records are delayed by up to this time plus the call timeout.
-const LEADER_READ_WAIT: Duration = Duration::from_millis(600);
+/// records are delayed by up to this time plus the call timeout. With the interval of the
+/// heartbeats, one of which may be lost, it stays below `MAX_READ_AGE`, so that others read
+/// only if the leader does not.
+const LEADER_READ_WAIT: Duration = Duration::from_millis(400);
 
 /// Time for which a read by a follower waits for a record. The other instances of its
 /// failure domain hear of each read, and read themselves after `MAX_READ_AGE` without.
