--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -64,7 +64,7 @@
     /// Whether the topic has been loaded, in this era or an earlier one.
     loaded: bool,
     as_of: Time,
-    /// Time of the last message from a reader whose reads are not outdated.
+    /// Time of the latest read by another instance that was heard of.
     reader_heard: Option<Time>,
     /// Since when records are known to be missing.
     behind_since: Option<Time>,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -28,8 +28,8 @@
 use medlarreel_macros::data;
 use tokio::net::UdpSocket;
 
-use crate::reader::bootstrap::Snapshot;
 use crate::reader::feed::{Progress, RecordBatch, Topic};
+use crate::reader::snapshot::Snapshot;
 use crate::state::State;
 
 /// Maximum datagram size; UDP over IPv4 carries at most 65,507 bytes.
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 pub mod feed;
 pub mod history;
+pub mod snapshot;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/entry/src/reader/bootstrap.rs
+++ b/crates/entry/src/reader/bootstrap.rs
@@ -8,16 +8,15 @@
 use std::time::Duration;
 
 use medlarreel_core::entry::directory::Registration;
-use medlarreel_core::entry::evacuation::Evacuation;
 use medlarreel_core::entry::follow::MAX_READ_AGE;
 use medlarreel_core::time::Time;
-use medlarreel_macros::data;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
 use super::feed::{Progress, Topic};
 use super::reader_position;
+use super::snapshot::{Content, Snapshot};
 use crate::peers::{self, Message};
 use crate::platform::config;
 use crate::platform::store::KeyedRecord;
@@ -34,34 +33,6 @@
 /// directories are loaded from the store.
 const MAX_REGISTRATIONS: usize = 800;
 
-/// Contents of a topic, sent to an instance that must load it.
-#[data(value)]
-pub struct Snapshot {
-    /// Time at the receiver at which it sent its request.
-    requested_at: Time,
-    /// How far the sender has read the topic.
-    progress: Progress,
-    content: Content,
-}
-
-#[data(value)]
-enum Content {
-    /// What the operator has ordered.
-    Config {
-        /// Encoded configuration.
-        config: Vec<u8>,
-        /// Orders to evacuate failure domains.
-        evacuations: Vec<Evacuation>,
-    },
-    /// Registrations of upstreams.
-    Directory {
-        /// Registrations of all registered upstreams.
-        registered: Vec<Registration>,
-        /// Registrations that count again after a delay.
-        returns: Vec<(Registration, Duration)>,
-    },
-}
-
 /// Requests snapshots of a topic until one has been applied, or until the topic, which has
 /// had no offset from `since` on, is to be loaded from the store. The leader loads it from
 /// the store at once, since the others wait for its records.
