Stop requests to leaving upstreams earlier on congested links

Cause: an empty answer of the store counted as read up to 30 ms before its arrival, also if it had waited on a congested link, so that a change that was written meanwhile seemed to be newer than it was. Messages between instances have the same delay, which can't be measured.

Change: an empty answer shows no more than the time that the store has waited, and the margin within the drain limit covers half a second for messages.

--- a/crates/core/src/entry/follow.rs
+++ b/crates/core/src/entry/follow.rs
@@ -221,6 +221,16 @@
     }
 }
 
+/// Time up to which a read that was sent at `started` shows all records. The store answers a
+/// read without records once `wait` is over; when that answer arrives says less, since it may
+/// wait on a congested link.
+pub fn read_up_to(started: Time, wait: Duration, is_empty: bool) -> Time {
+    match is_empty {
+        true => started + wait,
+        false => started,
+    }
+}
+
 /// Delay before the next read after `failures` consecutive failed ones. The leader's is
 /// constant: its reads end the outage for all other instances.
 pub fn retry_delay(is_leader: bool, failures: u32) -> Duration {
--- a/crates/core/tests/entry/follow.rs
+++ b/crates/core/tests/entry/follow.rs
@@ -1,7 +1,7 @@
 //! Following a topic of the store through other instances.
 
 use medlarreel_core::entry::era::Era;
-use medlarreel_core::entry::follow::{Fit, Position, retry_delay};
+use medlarreel_core::entry::follow::{Fit, Position, read_up_to, retry_delay};
 
 use crate::fixture::{at, ms};
 
@@ -120,6 +120,16 @@
     assert!(position.should_read(at(1_000), false, 0));
 }
 
+/// Guards against records that count as read although they were written while an empty answer
+/// was on its way: what upstreams that leave are sent after that would be too late.
+#[test]
+fn an_empty_answer_shows_no_more_than_the_time_that_the_store_has_waited() {
+    let empty = read_up_to(at(100), ms(500), true);
+    let records = read_up_to(at(100), ms(500), false);
+
+    assert_eq!((empty, records), (at(600), at(100)));
+}
+
 /// Guards against trusting a leader that itself gets no responses from the store.
 #[test]
 fn outdated_reads_do_not_count() {
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -219,12 +219,7 @@
         }
     };
     let to_forward = apply_records(state, topic, &records, false, Duration::ZERO);
-    // A response without records shows that there were none until it was sent.
-    let read_up_to = if records.is_empty() {
-        now - DELIVERY_TIME
-    } else {
-        started
-    };
+    let read_up_to = follow::read_up_to(started, wait, records.is_empty());
     let grace = removal_time(state, Duration::ZERO).since(now);
     let batch = RecordBatch {
         topic,
@@ -238,7 +233,7 @@
         grace_ms: grace.as_millis() as u64,
     };
     let batch = (!records.is_empty()).then_some(batch);
-    advance(state, topic, end, read_up_to.max(started), batch.as_ref());
+    advance(state, topic, end, read_up_to, batch.as_ref());
     Ok(batch)
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -47,8 +47,9 @@
 use crate::settings::Settings;
 
 /// Safety margin within the drain limit of a leaving upstream, for requests in flight and
-/// for the delay with which registrations are read.
-const DRAIN_RESERVE: Duration = Duration::from_millis(450);
+/// for the delay with which registrations are read: messages and requests wait for up to half
+/// a second each on a congested link of 10 Mbit/s.
+const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 
 /// Time without a response from the store that counts as an outage.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
