--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the cases of the second review: the platform's store, backends of one keyed
 //! service, and clients. Standard library only.
 //!
-//! Cases: `late-copies` and `endless`.
+//! Cases: `late-copies`, `endless` and `odd-keys`.
 //!
 //! Usage: standin-2 CASE TROUBLE ROUTER_PROGRAM FOLDER
 //!
@@ -33,6 +33,9 @@
 
 const KEYS: usize = 1 << 16;
 
+/// Records in one page of the newest records of a topic; the pages allow 500 at most.
+const PAGE: usize = 50;
+
 // ---------------------------------------------------------------- HTTP
 
 /// A parsed HTTP/1.1 message: start line, header fields in lower case, and body.
@@ -191,6 +194,33 @@
     text
 }
 
+/// Decodes a value of a query.
+fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        let code = tail
+            .get(..2)
+            .and_then(|code| std::str::from_utf8(code).ok());
+        let decoded = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        match (first, decoded) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            (b'+', _) => {
+                bytes.push(b' ');
+                rest = tail;
+            }
+            _ => {
+                bytes.push(*first);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 // ---------------------------------------------------------------- random numbers
 
 /// Small generator of random numbers (xorshift), with a fixed seed for each use.
@@ -376,7 +406,7 @@
             }
             "/medlarreel/log-newest" => {
                 let records = topics.entry(topic).or_default();
-                let after = query.get("after").copied().unwrap_or("");
+                let after = decode_percent(query.get("after").copied().unwrap_or(""));
                 let mut newest: BTreeMap<&str, (usize, &[u8])> = BTreeMap::new();
                 for (offset, (key, value)) in records.iter().enumerate() {
                     match value.is_empty() {
@@ -386,15 +416,17 @@
                 }
                 let items: Vec<String> = newest
                     .iter()
-                    .filter(|(key, _)| **key > after)
+                    .filter(|(key, _)| **key > &*after)
+                    .take(PAGE + 1)
                     .map(|(key, (offset, value))| {
                         let value = base64(value);
                         format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
                     })
                     .collect();
                 let body = format!(
-                    "{{\"items\":[{}],\"hasMore\":false,\"end\":{}}}",
-                    items.join(","),
+                    "{{\"items\":[{}],\"hasMore\":{},\"end\":{}}}",
+                    items[..items.len().min(PAGE)].join(","),
+                    items.len() > PAGE,
                     records.len()
                 );
                 response("200 OK", &json, body.as_bytes())
@@ -1120,12 +1152,28 @@
     routers: Vec<Mutex<Router>>,
 }
 
+/// Starts a deployment and waits until it is up.
 fn start_deployment(
     trouble: Option<Trouble>,
     program: &Path,
     folder: &Path,
     backends: usize,
     routers: usize,
+) -> Result<Deployment, String> {
+    let deployment = launch(trouble, program, folder, backends, routers, 0)?;
+    deployment.wait_until_up()?;
+    Ok(deployment)
+}
+
+/// Starts a deployment in whose store another writer has left entries beside those of the
+/// backends.
+fn launch(
+    trouble: Option<Trouble>,
+    program: &Path,
+    folder: &Path,
+    backends: usize,
+    routers: usize,
+    other_entries: usize,
 ) -> Result<Deployment, String> {
     let record = Record::new();
     let store = Arc::new(Store::default());
@@ -1147,45 +1195,50 @@
     for _ in 0..backends {
         start_backend(&world).map_err(|error| error.to_string())?;
     }
+    for number in 0..other_entries {
+        let entry = "{\"service\":\"backup\",\"state\":\"done\"}";
+        let key = format!("nightly job {number:02}");
+        world.store.put("keyed.servers", &key, Some(entry));
+        world
+            .record
+            .note(format!("another writer puts servers/{key}: {entry}"));
+    }
     let mut started = Vec::new();
     for number in 1..=routers {
         let router = start_router(program, folder, store_address, number);
         let router = router.map_err(|error| format!("the router doesn't start: {error}"))?;
         started.push(Mutex::new(router));
     }
-    let deployment = Deployment {
+    Ok(Deployment {
         world,
         routers: started,
-    };
-    let deadline = Instant::now() + Duration::from_secs(15);
-    let is_up = || {
-        let all_ready = deployment
-            .routers
-            .iter()
-            .all(|router| router.lock().unwrap().is_ready());
-        let now = deployment.world.micros();
-        let held: usize = deployment
-            .world
-            .lock()
-            .iter()
-            .map(|state| state.holds.iter().filter(|hold| hold.until > now).count())
-            .sum();
-        all_ready && held == KEYS
-    };
-    while !is_up() {
-        if Instant::now() > deadline {
-            return Err("the routers are not ready, or some keys have no holder".into());
-        }
-        thread::sleep(Duration::from_millis(100));
-    }
-    deployment
-        .world
-        .record
-        .note("all routers are ready, and all keys have a holder".into());
-    Ok(deployment)
+    })
 }
 
 impl Deployment {
+    /// Waits until all routers are ready and each key has a holder.
+    fn wait_until_up(&self) -> Result<(), String> {
+        let deadline = Instant::now() + Duration::from_secs(15);
+        let is_up = || {
+            let now = self.world.micros();
+            let backends = self.world.lock();
+            let holds = backends.iter().flat_map(|state| &state.holds);
+            let held = holds.filter(|hold| hold.until > now).count();
+            drop(backends);
+            let mut routers = self.routers.iter();
+            held == KEYS && routers.all(|router| router.lock().unwrap().is_ready())
+        };
+        while !is_up() {
+            if Instant::now() > deadline {
+                return Err("the routers are not ready, or some keys have no holder".into());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        let record = &self.world.record;
+        record.note("all routers are ready, and all keys have a holder".into());
+        Ok(())
+    }
+
     /// Starts clients, runs `body`, and stops the clients.
     fn with_clients(&self, count: u64, body: impl FnOnce(&Arc<World>, &[Mutex<Router>])) -> u64 {
         let routers = self.routers.iter();
@@ -1316,6 +1369,32 @@
     Ok(record)
 }
 
+/// The whole system starts while the store has entries of another writer.
+fn odd_keys(program: &Path, folder: &Path, has_trouble: bool) -> Result<Arc<Record>, String> {
+    let other_entries = if has_trouble { 40 } else { 0 };
+    let deployment = launch(None, program, folder, 15, 3, other_entries)?;
+    let served = deployment.with_clients(30, |world, routers| {
+        for _ in 0..40 {
+            thread::sleep(Duration::from_secs(1));
+            for router in routers {
+                let router = router.lock().unwrap();
+                let state = if router.is_ready() {
+                    "ready"
+                } else {
+                    "not ready"
+                };
+                world.record.note(format!("{} is {state}", router.name));
+            }
+        }
+    });
+    let record = Arc::clone(&deployment.world.record);
+    record.note(format!("{served} requests served"));
+    if served == 0 {
+        record.violation("Fault: no request is served in 40 s after the start".into());
+    }
+    Ok(record)
+}
+
 fn finish(deployment: &Deployment, served: u64) -> Result<Arc<Record>, String> {
     let record = Arc::clone(&deployment.world.record);
     record.note(format!("{served} requests served"));
@@ -1338,6 +1417,7 @@
     let outcome = match case.as_str() {
         "late-copies" => late_copies(Path::new(program), &scratch, has_trouble),
         "endless" => endless(Path::new(program), &scratch, has_trouble),
+        "odd-keys" => odd_keys(Path::new(program), &scratch, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
