Review case 8: an entry of an unknown service takes a backend out of use

Cause: the directory lets any later entry at an address displace the backend there, also one whose service the configuration does not name. Nothing is fixed.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the cases of the second review: the platform's store, backends of one keyed
 //! service, and clients. Standard library only.
 //!
-//! Cases: `late-copies`, `endless` and `odd-keys`.
+//! Cases: `late-copies`, `endless`, `odd-keys` and `watched`.
 //!
 //! Usage: standin-2 CASE TROUBLE ROUTER_PROGRAM FOLDER
 //!
@@ -452,6 +452,8 @@
 #[derive(Default)]
 struct BackendState {
     id: String,
+    /// Address and port that it listens on.
+    address: String,
     holds: Vec<Hold>,
     /// Keys of the requests that run, by the number of the run.
     running: BTreeMap<u64, (usize, String)>,
@@ -518,6 +520,7 @@
         let index = backends.len();
         backends.push(BackendState {
             id: format!("i-{:08x}", 0x5a17_0000 + index),
+            address: address.to_string(),
             holds: vec![Hold::default(); KEYS],
             ..BackendState::default()
         });
@@ -1160,7 +1163,7 @@
     backends: usize,
     routers: usize,
 ) -> Result<Deployment, String> {
-    let deployment = launch(trouble, program, folder, backends, routers, 0)?;
+    let deployment = launch(trouble, program, folder, backends, routers, |_| Vec::new())?;
     deployment.wait_until_up()?;
     Ok(deployment)
 }
@@ -1173,7 +1176,7 @@
     folder: &Path,
     backends: usize,
     routers: usize,
-    other_entries: usize,
+    other_entries: impl Fn(&[String]) -> Vec<(String, String)>,
 ) -> Result<Deployment, String> {
     let record = Record::new();
     let store = Arc::new(Store::default());
@@ -1195,10 +1198,12 @@
     for _ in 0..backends {
         start_backend(&world).map_err(|error| error.to_string())?;
     }
-    for number in 0..other_entries {
-        let entry = "{\"service\":\"backup\",\"state\":\"done\"}";
-        let key = format!("nightly job {number:02}");
-        world.store.put("keyed.servers", &key, Some(entry));
+    let addresses: Vec<String> = {
+        let backends = world.lock();
+        backends.iter().map(|state| state.address.clone()).collect()
+    };
+    for (key, entry) in other_entries(&addresses) {
+        world.store.put("keyed.servers", &key, Some(&entry));
         world
             .record
             .note(format!("another writer puts servers/{key}: {entry}"));
@@ -1369,19 +1374,54 @@
     Ok(record)
 }
 
+/// Entries of another writer whose keys contain a blank.
+fn odd_keys(_: &[String]) -> Vec<(String, String)> {
+    let entry = "{\"service\":\"backup\",\"state\":\"done\"}";
+    let keys = (0..40).map(|number| format!("nightly job {number:02}"));
+    keys.map(|key| (key, entry.to_owned())).collect()
+}
+
+/// Entries of another writer, an agent that watches each backend and registers its address
+/// under a service that the configuration does not name.
+fn watching_agents(addresses: &[String]) -> Vec<(String, String)> {
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
+        + 1;
+    let entries = addresses.iter().enumerate();
+    entries
+        .map(|(number, address)| {
+            let entry = format!(
+                "{{\"service\":\"watch\",\"address\":\"{address}\",\"zone\":\"pk-north-a\",\
+                 \"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"warmupLeftS\":0,\
+                 \"sequence\":1,\"born\":{born}}}"
+            );
+            (format!("watch-{number:02}"), entry)
+        })
+        .collect()
+}
+
 /// The whole system starts while the store has entries of another writer.
-fn odd_keys(program: &Path, folder: &Path, has_trouble: bool) -> Result<Arc<Record>, String> {
-    let other_entries = if has_trouble { 40 } else { 0 };
+fn other_writer(
+    program: &Path,
+    folder: &Path,
+    has_trouble: bool,
+    entries: fn(&[String]) -> Vec<(String, String)>,
+) -> Result<Arc<Record>, String> {
+    let other_entries = |addresses: &[String]| match has_trouble {
+        true => entries(addresses),
+        false => Vec::new(),
+    };
     let deployment = launch(None, program, folder, 15, 3, other_entries)?;
     let served = deployment.with_clients(30, |world, routers| {
         for _ in 0..40 {
             thread::sleep(Duration::from_secs(1));
             for router in routers {
                 let router = router.lock().unwrap();
-                let state = if router.is_ready() {
-                    "ready"
-                } else {
-                    "not ready"
+                let state = match router.is_ready() {
+                    true => "ready",
+                    false => "not ready",
                 };
                 world.record.note(format!("{} is {state}", router.name));
             }
@@ -1417,7 +1457,8 @@
     let outcome = match case.as_str() {
         "late-copies" => late_copies(Path::new(program), &scratch, has_trouble),
         "endless" => endless(Path::new(program), &scratch, has_trouble),
-        "odd-keys" => odd_keys(Path::new(program), &scratch, has_trouble),
+        "odd-keys" => other_writer(Path::new(program), &scratch, has_trouble, odd_keys),
+        "watched" => other_writer(Path::new(program), &scratch, has_trouble, watching_agents),
         _ => Err(format!("unknown case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
