--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,6 +8,6 @@
     echo "build first: the build of deploy/system.toml and review/build-2.sh" >&2
     exit 2
 fi
-timeout --kill-after=2 118 "$standin" odd-keys "${TROUBLE:-1}" "$router" review/9
+timeout --signal=KILL 118 "$standin" odd-keys "${TROUBLE:-1}" "$router" review/9
 code=$?
 case "$code" in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
