--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -485,8 +485,8 @@
     backends: Mutex<Vec<BackendState>>,
     changed: Condvar,
     next_run: AtomicU64,
-    /// Backends that have begun each attempt, and whether they were sound.
-    ran: Mutex<HashMap<String, Vec<(String, bool)>>>,
+    /// Backends that have begun each attempt.
+    ran: Mutex<HashMap<String, Vec<String>>>,
     /// Share of the answers that backends in trouble spoil now, in thousandths.
     spoil_share: AtomicU64,
     trouble: Option<Trouble>,
@@ -810,10 +810,9 @@
     state.running.insert(number, (key, attempt.clone()));
     let load = format!("{},{},{SLOTS}", state.running.len(), state.waiting);
     let id = state.id.clone();
-    let is_sound = state.spoiled == 0 && !state.in_trouble;
     drop(backends);
     let mut ran = world.ran.lock().unwrap();
-    ran.entry(attempt.clone()).or_default().push((id, is_sound));
+    ran.entry(attempt.clone()).or_default().push(id);
     drop(ran);
     // The work takes as long as on the site, and stops if the caller leaves.
     let work = match request.words().0 {
@@ -987,7 +986,6 @@
 fn client(world: &World, fronts: &[SocketAddr], number: u64, served: &AtomicU64) {
     let mut random = Random::new(number + 77);
     let mut wire: Option<Wire> = None;
-    let mut front = fronts[0];
     let mut count = 0;
     while !world.stopping.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(60 + random.below(120)));
@@ -1003,7 +1001,7 @@
             false => ("GET", "/status/x", ""),
         };
         if wire.is_none() {
-            front = fronts[random.below(fronts.len() as u64) as usize];
+            let front = fronts[random.below(fronts.len() as u64) as usize];
             let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1));
             wire = stream.ok().map(Wire::new);
         }
