--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -166,6 +166,7 @@
     /// Announces this instance in the store and adds the others to its members. Returns
     /// the addresses of those that it did not know. Retries until the store responds.
     async fn join(&mut self, state: &State) -> Vec<SocketAddr> {
+        let mut last_error = None;
         loop {
             let listed = self.announce().await;
             state.observe_store_era(self.store.era());
@@ -187,7 +188,10 @@
                 }
                 Err(error) => {
                     state.record_store_result(false);
-                    tracing::debug!(%error, "failed to announce this instance");
+                    if last_error.as_ref() != Some(&error) {
+                        tracing::info!(%error, "failed to announce this instance");
+                        last_error = Some(error);
+                    }
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -1,5 +1,7 @@
 //! Client of the platform's log store.
 
+use std::collections::HashSet;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +10,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http::{Request, StatusCode};
 use medlarreel_core::entry::era::Era;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 
 use crate::body::Payload;
@@ -26,6 +29,14 @@
 /// Maximum size of the records in one response, in KiB.
 const MAX_READ_KIB: u32 = 1_024;
 
+/// Characters that are encoded in the target of a call: all but those that RFC 3986 leaves
+/// unreserved.
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// A record of a keyed topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
@@ -117,17 +128,21 @@
     /// # Errors
     ///
     /// Returns `Restored` if a new era began between two pages, or another error if the
-    /// call fails or the response is invalid.
+    /// call fails or the response is invalid, as is a page that is not the last one and has
+    /// no further key.
     pub async fn read_latest(&mut self, topic: &str) -> Result<LatestRecords, Error> {
         let mut latest = LatestRecords::default();
+        let mut keys = HashSet::new();
         let mut era = None;
-        let mut after = String::new();
+        let mut after: Option<String> = None;
         loop {
-            let query = match after.is_empty() {
-                true => format!("/medlarreel/log-newest?topic={topic}&part=0"),
-                false => format!("/medlarreel/log-newest?topic={topic}&part=0&after={after}"),
+            let target = match &after {
+                Some(key) => target("log-newest", topic, &[("after", key)]),
+                None => target("log-newest", topic, &[]),
             };
-            let response = self.call("GET", &query, Bytes::new(), CALL_TIMEOUT).await?;
+            let response = self
+                .call("GET", &target, Bytes::new(), CALL_TIMEOUT)
+                .await?;
             check_status(&response, &[StatusCode::OK])?;
             if *era.get_or_insert(self.era) != self.era {
                 return Err(Error::Restored);
@@ -136,24 +151,28 @@
                 serde_json::from_slice(&response.body.into_bytes()).map_err(malformed)?;
             // The pages are not a consistent snapshot. Reading on from the end that the
             // first page reports covers every change made between the pages.
-            if after.is_empty() {
+            if after.is_none() {
                 latest.next_offset = page.end;
             }
-            if let Some(last) = page.items.last() {
-                after.clone_from(&last.key);
-            }
-            let has_more = page.has_more && !page.items.is_empty();
+            after = page.items.last().map(|last| last.key.clone());
+            let known_keys = keys.len();
             for item in page.items {
                 let value = STANDARD.decode(&item.value).map_err(malformed)?;
+                keys.insert(item.key.clone());
                 latest.records.push(KeyedRecord {
                     key: item.key,
                     value: (!value.is_empty()).then(|| value.into()),
                     offset: item.offset,
                 });
             }
-            if !has_more {
+            if !page.has_more {
                 return Ok(latest);
             }
+            // Otherwise the same page could be read without end.
+            if keys.len() == known_keys {
+                let end = after.unwrap_or_default();
+                return Err(malformed(format!("no further keys behind {end:?}")));
+            }
         }
     }
 
@@ -169,12 +188,14 @@
         from: u64,
         wait: Duration,
     ) -> Result<ReadOutcome, Error> {
-        let path = format!(
-            "/medlarreel/log-read?topic={topic}&part=0&from={from}&maxKb={MAX_READ_KIB}&waitMs={}",
-            wait.as_millis()
-        );
+        let parameters: [(&str, &dyn Display); 3] = [
+            ("from", &from),
+            ("maxKb", &MAX_READ_KIB),
+            ("waitMs", &wait.as_millis()),
+        ];
+        let target = target("log-read", topic, &parameters);
         let response = self
-            .call("GET", &path, Bytes::new(), CALL_TIMEOUT + wait)
+            .call("GET", &target, Bytes::new(), CALL_TIMEOUT + wait)
             .await?;
         if response.status == StatusCode::GONE {
             return Ok(ReadOutcome::Trimmed);
@@ -198,12 +219,12 @@
         value: &[u8],
         as_of: Option<u64>,
     ) -> Result<AppendOutcome, Error> {
-        let mut path = format!("/medlarreel/log-append?topic={topic}&part=0");
-        if let Some(end) = as_of {
-            path.push_str(&format!("&asOf={end}"));
-        }
+        let target = match &as_of {
+            Some(end) => target("log-append", topic, &[("asOf", end)]),
+            None => target("log-append", topic, &[]),
+        };
         let response = self
-            .call("POST", &path, encode_record(key, value), CALL_TIMEOUT)
+            .call("POST", &target, encode_record(key, value), CALL_TIMEOUT)
             .await?;
         if response.status == StatusCode::PRECONDITION_FAILED {
             return Ok(AppendOutcome::Conflict);
@@ -217,13 +238,13 @@
     async fn call(
         &mut self,
         method: &str,
-        path: &str,
+        target: &str,
         body: Bytes,
         timeout: Duration,
     ) -> Result<BufferedResponse, Error> {
         let request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(target)
             .header(http::header::HOST, self.address.to_string())
             .body(Payload::from(body))
             .map_err(malformed)?;
@@ -242,6 +263,19 @@
     }
 }
 
+/// Returns the target of a call for the only partition of a topic. The topic and the values
+/// are percent-encoded: keys are chosen by other writers and may hold any character.
+fn target(call: &str, topic: &str, parameters: &[(&str, &dyn Display)]) -> String {
+    let topic = utf8_percent_encode(topic, ENCODED);
+    let mut target = format!("/medlarreel/{call}?topic={topic}&part=0");
+    for (name, value) in parameters {
+        let value = value.to_string();
+        let value = utf8_percent_encode(&value, ENCODED);
+        target.push_str(&format!("&{name}={value}"));
+    }
+    target
+}
+
 fn check_status(response: &BufferedResponse, statuses: &[StatusCode]) -> Result<(), Error> {
     match statuses.contains(&response.status) {
         true => Ok(()),
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -80,6 +80,7 @@
     let mut store = StoreClient::new(address);
     let mut failures = 0;
     let mut load_due_since = None;
+    let mut last_error = None;
     let feed = state.feed(topic);
     loop {
         if !feed.must_load() {
@@ -95,17 +96,21 @@
         }
         let started = state.clock.now();
         let read = read_topic(&state, topic, &mut store, started).await;
-        match &read {
+        match read {
             Ok(batch) => {
                 failures = 0;
+                last_error = None;
                 state.metrics.count_call(topic.label(), "done");
                 state.record_store_result(true);
-                forward_read(&state, topic, &socket, batch.clone()).await;
+                forward_read(&state, topic, &socket, batch).await;
                 tokio::time::sleep(MIN_READ_INTERVAL).await;
             }
             Err(error) => {
                 state.metrics.count_call(topic.label(), "failed");
-                tracing::debug!(topic = topic.label(), %error, "failed to read from the store");
+                if last_error.as_ref() != Some(&error) {
+                    tracing::info!(topic = topic.label(), %error, "failed to read from the store");
+                    last_error = Some(error);
+                }
                 state.record_store_result(false);
                 failures += 1;
                 wait_for_retry(&state, topic, &socket, failures).await;
--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -119,3 +119,22 @@
     assert!(refused.is_empty(), "{refused:?}");
     assert_eq!(cluster.held_key_count(), 1 << 16);
 }
+
+/// Guards against instances that can't load the registrations because of the key of one of
+/// them, when a page of the store ends with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn registrations_are_loaded_behind_odd_keys() {
+    let mut cluster = start_cluster().await;
+    let keys = [
+        "", "a b", "k#1", "k&part=7", "k\"", "k\0", "k\n", "k\u{7f}", "k\u{e4}", "k%41",
+    ];
+    for key in keys {
+        put(&cluster, key, r#"{"service":"backup","state":"done"}"#);
+    }
+    cluster.store.service().set_page_items(1);
+
+    // It replaces the only instance, so that no other one has the registrations.
+    cluster.instance = start_instance(cluster.store.address()).await;
+
+    cluster.wait_until_served().await;
+}
--- a/crates/entry/tests/path/store_client.rs
+++ b/crates/entry/tests/path/store_client.rs
@@ -1,10 +1,13 @@
 //! Client of the store: results that take several responses.
 
 use medlarreel_entry::error::Error;
-use medlarreel_entry::platform::store::StoreClient;
+use medlarreel_entry::platform::store::{LatestRecords, StoreClient};
 use medlarreel_standin::platform::store::{self, Store};
 use medlarreel_standin::server::{Server, any_port};
 use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+use crate::fixture::TEST_TIMEOUT;
 
 /// Topic that is read.
 const TOPIC: &str = "keyed.servers";
@@ -19,6 +22,14 @@
     store
 }
 
+/// Reads the latest records. Panics if the read does not end.
+async fn read_to_end(client: &mut StoreClient) -> Result<LatestRecords, Error> {
+    let tasks = LocalSet::new();
+    let reading = tasks.run_until(client.read_latest(TOPIC));
+    let outcome = timeout(TEST_TIMEOUT, reading).await;
+    outcome.expect("the topic is read without end")
+}
+
 /// Guards against records that are left out because they are not in the first page.
 #[tokio::test]
 async fn latest_records_are_read_from_all_pages() {
@@ -54,3 +65,59 @@
     assert_eq!(read_again.unwrap().next_offset, 3);
     assert_eq!(client.era().0, 2);
 }
+
+/// Guards against a key that another writer has chosen and that the store takes for another
+/// one, or that ends the read, when a page ends with it.
+#[tokio::test]
+async fn latest_records_are_read_behind_any_key() {
+    let long = "k".repeat(255);
+    let mut keys = vec![
+        "",
+        " ",
+        "\"",
+        "\0",
+        "\n",
+        "\r\n",
+        "\u{7f}",
+        "#",
+        "%",
+        "%41",
+        "&",
+        "&part=7",
+        "+",
+        "/",
+        "=",
+        "?",
+        "A",
+        "\\",
+        "a b",
+        "job#1",
+        "\u{e4}",
+        "\u{1f511}",
+        &long,
+    ];
+    keys.sort_unstable();
+    let store = start_store(&keys).await;
+    store.service().set_page_items(1);
+    let mut client = StoreClient::new(store.address());
+
+    let latest = read_to_end(&mut client).await;
+
+    let latest = latest.unwrap();
+    let read = latest.records.iter().map(|record| record.key.as_str());
+    assert_eq!(read.collect::<Vec<_>>(), keys);
+    assert_eq!(store.service().request_count() as usize, keys.len());
+}
+
+/// Guards against a load that reads one page again and again without a pause.
+#[tokio::test]
+async fn page_without_further_keys_fails_the_read() {
+    let store = start_store(&["a", "b", "c"]).await;
+    store.service().repeat_first_page();
+    let mut client = StoreClient::new(store.address());
+
+    let latest = read_to_end(&mut client).await;
+
+    assert!(matches!(latest, Err(Error::Malformed(_))), "{latest:?}");
+    assert_eq!(store.service().request_count(), 2);
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -50,6 +50,8 @@
     page_items: usize,
     /// Topics to restore once a page that is not the last one has been answered.
     restore_after_page: Option<Backup>,
+    /// Whether the first page is answered whatever key the request names.
+    repeating_page: bool,
 }
 
 /// The log store and its faults.
@@ -75,6 +77,7 @@
             topics: Topics::new(),
             page_items: MAX_PAGE_ITEMS,
             restore_after_page: None,
+            repeating_page: false,
         }),
         changed: watch::channel(()).0,
         unavailable: AtomicBool::new(false),
@@ -131,6 +134,12 @@
         self.state().page_items = items.clamp(1, MAX_PAGE_ITEMS);
     }
 
+    /// Answers requests for a further page of the newest records with the first page from
+    /// now on.
+    pub fn repeat_first_page(&self) {
+        self.state().repeating_page = true;
+    }
+
     /// Starts or ends an outage, during which every request gets status 503 and has no
     /// effect.
     pub fn set_unavailable(&self, unavailable: bool) {
@@ -217,11 +226,12 @@
     }
 
     /// Responds with a page of the newest records of all keys that are not deleted, from
-    /// the first key behind `after` on.
+    /// the first key behind `after` on, or from the first key of all if it is absent.
     fn newest_records(&self, query: Option<&str>) -> Result<Reply, Error> {
         let topic = text_param(query, "topic")?;
-        let after = text_param(query, "after")?;
         let mut state = self.state();
+        let has_start = has_param(query, "after") && !state.repeating_page;
+        let after = text_param(query, "after")?;
         let records = state.records(&topic);
         let mut newest = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
@@ -236,7 +246,8 @@
             }
         }
         let item = |(key, (value, offset)): (String, (String, usize))| json!({"key": key, "value": value, "offset": offset});
-        let following = newest.into_iter().filter(|(key, _)| *key > after);
+        let following = newest.into_iter();
+        let following = following.filter(|(key, _)| !has_start || *key > after);
         let mut items: Vec<_> = following.map(item).collect();
         let has_more = items.len() > state.page_items;
         items.truncate(state.page_items);
@@ -327,6 +338,12 @@
     Some((key, record))
 }
 
+/// Whether a query has a parameter, even if its value is empty.
+fn has_param(query: Option<&str>, name: &str) -> bool {
+    let mut pairs = query.unwrap_or_default().split('&');
+    pairs.any(|pair| pair.split('=').next() == Some(name))
+}
+
 /// Parses a text parameter of a query; empty if absent.
 fn text_param(query: Option<&str>, name: &str) -> Result<String, Error> {
     query_param(query, name, String::new())
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
@@ -189,19 +190,21 @@
 }
 
 /// Parses a parameter of a query such as `from=7&max=100`. Returns `default` if it is
-/// absent. Percent-encoded characters are not decoded.
+/// absent.
 ///
 /// # Errors
 ///
-/// The value cannot be parsed.
+/// The value is not percent-encoded UTF-8, or it cannot be parsed.
 pub fn query_param<T: FromStr>(query: Option<&str>, name: &str, default: T) -> Result<T, Error> {
     let pairs = query.unwrap_or_default().split('&');
     let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
     match pairs.find(|(key, _)| *key == name) {
         None => Ok(default),
         Some((_, value)) => {
-            let malformed = |_| Error::Malformed(format!("{name} is not a number"));
-            value.parse().map_err(malformed)
+            let malformed = || Error::Malformed(format!("parameter {name} cannot be parsed"));
+            let value = percent_decode_str(value).decode_utf8();
+            let value = value.map_err(|_| malformed())?;
+            value.parse().map_err(|_| malformed())
         }
     }
 }
