Check ids, names and labels that others have chosen

- An entry under an id that no header field can hold, or that loses blanks on its way, named an upstream to which nothing could be sent.
It is no registration now.
Ids beyond ASCII were served before; a test keeps that.
- The name of a route with a quote or a line break ended its label in the metrics: the library writes label values as they are.
- The name of an instance is the key of its record in the store, whose length has one byte; a longer one is a mistake in the settings.

Log lines are JSON and messages between instances are binary, so both encode what they hold. The tests of the three points failed before.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -286,12 +286,18 @@
 impl RequestLabels {
     fn new(route: &str, outcome: &str) -> RequestLabels {
         RequestLabels {
-            route: route.to_owned(),
+            route: escape_label(route),
             outcome: outcome.to_owned(),
         }
     }
 }
 
+/// Escapes a label value that operators have chosen. The library writes values as they are.
+fn escape_label(value: &str) -> String {
+    let escaped = value.replace('\\', "\\\\").replace('"', "\\\"");
+    escaped.replace('\n', "\\n")
+}
+
 impl Metrics {
     /// Counts a finished call to the store or order to an upstream.
     pub fn count_call(&self, kind: &'static str, outcome: &'static str) {
--- a/crates/entry/src/platform/registry.rs
+++ b/crates/entry/src/platform/registry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::HeaderValue;
 use medlarreel_core::entry::directory::Registration;
 use serde::Deserialize;
 
@@ -31,9 +32,13 @@
     Draining,
 }
 
-/// Decodes a registration record; `None` if it is not a valid registration, or if no upstream
-/// can listen on its address.
+/// Decodes a registration record; `None` if it is not a valid registration, if no upstream
+/// can listen on its address, or if none can be addressed by its ID: header fields hold no
+/// control characters and lose the blanks at their ends.
 pub fn decode(id: &str, value: &[u8]) -> Option<Registration> {
+    if id.is_empty() || id.trim() != id || HeaderValue::from_str(id).is_err() {
+        return None;
+    }
     let raw: RawRegistration = serde_json::from_slice(value).ok()?;
     let ip = raw.address.ip();
     if raw.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -60,6 +60,9 @@
 
 const MEGABYTE: u64 = 1_000_000;
 
+/// Maximum length of a key in the store.
+const MAX_KEY_BYTES: usize = 255;
+
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -163,7 +166,7 @@
     let (callers, readiness) = (address("callers"), address("readiness"));
     let (peers, metrics) = (address("peers"), address("metrics"));
     let instance = instance.map(|section| {
-        let name = section.require("name", non_empty);
+        let name = section.require("name", instance_name);
         let domain = section.require("domain", non_empty);
         (name, domain, section.or("processor", ratio, 1.0))
     });
@@ -260,6 +263,17 @@
         .ok_or_else(|| ValueError::invalid("a number from 0 to 1", "write a fraction such as 0.2"))
 }
 
+/// Parses the name of an instance, which is the key of its record in the store.
+fn instance_name(text: &str) -> Result<String, ValueError> {
+    match text.len() {
+        1..=MAX_KEY_BYTES => Ok(text.to_owned()),
+        _ => Err(ValueError::invalid(
+            format!("a name of 1 to {MAX_KEY_BYTES} bytes"),
+            "write a shorter name",
+        )),
+    }
+}
+
 fn non_empty(text: &str) -> Result<String, ValueError> {
     match text.is_empty() {
         true => Err(ValueError::invalid("a name", "write the name")),
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod history;
 mod leaving;
 mod messages;
+mod metrics;
 mod missed;
 mod odd_entries;
 mod orders;
--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -70,6 +70,35 @@
     }
 }
 
+/// Guards against an entry under an id by which no upstream can be addressed, and against an
+/// upstream that is not used because its id is not ASCII.
+#[test]
+fn id_of_a_registration_can_be_addressed() {
+    for id in ["", " ", "a ", "\ta", "a\nb", "a\r\nb: c", "a\0", "\u{7f}"] {
+        assert_eq!(registry::decode(id, entry(&json!({})).as_bytes()), None);
+    }
+    for id in ["i-7f3a91c2", "a b", "a#1", "\u{e4}", "\u{1f511}", "%41"] {
+        let registration = registry::decode(id, entry(&json!({})).as_bytes());
+        assert_eq!(registration.map(|found| found.id).as_deref(), Some(id));
+    }
+}
+
+/// Guards against an upstream that gets no requests because of its id.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_with_an_odd_id_is_used() {
+    let mut cluster = start_cluster().await;
+    let id = "p #1 \u{e4}\u{1f511}";
+    cluster.plain[0].service().restart(id);
+    cluster.register_plain_upstream(id, cluster.plain[0].address());
+    cluster.register_upstreams(1, "draining");
+
+    wait_until("it is used", async || {
+        let response = cluster.get("/catalogue/x", "probe").await;
+        response.starts_with("HTTP/1.1 200") && response.contains(id)
+    })
+    .await;
+}
+
 /// Guards against instances that stop to follow the registrations because of one of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn registrations_are_followed_behind_invalid_entries() {
--- a/crates/entry/tests/path/settings.rs
+++ b/crates/entry/tests/path/settings.rs
@@ -47,3 +47,12 @@
     let lines: Vec<usize> = mistakes.iter().map(|mistake| mistake.line).collect();
     assert_eq!(lines, [10, 16]);
 }
+
+/// Guards against an instance whose name does not fit into the key of its record.
+#[test]
+fn name_that_is_no_key_is_a_mistake() {
+    let with_name = |name: &str| valid_text().replacen("name = ", &format!("name = {name}"), 1);
+
+    assert!(Settings::parse(&with_name(&"n".repeat(200))).is_ok());
+    assert!(Settings::parse(&with_name(&"n".repeat(255))).is_err());
+}
