Bound what an instance collects for itself

Reported: a backend sent bytes without end, and the machine that had called it kept them all and ran out of memory. For callers' requests this can't happen. For replies to orders, answers to health checks and calls to the store it could: each was collected up to 16 MiB outside the memory budget.

Change: calls of an instance's own say what they want of a response, the head or a body of up to a size. The body of a reply to an order or of an answer to a health check is read up to 64 KiB and dropped; beyond it the connection ends and the outcome is unknown, as before beyond 16 MiB. What is kept is counted in the budget. A topic has a bound over all its pages. Incomplete messages of other instances and connections to the status addresses are counted.

--- a/crates/core/src/entry/fragments.rs
+++ b/crates/core/src/entry/fragments.rs
@@ -63,6 +63,13 @@
 }
 
 impl Reassembler {
+    /// Bytes of the fragments of incomplete messages.
+    pub fn held_bytes(&self) -> usize {
+        let messages = self.incomplete.values();
+        let fragments = messages.flat_map(|partial| partial.fragments.iter().flatten());
+        fragments.map(Vec::len).sum()
+    }
+
     /// Adds a fragment and returns the message if this completes it. Drops the fragment
     /// if a limit is exceeded, and incomplete messages after `REASSEMBLY_TIMEOUT`.
     pub fn add(&mut self, now: Time, from: SocketAddr, fragment: Fragment) -> Option<Vec<u8>> {
--- a/crates/core/tests/entry/fragments.rs
+++ b/crates/core/tests/entry/fragments.rs
@@ -57,6 +57,7 @@
         reassembler.add(at(0), address(1), fragments(id).remove(0));
     }
 
+    let held = reassembler.held_bytes();
     let rejected = reassembler.add(at(0), address(1), fragments(99).remove(1));
     let expired = reassembler.add(at(3_000), address(1), fragments(1).remove(1));
     let oversized = Fragment {
@@ -66,6 +67,7 @@
         bytes: Vec::new(),
     };
 
+    assert_eq!(held, 8 * 500);
     assert_eq!(rejected, None);
     assert_eq!(expired, None);
     assert_eq!(reassembler.add(at(3_000), address(1), oversized), None);
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,11 +10,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
-use crate::memory::{ConnectionMemory, Memory};
+use crate::memory::{Memory, Portion};
 
 /// Memory of a connection without a large head in bytes: its task, the buffer in which a
 /// head begins, and the buffers of its socket.
-const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 16 * 1024;
 
 /// Size of a head up to which it fits into `CONNECTION_BYTES`.
 const SMALL_HEAD_BYTES: usize = 4 * 1024;
@@ -38,7 +38,7 @@
     id: ConnectionId,
     /// Signalled when the connection is to be closed without waiting for its response.
     abort: Arc<Notify>,
-    memory: RefCell<ConnectionMemory>,
+    memory: RefCell<Portion>,
     /// Bytes of a request head that have been read so far.
     head_bytes: Cell<usize>,
     /// Bytes of the response that have not been written yet; `None` until there is one.
@@ -98,7 +98,7 @@
             callers: Rc::clone(self),
             id,
             abort,
-            memory: RefCell::new(self.memory.take_for_connection(CONNECTION_BYTES)),
+            memory: RefCell::new(self.memory.take(CONNECTION_BYTES)),
             head_bytes: Cell::default(),
             unwritten: Cell::default(),
         })
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -8,9 +8,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use medlarreel_core::entry::memory::{SMALL_BODY_BYTES, Stage};
@@ -19,7 +21,7 @@
 use crate::body::{self, CollectError, Payload, announced_length};
 use crate::bounded_stream::{Allowance, BoundedStream};
 use crate::error::Error;
-use crate::memory::Memory;
+use crate::memory::{Memory, Portion};
 
 /// Time that sent data may stay unacknowledged before the kernel closes the connection.
 /// Nothing else detects a peer that has gone silent.
@@ -36,6 +38,14 @@
 /// and trailers, in addition to as many as there are data.
 const MAX_FRAMING_BYTES: usize = 64 * 1024;
 
+/// Maximum number of bytes up to the end of the head of a response to a call of this
+/// instance's own, which has a status and a few fields.
+const MAX_CALL_HEAD_BYTES: usize = 16 * 1024;
+
+/// Maximum size in bytes of a response body that is read and dropped, so that its connection
+/// can be used again. Upstreams answer orders and health checks with a few words.
+const MAX_DROPPED_BYTES: usize = 64 * 1024;
+
 /// Number of refusals after which a connection is not used again, so that the list of
 /// refused attempts stays short.
 const MAX_REFUSED_ATTEMPTS: usize = 32;
@@ -57,6 +67,28 @@
     pub body: Payload,
 }
 
+/// What an instance takes of the response to a call of its own.
+#[derive(Clone, Copy, Debug)]
+pub enum Wanted {
+    /// The status and the header fields. A short body is read and dropped.
+    Head,
+    /// Also the body, of up to this many bytes.
+    Body(usize),
+}
+
+/// Response to a call of an instance's own.
+#[derive(Debug)]
+pub struct CallResponse {
+    /// Status code.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Complete body; empty if it was not wanted.
+    pub body: Bytes,
+    /// Memory of the response.
+    _memory: Portion,
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -158,65 +190,30 @@
         self.refused_attempts.len() < MAX_REFUSED_ATTEMPTS
     }
 
-    /// Sends a request and reads the complete response within `timeout`.
+    /// Sends a caller's request and reads the complete response within `timeout`. The response
+    /// is counted in `memory`, and waits for room there.
     ///
     /// # Errors
     ///
     /// Returns `NotSent` if nothing was written, `ConnectionLost` if the server ended the
-    /// connection before the response, and `NoResponse` otherwise.
+    /// connection before the response, and `NoResponse` otherwise, also if the response is
+    /// given up because memory is short.
     pub async fn send_request(
         &mut self,
         request: Request<Payload>,
         timeout: Duration,
-    ) -> Result<BufferedResponse, Error> {
-        self.exchange(request, timeout, None).await
-    }
-
-    /// Sends a request and reads the complete response within `timeout`. The response is
-    /// counted in `memory`.
-    ///
-    /// # Errors
-    ///
-    /// As `send_request`. Returns `NoResponse` also if the response is given up because
-    /// memory is short.
-    pub async fn send_counted(
-        &mut self,
-        request: Request<Payload>,
-        timeout: Duration,
         memory: &Memory,
-    ) -> Result<BufferedResponse, Error> {
-        self.exchange(request, timeout, Some(memory)).await
-    }
-
-    async fn exchange(
-        &mut self,
-        request: Request<Payload>,
-        timeout: Duration,
-        memory: Option<&Memory>,
     ) -> Result<BufferedResponse, Error> {
         let round_trip = async {
-            self.sender
-                .ready()
-                .await
-                .map_err(|error| Error::NotSent(error.to_string()))?;
-            self.allowance.set(MAX_HEAD_BYTES);
-            let response = self.sender.try_send_request(request).await;
-            let response = response.map_err(|mut error| match error.take_message() {
-                Some(_) => not_sent(error.into_error()),
-                None => response_error(&error.into_error()),
-            })?;
-            let (parts, body) = response.into_parts();
-            check_status(parts.status)?;
+            let (parts, body) = self.send(request, MAX_HEAD_BYTES).await?;
             let length = announced_length(&body);
-            self.allowance.set(MAX_FRAMING_BYTES);
             let body = body.map_frame(|frame| {
                 let data = frame.data_ref().map_or(0, Bytes::len);
                 self.allowance.extend(2 * data);
                 frame
             });
-            let lease = memory.filter(|_| length != Some(0));
             let is_large = length.is_some_and(|length| length > SMALL_BODY_BYTES);
-            let lease = lease.map(|memory| memory.open(Stage::Receiving, is_large));
+            let lease = (length != Some(0)).then(|| memory.open(Stage::Receiving, is_large));
             let collecting = body::collect(body, length, MAX_RESPONSE_BYTES, lease.as_ref());
             let body = match &lease {
                 Some(lease) => tokio::select! {
@@ -234,6 +231,94 @@
         let response = tokio::time::timeout(timeout, round_trip).await;
         response.unwrap_or_else(|_| Err(Error::NoResponse("the time is up".into())))
     }
+
+    /// Sends a request of this instance's own and reads what is wanted of the response within
+    /// `timeout`. The response is counted in `memory`, and doesn't wait for room there.
+    ///
+    /// # Errors
+    ///
+    /// As `send_request`. Returns `NoResponse` also if the response has more than it may.
+    pub async fn call(
+        &mut self,
+        request: Request<Payload>,
+        timeout: Duration,
+        wanted: Wanted,
+        memory: &Memory,
+    ) -> Result<CallResponse, Error> {
+        let mut taken = memory.take(MAX_CALL_HEAD_BYTES);
+        let round_trip = async {
+            let (parts, body) = self.send(request, MAX_CALL_HEAD_BYTES).await?;
+            let body = self.read_bounded(body, wanted, &mut taken).await;
+            Ok((parts, body.map_err(|error| body_error(&error))?))
+        };
+        let (parts, body) = tokio::time::timeout(timeout, round_trip)
+            .await
+            .unwrap_or_else(|_| Err(Error::NoResponse("the time is up".into())))?;
+        Ok(CallResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            _memory: taken,
+        })
+    }
+
+    /// Sends a request and reads the head of the response, which ends within `max_head` bytes.
+    async fn send(
+        &mut self,
+        request: Request<Payload>,
+        max_head: usize,
+    ) -> Result<(Parts, Incoming), Error> {
+        self.sender
+            .ready()
+            .await
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        self.allowance.set(max_head);
+        let response = self.sender.try_send_request(request).await;
+        let response = response.map_err(|mut error| match error.take_message() {
+            Some(_) => not_sent(error.into_error()),
+            None => response_error(&error.into_error()),
+        })?;
+        let (parts, body) = response.into_parts();
+        check_status(parts.status)?;
+        self.allowance.set(MAX_FRAMING_BYTES);
+        Ok((parts, body))
+    }
+
+    /// Reads a body to its end and returns what is wanted of it. What is kept is counted in
+    /// `taken`.
+    async fn read_bounded(
+        &self,
+        mut body: Incoming,
+        wanted: Wanted,
+        taken: &mut Portion,
+    ) -> Result<Bytes, CollectError> {
+        let (limit, is_kept) = match wanted {
+            Wanted::Head => (MAX_DROPPED_BYTES, false),
+            Wanted::Body(limit) => (limit, true),
+        };
+        let announced = body.size_hint().lower();
+        if announced > limit as u64 {
+            return Err(CollectError::TooLong);
+        }
+        let (mut kept, mut length) = (BytesMut::new(), 0);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(CollectError::Failed)?.into_data() else {
+                continue;
+            };
+            length += data.len();
+            if length > limit {
+                return Err(CollectError::TooLong);
+            }
+            self.allowance.extend(2 * data.len());
+            if is_kept {
+                let capacity = kept.capacity();
+                kept.reserve(data.len());
+                taken.extend(kept.capacity().saturating_sub(capacity));
+                kept.extend_from_slice(&data);
+            }
+        }
+        Ok(kept.freeze())
+    }
 }
 
 async fn open_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
--- a/crates/entry/src/identity.rs
+++ b/crates/entry/src/identity.rs
@@ -11,8 +11,9 @@
 use medlarreel_core::ids::Upstream;
 
 use crate::body::Payload;
-use crate::connection::Connection;
+use crate::connection::{Connection, Wanted};
 use crate::error::Error;
+use crate::memory::Memory;
 use crate::platform::headers::{self, Sender};
 use crate::state::State;
 
@@ -43,14 +44,16 @@
     ///
     /// Returns `Misdirected` if another upstream has answered, and another error if it is not
     /// known who listens there.
-    pub async fn verify(&self) -> Result<(Connection, HeaderMap), Error> {
+    pub async fn verify(&self, memory: &Memory) -> Result<(Connection, HeaderMap), Error> {
         let mut connection = Connection::connect(self.address, TIMEOUT).await?;
         let request = Request::get(&self.health_path)
             .header(header::HOST, self.address.to_string())
             .header(headers::TARGET_INSTANCE, &self.id)
             .body(Payload::default())
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        let response = connection.send_request(request, TIMEOUT).await?;
+        let response = connection
+            .call(request, TIMEOUT, Wanted::Head, memory)
+            .await?;
         let sender = match headers::sender(response.status, &response.headers, &self.id) {
             // A refusal without a name may come from the other one.
             Sender::Addressee if self.is_contested => {
@@ -80,7 +83,7 @@
     }
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
-        match claim.verify().await {
+        match claim.verify(&state.memory).await {
             Ok(_) => state.record_answer(upstream, now),
             Err(Error::Misdirected) => state.record_displacement(upstream),
             Err(error) => {
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -129,7 +129,7 @@
 impl LeaderTask {
     /// Creates the task in the follower role.
     pub fn new(state: Rc<State>, socket: Rc<UdpSocket>) -> LeaderTask {
-        let store = StoreClient::new(state.settings.borrow().store);
+        let store = StoreClient::new(state.settings.borrow().store, state.memory.clone());
         LeaderTask {
             created: state.clock.now(),
             state,
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -11,7 +11,7 @@
 use medlarreel_core::time::Time;
 
 use crate::body::Payload;
-use crate::connection::Connection;
+use crate::connection::{Connection, Wanted};
 use crate::error::Error;
 use crate::platform::{grants, headers};
 use crate::pool::Usage;
@@ -182,7 +182,9 @@
         .header(headers::TARGET_INSTANCE, order.owner.id.as_str())
         .body(Payload::from(Bytes::clone(&body)))
         .map_err(|error| Error::NotSent(error.to_string()))?;
-    let response = connection.send_request(request, timeout).await?;
+    let response = connection
+        .call(request, timeout, Wanted::Head, &state.memory)
+        .await?;
     // The real reply may still follow an answer to a request, so that connection is closed.
     let Some(reply) = grants::decode_reply(response.status, &response.headers) else {
         return Ok(Reply::Unknown);
--- a/crates/entry/src/leader/probe.rs
+++ b/crates/entry/src/leader/probe.rs
@@ -51,7 +51,7 @@
         self.outcomes.borrow_mut().insert(upstream, unanswered);
         let (probes, state, sent) = (Rc::clone(self), Rc::clone(state), now);
         tokio::task::spawn_local(async move {
-            match claim.verify().await {
+            match claim.verify(&state.memory).await {
                 Ok((connection, headers)) => {
                     state.record_answer(upstream, sent);
                     let now = state.clock.now();
--- a/crates/entry/src/leader/record.rs
+++ b/crates/entry/src/leader/record.rs
@@ -113,7 +113,7 @@
 pub async fn join_cluster(state: &Rc<State>, socket: &Rc<UdpSocket>) {
     let settings = state.settings.borrow().clone();
     let mut membership = Membership {
-        store: StoreClient::new(settings.store),
+        store: StoreClient::new(settings.store, state.memory.clone()),
         name: settings.name,
         record: InstanceRecord {
             address: settings.peers,
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -21,7 +21,7 @@
 
 use crate::body;
 use crate::bounded_stream::BoundedStream;
-use crate::callers::OpenConnection;
+use crate::callers::{CONNECTION_BYTES, OpenConnection};
 use crate::platform::headers::READY_PATH;
 use crate::proxy;
 use crate::read_ahead::ReadAheadStream;
@@ -209,6 +209,7 @@
         };
         let state = Rc::clone(&state);
         tokio::task::spawn_local(async move {
+            let _memory = state.memory.take(CONNECTION_BYTES);
             let service = service_fn(|request: Request<Incoming>| {
                 let response = status_response(&state, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
@@ -216,6 +217,7 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(STATUS_IDLE_TIMEOUT)
+                .max_buf_size(MIN_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(BoundedStream::new(stream)), service)
                 .await;
             if let Err(error) = served {
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -59,9 +59,10 @@
     lease: Arc<Lease>,
 }
 
-/// Memory of a connection, which ends when it is dropped.
+/// Memory that is taken without waiting, by a connection of a caller or a call of this
+/// instance's own. It ends when it is dropped.
 #[derive(Debug)]
-pub struct ConnectionMemory {
+pub struct Portion {
     memory: Memory,
     bytes: usize,
 }
@@ -106,9 +107,10 @@
         lease
     }
 
-    /// Takes memory for a connection.
-    pub fn take_for_connection(&self, bytes: usize) -> ConnectionMemory {
-        let mut memory = ConnectionMemory {
+    /// Takes memory without waiting for it. If there is none left, a body of a caller is
+    /// evicted.
+    pub fn take(&self, bytes: usize) -> Portion {
+        let mut memory = Portion {
             memory: self.clone(),
             bytes: 0,
         };
@@ -142,8 +144,8 @@
     }
 }
 
-impl ConnectionMemory {
-    /// Takes `bytes` more, for a head that arrives slowly.
+impl Portion {
+    /// Takes `bytes` more.
     pub fn extend(&mut self, bytes: usize) {
         let now = self.memory.0.clock.now();
         let mut state = self.memory.state();
@@ -156,6 +158,12 @@
         }
     }
 
+    /// Takes or gives back as much as makes it `bytes`.
+    pub fn resize(&mut self, bytes: usize) {
+        self.extend(bytes.saturating_sub(self.bytes));
+        self.shrink(bytes);
+    }
+
     /// Gives back all but `bytes`.
     pub fn shrink(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
@@ -164,7 +172,7 @@
     }
 }
 
-impl Drop for ConnectionMemory {
+impl Drop for Portion {
     fn drop(&mut self) {
         self.memory.state().budget.give_back(self.bytes);
         self.memory.0.released.notify_waiters();
--- a/crates/entry/src/peers/handler.rs
+++ b/crates/entry/src/peers/handler.rs
@@ -19,6 +19,7 @@
 pub async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut reassembler = Reassembler::default();
+    let mut taken = state.memory.take(MAX_DATAGRAM_BYTES);
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -30,7 +31,9 @@
         let message = match postcard::from_bytes(&buffer[..length]) {
             Ok(Message::Fragment(fragment)) => {
                 let now = state.clock.now();
-                let Some(complete) = reassembler.add(now, from, fragment) else {
+                let complete = reassembler.add(now, from, fragment);
+                taken.resize(MAX_DATAGRAM_BYTES + reassembler.held_bytes());
+                let Some(complete) = complete else {
                     continue;
                 };
                 postcard::from_bytes(&complete)
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -14,8 +14,9 @@
 use serde::Deserialize;
 
 use crate::body::Payload;
-use crate::connection::{BufferedResponse, Connection};
+use crate::connection::{CallResponse, Connection, Wanted};
 use crate::error::Error;
+use crate::memory::Memory;
 use crate::platform::headers::{self, STORE_ERA};
 
 /// Timeout of a call, in addition to the time that it waits for records. Responses take
@@ -29,6 +30,24 @@
 /// Maximum size of the records in one response, in KiB.
 const MAX_READ_KIB: u32 = 1_024;
 
+/// Maximum size of a page of the newest records, in bytes: 1 MB in base64, and the keys, of
+/// which JSON may escape each byte with six.
+const MAX_PAGE_BYTES: usize = 4 << 20;
+
+/// Maximum size of a response with records, in bytes: as much as is asked for, with the
+/// lengths of the records.
+const MAX_RECORDS_BYTES: usize = 2 * 1024 * MAX_READ_KIB as usize;
+
+/// Maximum size of the response to an append, in bytes: two offsets as JSON.
+const MAX_APPENDED_BYTES: usize = 4 * 1024;
+
+/// Maximum size of the newest records of a topic, in bytes: 100,000 registrations of 300
+/// bytes each.
+const MAX_TOPIC_BYTES: usize = 32 << 20;
+
+/// Memory that a record takes besides its key and value, in bytes.
+const RECORD_OVERHEAD_BYTES: usize = 128;
+
 /// Characters that are encoded in the target of a call: all but those that RFC 3986 leaves
 /// unreserved.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
@@ -104,15 +123,17 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    memory: Memory,
     connection: Option<Connection>,
     era: Era,
 }
 
 impl StoreClient {
-    /// Creates a client that connects on its first call.
-    pub fn new(address: SocketAddr) -> StoreClient {
+    /// Creates a client that connects on its first call. What it reads is counted in `memory`.
+    pub fn new(address: SocketAddr, memory: Memory) -> StoreClient {
         StoreClient {
             address,
+            memory,
             connection: None,
             era: Era::default(),
         }
@@ -133,6 +154,8 @@
     pub async fn read_latest(&mut self, topic: &str) -> Result<LatestRecords, Error> {
         let mut latest = LatestRecords::default();
         let mut keys = HashSet::new();
+        let mut taken = self.memory.take(0);
+        let mut size = 0;
         let mut era = None;
         let mut after: Option<String> = None;
         loop {
@@ -141,14 +164,13 @@
                 None => target("log-newest", topic, &[]),
             };
             let response = self
-                .call("GET", &target, Bytes::new(), CALL_TIMEOUT)
+                .call("GET", &target, Bytes::new(), CALL_TIMEOUT, MAX_PAGE_BYTES)
                 .await?;
             check_status(&response, &[StatusCode::OK])?;
             if *era.get_or_insert(self.era) != self.era {
                 return Err(Error::Restored);
             }
-            let page: RawLatestPage =
-                serde_json::from_slice(&response.body.into_bytes()).map_err(malformed)?;
+            let page: RawLatestPage = serde_json::from_slice(&response.body).map_err(malformed)?;
             // The pages are not a consistent snapshot. Reading on from the end that the
             // first page reports covers every change made between the pages.
             if after.is_none() {
@@ -158,6 +180,11 @@
             let known_keys = keys.len();
             for item in page.items {
                 let value = STANDARD.decode(&item.value).map_err(malformed)?;
+                size += 2 * item.key.len() + value.len() + RECORD_OVERHEAD_BYTES;
+                if size > MAX_TOPIC_BYTES {
+                    return Err(malformed(format!("topic has over {MAX_TOPIC_BYTES} bytes")));
+                }
+                taken.resize(size);
                 keys.insert(item.key.clone());
                 latest.records.push(KeyedRecord {
                     key: item.key,
@@ -195,13 +222,19 @@
         ];
         let target = target("log-read", topic, &parameters);
         let response = self
-            .call("GET", &target, Bytes::new(), CALL_TIMEOUT + wait)
+            .call(
+                "GET",
+                &target,
+                Bytes::new(),
+                CALL_TIMEOUT + wait,
+                MAX_RECORDS_BYTES,
+            )
             .await?;
         if response.status == StatusCode::GONE {
             return Ok(ReadOutcome::Trimmed);
         }
         check_status(&response, &[StatusCode::OK])?;
-        decode_records(response.body.into_bytes(), from)
+        decode_records(response.body, from)
     }
 
     /// Appends a record to a keyed topic. With `as_of`, the record is appended only if
@@ -224,14 +257,19 @@
             None => target("log-append", topic, &[]),
         };
         let response = self
-            .call("POST", &target, encode_record(key, value), CALL_TIMEOUT)
+            .call(
+                "POST",
+                &target,
+                encode_record(key, value),
+                CALL_TIMEOUT,
+                MAX_APPENDED_BYTES,
+            )
             .await?;
         if response.status == StatusCode::PRECONDITION_FAILED {
             return Ok(AppendOutcome::Conflict);
         }
         check_status(&response, &[StatusCode::OK])?;
-        let raw: RawAppend =
-            serde_json::from_slice(&response.body.into_bytes()).map_err(malformed)?;
+        let raw: RawAppend = serde_json::from_slice(&response.body).map_err(malformed)?;
         Ok(AppendOutcome::Appended(raw.offset))
     }
 
@@ -241,7 +279,8 @@
         target: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<BufferedResponse, Error> {
+        max_body: usize,
+    ) -> Result<CallResponse, Error> {
         let request = Request::builder()
             .method(method)
             .uri(target)
@@ -254,7 +293,9 @@
         };
         // A call without a complete response leaves the connection unusable, so it is
         // kept only after a complete one.
-        let response = connection.send_request(request, timeout).await?;
+        let response = connection
+            .call(request, timeout, Wanted::Body(max_body), &self.memory)
+            .await?;
         self.connection = Some(connection);
         if let Some(era) = headers::parse_u64(&response.headers, &STORE_ERA) {
             self.era = Era(era);
@@ -276,7 +317,7 @@
     target
 }
 
-fn check_status(response: &BufferedResponse, statuses: &[StatusCode]) -> Result<(), Error> {
+fn check_status(response: &CallResponse, statuses: &[StatusCode]) -> Result<(), Error> {
     match statuses.contains(&response.status) {
         true => Ok(()),
         false => Err(Error::Refused(response.status.as_u16())),
--- a/crates/entry/src/proxy/send.rs
+++ b/crates/entry/src/proxy/send.rs
@@ -211,7 +211,7 @@
     in_flight_send.is_unanswered = true;
     progress.begin_write(upstream);
     let sent = connection
-        .send_counted(outgoing, remaining, &state.memory)
+        .send_request(outgoing, remaining, &state.memory)
         .await;
     in_flight_send.is_unanswered = matches!(sent, Err(Error::NoResponse(_)));
     let response = match sent {
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -77,7 +77,7 @@
 /// Keeps the local state of a topic up to date.
 pub async fn follow(state: Rc<State>, topic: Topic, socket: Rc<UdpSocket>) {
     let address = state.settings.borrow().store;
-    let mut store = StoreClient::new(address);
+    let mut store = StoreClient::new(address, state.memory.clone());
     let mut failures = 0;
     let mut load_due_since = None;
     let mut last_error = None;
--- a/crates/entry/tests/crowd/main.rs
+++ b/crates/entry/tests/crowd/main.rs
@@ -5,12 +5,14 @@
 //! or on how many requests of the crowd are served.
 
 mod callers;
+mod endless;
 mod upstream;
 
 #[path = "../path/fixture.rs"]
 #[allow(dead_code, reason = "this target uses a part of the fixture")]
 mod fixture;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use medlarreel_standin::platform::store::{self, Store};
@@ -48,17 +50,19 @@
 }
 
 async fn start() -> Crowded {
+    start_beside(&[]).await
+}
+
+/// Starts an instance also beside keyed upstreams, given by their ids and addresses.
+async fn start_beside(keyed: &[(String, SocketAddr)]) -> Crowded {
     let turn = TURN.lock().await;
     let store = store::start(any_port()).await.unwrap();
     for number in 0..3 {
-        let id = format!("p{number}");
-        let registration = json!({
-            "service": "plain", "address": upstream::start(LARGE_BODY).to_string(),
-            "zone": "a", "version": "v1", "slots": 6, "state": "ready",
-            "warmupLeftS": 0, "sequence": 1, "born": 1000,
-        });
-        let text = registration.to_string();
-        store.service().put("keyed.servers", &id, text.as_bytes());
+        let address = upstream::start(LARGE_BODY);
+        register(&store, "plain", &format!("p{number}"), address);
+    }
+    for (id, address) in keyed {
+        register(&store, "keyed", id, *address);
     }
     let config = config_text(1, BODY_LIMIT);
     store.service().put("keyed.op", "config", config.as_bytes());
@@ -76,6 +80,16 @@
     crowded
 }
 
+fn register(store: &Server<Store>, service: &str, id: &str, address: SocketAddr) {
+    let registration = json!({
+        "service": service, "address": address.to_string(),
+        "zone": "a", "version": "v1", "slots": 6, "state": "ready",
+        "warmupLeftS": 0, "sequence": 1, "born": 1000,
+    });
+    let text = registration.to_string();
+    store.service().put("keyed.servers", id, text.as_bytes());
+}
+
 impl Crowded {
     /// Waits until an ordinary request is answered.
     async fn wait_until_served(&self) {
@@ -197,3 +211,34 @@
     crowded.check();
     drop(crowd);
 }
+
+/// Starts an instance beside upstreams whose answers to `path` have no end. Panics if it ends,
+/// takes more memory than its settings allow, or serves no ordinary request.
+async fn check_endless_answers(path: &'static str) {
+    let upstreams: Vec<(String, SocketAddr)> = (0..24)
+        .map(|number| {
+            let id = format!("k{number}");
+            let answer = endless::ANSWERS[number % endless::ANSWERS.len()];
+            (id.clone(), endless::start(id, path, answer))
+        })
+        .collect();
+    let mut crowded = start_beside(&upstreams).await;
+
+    crowded.watch().await;
+
+    crowded.wait_until_served().await;
+    crowded.check();
+}
+
+/// Guards against a leader that keeps what upstreams send in reply to grants until they close
+/// the connection.
+#[tokio::test]
+async fn endless_replies_to_grants_stay_within_the_memory() {
+    check_endless_answers("/medlarreel/grant").await;
+}
+
+/// Guards against the same in answers to health checks.
+#[tokio::test]
+async fn endless_answers_to_health_checks_stay_within_the_memory() {
+    check_endless_answers("/health").await;
+}
--- a/crates/entry/tests/path/connection.rs
+++ b/crates/entry/tests/path/connection.rs
@@ -13,6 +13,8 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
+use crate::fixture::memory;
+
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind(any_port()).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -83,7 +85,9 @@
         let request = Request::get("/x")
             .header("host", "a")
             .body(Payload::default());
-        connection.send_request(request.unwrap(), timeout).await
+        connection
+            .send_request(request.unwrap(), timeout, &memory())
+            .await
     };
     LocalSet::new().run_until(exchange).await
 }
--- a/crates/entry/tests/path/endless.rs
+++ b/crates/entry/tests/path/endless.rs
@@ -7,16 +7,19 @@
 use std::thread;
 use std::time::Duration;
 
-use http::Request;
+use http::{Request, StatusCode};
 use medlarreel_entry::body::Payload;
 use medlarreel_entry::bounded_stream::BoundedStream;
-use medlarreel_entry::connection::{BufferedResponse, Connection};
+use medlarreel_entry::connection::{Connection, Wanted};
 use medlarreel_entry::error::Error;
+use medlarreel_entry::memory::Memory;
+use medlarreel_standin::platform::upstream;
+use medlarreel_standin::server::any_port;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
-use crate::fixture::TEST_TIMEOUT;
+use crate::fixture::{TEST_TIMEOUT, memory};
 
 /// Heads that are not the final one of a response.
 const INTERIM_HEAD: &str = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -47,15 +50,30 @@
     }
 }
 
-/// Sends a request without a time limit of its own. Panics if there is no outcome.
-async fn get_without_limit(address: SocketAddr) -> Result<BufferedResponse, Error> {
+/// Sends a request without a time limit of its own, for a caller or, if something is
+/// `wanted`, as a call of the instance's own. Panics if there is no outcome.
+async fn get_without_limit(
+    address: SocketAddr,
+    wanted: Option<Wanted>,
+    memory: &Memory,
+) -> Result<StatusCode, Error> {
     let exchange = async {
         let mut connection = Connection::connect(address, TEST_TIMEOUT).await?;
         let request = Request::get("/x")
             .header("host", "a")
             .body(Payload::default());
-        let no_limit = Duration::from_secs(3_600);
-        connection.send_request(request.unwrap(), no_limit).await
+        let (request, no_limit) = (request.unwrap(), Duration::from_secs(3_600));
+        let status = match wanted {
+            Some(wanted) => {
+                let response = connection.call(request, no_limit, wanted, memory);
+                response.await?.status
+            }
+            None => {
+                let response = connection.send_request(request, no_limit, memory);
+                response.await?.status
+            }
+        };
+        Ok(status)
     };
     let outcome = timeout(TEST_TIMEOUT, LocalSet::new().run_until(exchange)).await;
     outcome.expect("the response is read without end")
@@ -71,6 +89,11 @@
         ("HTTP/1.1 ", "2"),
         ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
         ("HTTP/1.1 200 OK\r\n\r\n", "y"),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 4611686018427387904\r\n\r\n",
+            "y",
+        ),
+        ("HTTP/1.1 500 Error\r\n\r\n", "y"),
         (chunked, "1\r\ny\r\n"),
         (chunked, "0"),
         (&format!("{chunked}1;"), "y"),
@@ -78,11 +101,18 @@
     ];
     for (start, repeated) in endless {
         let address = start_endless_server(start, repeated);
+        for wanted in [None, Some(Wanted::Head), Some(Wanted::Body(1 << 20))] {
+            let memory = memory();
 
-        let outcome = get_without_limit(address).await;
+            let outcome = get_without_limit(address, wanted, &memory).await;
 
-        let is_given_up = matches!(outcome, Err(Error::NoResponse(_)));
-        assert!(is_given_up, "{start:?} {repeated:?}: {outcome:?}");
+            let is_given_up = matches!(outcome, Err(Error::NoResponse(_)));
+            assert!(
+                is_given_up,
+                "{start:?} {repeated:?} {wanted:?}: {outcome:?}"
+            );
+            assert_eq!(memory.usage().0, 0, "{start:?} {repeated:?} {wanted:?}");
+        }
     }
 }
 
@@ -116,3 +146,29 @@
 
     assert!((1..100_000).contains(&longest), "{longest}");
 }
+
+/// Guards against a response that is given up, or whose connection is, although it has no more
+/// than it may.
+#[tokio::test]
+async fn connection_is_used_again_behind_a_short_response() {
+    let upstream = upstream::start(any_port(), "u1", false).await.unwrap();
+    let (address, memory) = (upstream.address(), memory());
+    let exchange = async {
+        let mut connection = Connection::connect(address, TEST_TIMEOUT).await?;
+        let mut bodies = Vec::new();
+        for wanted in [Wanted::Head, Wanted::Body(8), Wanted::Body(7)] {
+            let request = Request::get("/health")
+                .header("host", "a")
+                .body(Payload::default());
+            let response = connection.call(request.unwrap(), TEST_TIMEOUT, wanted, &memory);
+            bodies.push(response.await.map(|response| response.body));
+        }
+        Ok::<_, Error>(bodies)
+    };
+
+    let bodies = LocalSet::new().run_until(exchange).await.unwrap();
+
+    assert_eq!(bodies[0], Ok("".into()));
+    assert_eq!(bodies[1], Ok("healthy\n".into()));
+    assert!(matches!(bodies[2], Err(Error::NoResponse(_))), "{bodies:?}");
+}
--- a/crates/entry/tests/path/fixture.rs
+++ b/crates/entry/tests/path/fixture.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use medlarreel_entry::clock::Clock;
+use medlarreel_entry::memory::Memory;
 use medlarreel_standin::platform::store::{self, Store};
 use medlarreel_standin::platform::upstream::{self, Upstream};
 use medlarreel_standin::ports::{ReservedPort, reserve_ports};
@@ -366,6 +368,11 @@
     length.is_none_or(|length| body.len() >= length.trim().parse().unwrap_or(0))
 }
 
+/// Memory budget of a client in a test.
+pub fn memory() -> Memory {
+    Memory::new(Clock::start(), 256_000_000)
+}
+
 /// Waits until a condition holds. `what` describes it in the failure message.
 pub async fn wait_until(what: &str, condition: impl AsyncFn() -> bool) {
     let waiting = async {
--- a/crates/entry/tests/path/statuses.rs
+++ b/crates/entry/tests/path/statuses.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::Request;
+use http::{Request, StatusCode};
 use medlarreel_entry::body::Payload;
-use medlarreel_entry::connection::Connection;
+use medlarreel_entry::connection::{Connection, Wanted};
 use medlarreel_entry::error::Error;
 use medlarreel_entry::platform::store::StoreClient;
 use medlarreel_standin::platform::store;
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
-use crate::fixture::{config_text, request_text, send_request, start_instance, wait_until};
+use crate::fixture::{config_text, memory, request_text, send_request, start_instance, wait_until};
 
 /// Status codes that no final answer has.
 const INVALID: [&str; 19] = [
@@ -54,29 +54,44 @@
     stream.write_all(answer.as_bytes()).await
 }
 
+/// Sends a request as for a caller, or as a call of the instance's own.
+async fn get_status(address: SocketAddr, is_own_call: bool) -> Result<StatusCode, Error> {
+    let timeout = Duration::from_secs(5);
+    let mut connection = Connection::connect(address, timeout).await?;
+    let request = Request::get("/x")
+        .header("host", "a")
+        .body(Payload::default());
+    let (request, memory) = (request.unwrap(), memory());
+    match is_own_call {
+        true => {
+            let response = connection.call(request, timeout, Wanted::Head, &memory);
+            response.await.map(|response| response.status)
+        }
+        false => {
+            let response = connection.send_request(request, timeout, &memory);
+            response.await.map(|response| response.status)
+        }
+    }
+}
+
 /// Guards against an answer without a valid status that counts as one, be it to a request, a
 /// grant or a health check: all of them are read by the same connection.
 #[tokio::test]
 async fn response_without_a_valid_status_is_no_response() {
     for status in INVALID {
-        let address = start_server(status).await;
-        let timeout = Duration::from_secs(5);
-        let exchange = async {
-            let mut connection = Connection::connect(address, timeout).await?;
-            let request = Request::get("/x")
-                .header("host", "a")
-                .body(Payload::default());
-            let response = connection.send_request(request.unwrap(), timeout).await;
-            response.map(|response| response.status)
-        };
+        for is_own_call in [false, true] {
+            let address = start_server(status).await;
 
-        let outcome = LocalSet::new().run_until(exchange).await;
+            let outcome = LocalSet::new()
+                .run_until(get_status(address, is_own_call))
+                .await;
 
-        let is_unknown = matches!(
-            outcome,
-            Err(Error::NoResponse(_) | Error::ConnectionLost(_))
-        );
-        assert!(is_unknown, "{status:?}: {outcome:?}");
+            let is_unknown = matches!(
+                outcome,
+                Err(Error::NoResponse(_) | Error::ConnectionLost(_))
+            );
+            assert!(is_unknown, "{status:?}: {outcome:?}");
+        }
     }
 }
 
@@ -84,7 +99,7 @@
 #[tokio::test]
 async fn store_call_without_a_valid_status_fails() {
     for status in INVALID {
-        let mut client = StoreClient::new(start_server(status).await);
+        let mut client = StoreClient::new(start_server(status).await, memory());
 
         let tasks = LocalSet::new();
         let read = tasks.run_until(client.read_latest("keyed.op")).await;
--- a/crates/entry/tests/path/store_client.rs
+++ b/crates/entry/tests/path/store_client.rs
@@ -1,13 +1,18 @@
 //! Client of the store: results that take several responses.
 
+use std::net::SocketAddr;
+
 use medlarreel_entry::error::Error;
 use medlarreel_entry::platform::store::{LatestRecords, StoreClient};
 use medlarreel_standin::platform::store::{self, Store};
 use medlarreel_standin::server::{Server, any_port};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
-use crate::fixture::TEST_TIMEOUT;
+use crate::fixture::{TEST_TIMEOUT, memory, read_response};
 
 /// Topic that is read.
 const TOPIC: &str = "keyed.servers";
@@ -34,7 +39,7 @@
 #[tokio::test]
 async fn latest_records_are_read_from_all_pages() {
     let store = start_store(&["a", "b", "c", "d", "e"]).await;
-    let mut client = StoreClient::new(store.address());
+    let mut client = StoreClient::new(store.address(), memory());
 
     let latest = LocalSet::new().run_until(client.read_latest(TOPIC)).await;
 
@@ -52,7 +57,7 @@
     let backup = store.service().backup();
     store.service().put(TOPIC, "d", b"v");
     store.service().restore_between_pages(backup);
-    let mut client = StoreClient::new(store.address());
+    let mut client = StoreClient::new(store.address(), memory());
 
     let (failed, read_again) = LocalSet::new()
         .run_until(async {
@@ -99,7 +104,7 @@
     keys.sort_unstable();
     let store = start_store(&keys).await;
     store.service().set_page_items(1);
-    let mut client = StoreClient::new(store.address());
+    let mut client = StoreClient::new(store.address(), memory());
 
     let latest = read_to_end(&mut client).await;
 
@@ -114,10 +119,48 @@
 async fn page_without_further_keys_fails_the_read() {
     let store = start_store(&["a", "b", "c"]).await;
     store.service().repeat_first_page();
-    let mut client = StoreClient::new(store.address());
+    let mut client = StoreClient::new(store.address(), memory());
 
     let latest = read_to_end(&mut client).await;
 
     assert!(matches!(latest, Err(Error::Malformed(_))), "{latest:?}");
     assert_eq!(store.service().request_count(), 2);
 }
+
+/// Starts a store whose topics never end: each page has a further key with a large value.
+async fn start_endless_store() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let value = "QUFB".repeat(500_000);
+        for number in 0.. {
+            if read_response(&mut stream).await.is_empty() {
+                return;
+            }
+            let page = json!({
+                "items": [{"key": format!("k{number}"), "value": value, "offset": number}],
+                "hasMore": true, "end": 1,
+            });
+            let page = page.to_string();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", page.len());
+            // The client may have closed its end.
+            stream.write_all(head.as_bytes()).await.ok();
+            stream.write_all(page.as_bytes()).await.ok();
+        }
+    });
+    address
+}
+
+/// Guards against a topic that takes more memory than the process has.
+#[tokio::test]
+async fn topic_of_any_size_is_not_loaded() {
+    let memory = memory();
+    let mut client = StoreClient::new(start_endless_store().await, memory.clone());
+
+    let latest = read_to_end(&mut client).await;
+
+    assert!(matches!(latest, Err(Error::Malformed(_))), "{latest:?}");
+    drop(client);
+    assert_eq!(memory.usage().0, 0);
+}
