--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -185,16 +185,24 @@
     let response = connection
         .call(request, timeout, Wanted::Head, &state.memory)
         .await?;
-    // The real reply may still follow an answer to a request, so that connection is closed.
-    let Some(reply) = grants::decode_reply(response.status, &response.headers) else {
+    // The real reply may still follow an answer to something else, so that connection is closed.
+    let reply = grants::decode_reply(&order.kind, response.status, &response.headers);
+    let Some(reply) = reply else {
         return Ok(Reply::Unknown);
     };
+    if reply == Reply::Misdirected && connection.has_refused() {
+        // Owners refuse keys that they do not hold in the same way, and it may be a copy.
+        return Ok(Reply::Unknown);
+    }
     if let Some(upstream) = upstream {
         if let Some(mut spare) = spare {
             spare.take_place_of(&connection);
             keep_connection(state, upstream, spare, &HeaderMap::new());
         }
-        keep_connection(state, upstream, connection, &response.headers);
+        // A copy of the reply to a release could be taken for that to another release.
+        if order.kind != OrderKind::Release {
+            keep_connection(state, upstream, connection, &response.headers);
+        }
     }
     Ok(reply)
 }
--- a/crates/entry/src/platform/grants.rs
+++ b/crates/entry/src/platform/grants.rs
@@ -45,17 +45,23 @@
     Ok((path, serde_json::to_vec(&body)?.into()))
 }
 
-/// Decodes an upstream's response to an order. Returns `None` if it answers a request
-/// instead: upstreams may repeat a response on a connection that is used again.
-pub fn decode_reply(status: StatusCode, response_headers: &HeaderMap) -> Option<Reply> {
+/// Decodes an upstream's response to an order. Returns `None` if it answers something else:
+/// upstreams may repeat a response on a connection that is used again. Only requests have
+/// marks, and the keys that a release hands over are named by a token.
+pub fn decode_reply(
+    kind: &OrderKind,
+    status: StatusCode,
+    response_headers: &HeaderMap,
+) -> Option<Reply> {
     let is_of_request = [headers::ATTEMPT_ID, headers::RESPONSE_SIGNATURE]
         .iter()
         .any(|name| response_headers.contains_key(name));
-    if is_of_request {
-        return None;
-    }
     let handover = response_headers.get(&headers::HANDOVER);
     let handover = handover.and_then(|value| value.to_str().ok());
+    let is_of_grant = *kind == OrderKind::Release && status == StatusCode::OK && handover.is_none();
+    if is_of_request || is_of_grant {
+        return None;
+    }
     Some(match status {
         StatusCode::OK => Reply::Done {
             handover: handover.map(ToOwned::to_owned),
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod bodies;
 mod check_config;
 mod connection;
+mod copies;
 mod crashes;
 mod decoding;
 mod endless;
