Try the likelier of two upstreams at one address first

After a start, an instance knows of no answer from an address at which several upstreams are registered. Inferred, not seen: each entry costs one refused send, and the retries of an instance that has had few requests run out.

Change: a candidate whose rival has answered, or has started before it if neither has, is tried last.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -19,6 +19,7 @@
 //! address itself answers shows which of several upstreams that are registered there
 //! listens: the others are displaced and not used.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -102,6 +103,10 @@
     pub said_leaving: bool,
     /// Time at which the upstream was first known to be registered at its address.
     listed_at: Time,
+    /// Whether another upstream is registered at its address.
+    shares_address: bool,
+    /// Whether the upstream has answered at its address.
+    has_answered: bool,
     /// Time until which the upstream is not used since its address has answered as another
     /// one.
     displaced_until: Option<Time>,
@@ -255,11 +260,14 @@
     /// Whether an incarnation has ended, since a later one has registered under its id or
     /// its address has answered as another upstream.
     pub fn has_ended(&self, upstream: Upstream) -> bool {
-        let Some(record) = self.get(upstream) else {
-            return false;
-        };
-        let current = self.current.get(&record.registration.id);
-        current.is_some_and(|key| *key != upstream) || record.displaced_until.is_some()
+        let record = self.get(upstream);
+        record.is_some_and(|record| !self.is_current(upstream) || record.displaced_until.is_some())
+    }
+
+    /// Whether no later incarnation of an upstream is known.
+    fn is_current(&self, upstream: Upstream) -> bool {
+        let record = self.get(upstream);
+        record.is_some_and(|record| self.current.get(&record.registration.id) == Some(&upstream))
     }
 
     /// Whether another upstream, which is not displaced, is registered at the address of an
@@ -268,15 +276,30 @@
         self.rivals(upstream).next().is_some()
     }
 
+    /// Whether a rival of an upstream is more likely to listen at their address: it has
+    /// answered there, or neither has, and it has started before. Only upstreams of services
+    /// that `is_known` names count, since nothing is sent to others that could displace them.
+    pub fn is_doubtful(&self, upstream: Upstream, is_known: impl Fn(&str) -> bool) -> bool {
+        let Some(own) = self.get(upstream).filter(|own| own.shares_address) else {
+            return false;
+        };
+        let likelihood =
+            |record: &UpstreamRecord| (record.has_answered, Reverse(record.registration.born));
+        let mut rivals = self
+            .rivals(upstream)
+            .map(|rival| &self.records[rival.0 as usize]);
+        rivals.any(|rival| {
+            likelihood(rival) > likelihood(own) && is_known(&rival.registration.service)
+        })
+    }
+
     /// Upstreams of other ids that are registered at the address of an upstream and not
     /// displaced.
     fn rivals(&self, upstream: Upstream) -> impl Iterator<Item = Upstream> {
-        let registration = self.get(upstream).map(|record| &record.registration);
-        let keys = registration.and_then(|own| self.by_address.get(&own.address));
-        keys.into_iter().flatten().copied().filter(move |key| {
-            let rival = &self.records[key.0 as usize];
-            let has_other_id = registration.is_some_and(|own| own.id != rival.registration.id);
-            has_other_id && !rival.removed && rival.displaced_until.is_none()
+        let own = self.get(upstream).filter(|record| record.shares_address);
+        let listed = own.and_then(|own| self.by_address.get(&own.registration.address));
+        listed.into_iter().flatten().copied().filter(move |key| {
+            *key != upstream && self.records[key.0 as usize].displaced_until.is_none()
         })
     }
 
@@ -284,9 +307,13 @@
     /// upstreams that were registered at its address then, no other one listens there.
     /// Returns those that are displaced by that.
     pub fn record_answer(&mut self, now: Time, sent: Time, upstream: Upstream) -> Vec<Upstream> {
-        if let Some(record) = self.records.get_mut(upstream.0 as usize)
-            && record.displaced_until.take().is_some()
-        {
+        let is_current = self.is_current(upstream);
+        let record = self.records.get_mut(upstream.0 as usize);
+        let Some(record) = record.filter(|_| is_current) else {
+            return Vec::new();
+        };
+        record.has_answered = true;
+        if record.displaced_until.take().is_some() {
             self.restore_use(upstream);
         }
         let mut displaced: Vec<Upstream> = self.rivals(upstream).collect();
@@ -312,8 +339,8 @@
 
     /// Makes an upstream that is no longer displaced usable, unless something else prevents it.
     fn restore_use(&mut self, upstream: Upstream) {
+        let is_current = self.is_current(upstream);
         let record = &mut self.records[upstream.0 as usize];
-        let is_current = self.current.get(&record.registration.id) == Some(&upstream);
         if is_current && !record.removed {
             record.usable = !record.registration.draining && !record.said_leaving;
             self.version += u64::from(record.usable);
@@ -385,18 +412,33 @@
         returns.map(move |(registration, at)| (registration.clone(), at.since(now)))
     }
 
-    /// Lists an upstream under its address, and no longer under the one `before` it.
-    fn record_address(&mut self, key: Upstream, before: Option<SocketAddr>) {
-        if let Some(listed) = before.and_then(|before| self.by_address.get_mut(&before)) {
-            listed.retain(|upstream| *upstream != key);
+    /// Lists an upstream under its address.
+    fn list_address(&mut self, key: Upstream) {
+        let address = self.records[key.0 as usize].registration.address;
+        let listed = self.by_address.entry(address).or_default();
+        if !listed.contains(&key) {
+            listed.push(key);
+        }
+        self.update_address(address);
+    }
+
+    /// Removes upstreams from the list of an address that are not registered there any more.
+    fn update_address(&mut self, address: SocketAddr) {
+        let Some(listed) = self.by_address.get_mut(&address) else {
+            return;
+        };
+        listed.retain(|key| {
+            let record = &self.records[key.0 as usize];
+            let registration = &record.registration;
+            let is_current = self.current.get(&registration.id) == Some(key);
+            is_current && !record.removed && registration.address == address
+        });
+        for key in listed.iter() {
+            self.records[key.0 as usize].shares_address = listed.len() > 1;
+        }
+        if listed.is_empty() {
+            self.by_address.remove(&address);
         }
-        let record = &self.records[key.0 as usize];
-        let listed = self
-            .by_address
-            .entry(record.registration.address)
-            .or_default();
-        listed.retain(|upstream| !self.records[upstream.0 as usize].removed);
-        listed.push(key);
     }
 
     /// Applies a registration; returns whether the set of usable upstreams or the
@@ -406,6 +448,7 @@
         let usable = !registration.draining;
         let leaving = (!usable).then_some(since);
         let warm_at = now + registration.warmup;
+        let mut former_address = None;
         if let Some(key) = self.current.get(&registration.id).copied() {
             let record = &mut self.records[key.0 as usize];
             if registration.born < record.registration.born {
@@ -418,6 +461,7 @@
                 let address_before = record.registration.address;
                 if address_before != registration.address {
                     (record.listed_at, record.displaced_until) = (now, None);
+                    record.has_answered = false;
                 }
                 let usable = usable && !record.is_withheld();
                 let changed =
@@ -438,14 +482,13 @@
                 let absent_until = record.absent.map_or(Time(0), |(_, until)| until);
                 record.warm_at = warm_at.max(record.cold_until).max(absent_until);
                 self.warmth_version += u64::from(was_cold || now < record.warm_at);
-                self.record_address(key, Some(address_before));
+                self.list_address(key);
+                self.update_address(address_before);
                 self.version += u64::from(changed);
                 return changed;
             }
             record.usable = false;
-            if let Some(listed) = self.by_address.get_mut(&record.registration.address) {
-                listed.retain(|upstream| *upstream != key);
-            }
+            former_address = Some(record.registration.address);
         }
         self.returns.remove(&registration.id);
         let key = Upstream(self.records.len() as u32);
@@ -459,13 +502,18 @@
             leaving_since: leaving,
             said_leaving: false,
             listed_at: now,
+            shares_address: false,
+            has_answered: false,
             displaced_until: None,
             warm_at,
             cold_until: Time(0),
             absent: None,
         });
         self.warmth_version += u64::from(now < warm_at);
-        self.record_address(key, None);
+        self.list_address(key);
+        if let Some(address) = former_address {
+            self.update_address(address);
+        }
         self.version += 1;
         true
     }
@@ -530,6 +578,8 @@
             record.removed = true;
             record.removal_at = None;
             self.version += 1;
+            let address = record.registration.address;
+            self.update_address(address);
         }
         expired.into_iter().map(|(_, key)| key).collect()
     }
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -93,6 +93,8 @@
     pub cross_domain: bool,
     /// Whether the upstream is still slow after its start.
     pub warming_up: bool,
+    /// Whether another upstream is more likely to listen at its address.
+    pub doubtful: bool,
 }
 
 /// Why a request is refused.
--- a/crates/core/src/entry/queue/selection.rs
+++ b/crates/core/src/entry/queue/selection.rs
@@ -139,7 +139,7 @@
     if candidate.warming_up {
         seconds *= 2.0;
     }
-    if state.is_penalized(now) {
+    if state.is_penalized(now) || candidate.doubtful {
         seconds += 10.0;
     }
     seconds
--- a/crates/core/tests/entry/admission.rs
+++ b/crates/core/tests/entry/admission.rs
@@ -36,6 +36,7 @@
             slots: SLOTS as u32,
             cross_domain: false,
             warming_up: false,
+            doubtful: false,
         };
         Availability {
             candidates: vec![owner],
--- a/crates/core/tests/entry/directory.rs
+++ b/crates/core/tests/entry/directory.rs
@@ -147,6 +147,28 @@
     assert_eq!(usable_ids(&directory), ["rival", "u1"]);
 }
 
+/// Guards against requests that are sent to what another writer has registered, while the
+/// upstream that is there could take them.
+#[test]
+fn later_rival_is_doubtful_until_it_answers() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), at(0), registration(1));
+    directory.apply(at(0), at(0), rival("intake"));
+    let [own, rival] = ["u1", "rival"].map(|id| directory.find(id).unwrap().0);
+    let doubtful = |directory: &Directory| {
+        [own, rival].map(|upstream| directory.is_doubtful(upstream, |_| true))
+    };
+
+    assert_eq!(doubtful(&directory), [false, true]);
+    assert!(!directory.is_doubtful(rival, |service| service == "another"));
+    directory.record_answer(at(200), at(100), rival);
+    assert_eq!(doubtful(&directory), [true, false]);
+    assert_eq!(usable_ids(&directory), ["rival"]);
+    directory.schedule_removal("u1", at(300), at(300));
+    directory.expire(at(300));
+    assert!(!directory.has_rival(rival));
+}
+
 /// Guards against an address that is lost to what isn't there, and against one wrong answer
 /// that takes an upstream out of use for good.
 #[test]
--- a/crates/core/tests/entry/even_load.rs
+++ b/crates/core/tests/entry/even_load.rs
@@ -426,6 +426,7 @@
             slots: SLOTS,
             cross_domain: false,
             warming_up: false,
+            doubtful: false,
         };
         Usable(self.usable().into_iter().map(candidate).collect())
     }
--- a/crates/core/tests/entry/queue.rs
+++ b/crates/core/tests/entry/queue.rs
@@ -32,6 +32,7 @@
             slots: 6,
             cross_domain: false,
             warming_up: false,
+            doubtful: false,
         };
         Availability {
             candidates: (0..count).map(candidate).collect(),
--- a/crates/core/tests/entry/rate_limit.rs
+++ b/crates/core/tests/entry/rate_limit.rs
@@ -33,6 +33,7 @@
             slots: 100,
             cross_domain: false,
             warming_up: false,
+            doubtful: false,
         };
         let count = if key.is_some() { 1 } else { 2 };
         Availability {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -854,11 +854,13 @@
         let directory = self.directory.borrow();
         let settings = self.settings.borrow();
         let evacuations = self.evacuations.borrow();
+        let table = self.route_table.borrow();
         let candidate = |upstream, record: &UpstreamRecord| Candidate {
             upstream,
             slots: record.registration.slots,
             cross_domain: record.registration.domain != settings.domain,
             warming_up: now < record.warm_at,
+            doubtful: directory.is_doubtful(upstream, |service| table.service(service).is_some()),
         };
         let Some(key) = key else {
             let usable = directory.usable();
--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -1,5 +1,7 @@
 //! Entries among the registrations that another writer has left.
 
+use std::net::SocketAddr;
+
 use medlarreel_entry::platform::registry;
 use medlarreel_standin::platform::upstream::{self, Upstream};
 use medlarreel_standin::server::{Server, any_port};
@@ -7,8 +9,8 @@
 use tokio::time::{Duration, sleep};
 
 use crate::fixture::{
-    TestCluster, config_text, is_ready, request_text, send_request, start_cluster, start_instance,
-    wait_until,
+    TestCluster, config_text, is_ready, request_text, send_request, start_cluster, start_followers,
+    start_instance, wait_until,
 };
 
 /// Registration of an upstream of the keyed service, with `fields` in place of its own.
@@ -185,10 +187,17 @@
 /// Sends requests to both services for some seconds while the upstreams register again and
 /// again. Returns the responses that are no success.
 async fn failed_responses(cluster: &mut TestCluster) -> Vec<String> {
+    let callers = cluster.instance.callers;
+    failed_responses_at(callers, cluster).await
+}
+
+/// As `failed_responses`, at another instance.
+async fn failed_responses_at(callers: SocketAddr, cluster: &mut TestCluster) -> Vec<String> {
     let mut failed = Vec::new();
     for number in 0..60 {
         for path in ["/status/x", "/catalogue/x"] {
-            let response = cluster.get(path, &format!("{number}{path}")).await;
+            let request = request_text("GET", path, &format!("{number}{path}"), "");
+            let response = send_request(callers, &request).await;
             if !response.starts_with("HTTP/1.1 200") {
                 failed.push(response);
             }
@@ -254,6 +263,39 @@
     assert_eq!(cluster.held_key_count(), 1 << 16);
 }
 
+/// Guards against the same when the entries come from other instances, to one that starts, to
+/// the next leader, or from a store that was restored.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_end_no_upstreams_whichever_way_they_come() {
+    let mut cluster = start_cluster().await;
+    let mut followers = start_followers(&cluster, 1).await;
+    for service in ["watch", "keyed", "plain"] {
+        let fields = json!({ "service": service });
+        for (number, entry) in entries_at_all_addresses(&cluster, &fields)
+            .iter()
+            .enumerate()
+        {
+            put(&cluster, &format!("{service}-{number}"), entry);
+        }
+    }
+    followers.extend(start_followers(&cluster, 1).await);
+
+    let mut failed = Vec::new();
+    for follower in &followers {
+        failed.push(failed_responses_at(follower.callers, &mut cluster).await);
+    }
+    cluster.instance.signal("-TERM");
+    assert!(cluster.instance.wait_for_exit().await);
+    failed.push(failed_responses_at(followers[0].callers, &mut cluster).await);
+    let store = cluster.store.service();
+    store.restore(store.backup());
+    failed.push(failed_responses_at(followers[1].callers, &mut cluster).await);
+
+    let failed: Vec<String> = failed.into_iter().flatten().collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    assert_eq!(cluster.held_key_count(), 1 << 16);
+}
+
 /// Guards against upstreams that stay unknown because they registered before the operators
 /// named their service, or while it was not named for a time.
 #[tokio::test(flavor = "multi_thread")]
