--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -483,7 +483,9 @@
                 record.warm_at = warm_at.max(record.cold_until).max(absent_until);
                 self.warmth_version += u64::from(was_cold || now < record.warm_at);
                 self.list_address(key);
-                self.update_address(address_before);
+                if address_before != self.records[key.0 as usize].registration.address {
+                    self.update_address(address_before);
+                }
                 self.version += u64::from(changed);
                 return changed;
             }
