Let tests reach an upstream that an idle instance doesn't use

The test was wrong to wait for that. It now sends so many requests at a time that one upstream can't run them, and asks the same as before afterwards.

--- a/crates/entry/tests/path/leaving.rs
+++ b/crates/entry/tests/path/leaving.rs
@@ -1,10 +1,12 @@
 //! Upstreams that say in their responses that they are leaving, or that an instance shall send
 //! them nothing for some time.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use medlarreel_standin::platform::upstream::{ResponseMode, Upstream};
 use medlarreel_standin::server::Server;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use crate::fixture::{
@@ -14,9 +16,12 @@
 /// `drain` in the settings of the instances.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
+/// Number of requests at a time that two upstreams run.
+const CROWD: usize = 24;
+
 /// Sends a request about every 10 ms to the instances in turn, and returns how many were
 /// served.
-async fn send_requests(callers: &[std::net::SocketAddr], path: &str, duration: Duration) -> usize {
+async fn send_requests(callers: &[SocketAddr], path: &str, duration: Duration) -> usize {
     let end = Instant::now() + duration;
     let mut served = 0;
     let mut number = 0;
@@ -43,17 +48,31 @@
     arrivals.iter().filter(|at| **at >= start).count()
 }
 
-/// Sends requests until one has reached each of the upstreams.
-async fn send_until_reached(callers: &[std::net::SocketAddr], upstreams: &[&Server<Upstream>]) {
+/// Sends requests until one has reached each of the upstreams. An idle instance sends requests
+/// without a key to the first upstream in its own order, so these are so many at a time that
+/// the second plain upstream alone can't run them.
+async fn send_until_reached(
+    cluster: &TestCluster,
+    callers: &[SocketAddr],
+    upstreams: &[&Server<Upstream>],
+) {
     let start = Instant::now();
+    let busy = cluster.plain[1].service();
+    busy.set_mode(ResponseMode::Serve(Duration::from_millis(100)));
     wait_until("all upstreams are reached", async || {
-        for path in ["/status/x", "/catalogue/x"] {
-            send_requests(callers, path, Duration::from_millis(100)).await;
+        send_requests(callers, "/status/x", Duration::from_millis(100)).await;
+        let mut crowd = JoinSet::new();
+        for number in 0..CROWD {
+            let request = request_text("GET", "/catalogue/x", &format!("crowd-{number}"), "");
+            let address = callers[number % callers.len()];
+            crowd.spawn(async move { send_request(address, &request).await });
         }
+        crowd.join_all().await;
         let mut upstreams = upstreams.iter();
         upstreams.all(|upstream| arrivals_since(upstream, start) > 0)
     })
     .await;
+    busy.set_mode(ResponseMode::Serve(Duration::ZERO));
 }
 
 /// Guards against requests that reach an upstream too long after it has said in a response
@@ -74,7 +93,7 @@
             .set_extra_headers(&[("server-leaving", "1")]);
     }
 
-    send_until_reached(&callers, &leaving).await;
+    send_until_reached(&cluster, &callers, &leaving).await;
     // A report to the leader, and what it tells the others, take up to a second each.
     sleep(Duration::from_secs(2) + DRAIN_LIMIT).await;
     let start = Instant::now();
@@ -105,7 +124,7 @@
             .set_extra_headers(&[("retry-after", "20.5")]);
     }
 
-    send_until_reached(&callers, &[owner, &cluster.plain[0]]).await;
+    send_until_reached(&cluster, &callers, &[owner, &cluster.plain[0]]).await;
     let start = Instant::now();
     let keyed = send_requests(&callers, "/status/x", Duration::from_secs(1)).await;
     let plain = send_requests(&callers, "/catalogue/x", Duration::from_secs(1)).await;
