Let tests wait for keys that the leader is moving

It asked for all keys at one moment.

The test was wrong to take a moment for the state. It waits for all keys now, as do the tests that were written after it; that no request may be refused meanwhile stays.

--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -121,6 +121,15 @@
     assert!(is_ready(&cluster.instance).await);
 }
 
+/// Waits until all keys are held. The leader may be moving some at any moment, since requests
+/// are not spread evenly.
+async fn wait_until_held(cluster: &TestCluster) {
+    wait_until("all keys are held", async || {
+        cluster.held_key_count() == 1 << 16
+    })
+    .await;
+}
+
 /// Guards against keys that are taken from a healthy upstream for an entry behind which there
 /// is no other one.
 #[tokio::test(flavor = "multi_thread")]
@@ -149,7 +158,7 @@
     }
 
     assert!(refused.is_empty(), "{refused:?}");
-    assert_eq!(cluster.held_key_count(), 1 << 16);
+    wait_until_held(&cluster).await;
 }
 
 /// Guards against instances that can't load the registrations because of the key of one of
@@ -235,7 +244,7 @@
 
     assert!(failed.is_empty(), "{failed:?}");
     assert!(failed_after_start.is_empty(), "{failed_after_start:?}");
-    assert_eq!(cluster.held_key_count(), 1 << 16);
+    wait_until_held(&cluster).await;
 }
 
 /// Guards against the same by entries of known services: the upstreams themselves say who they
@@ -260,7 +269,7 @@
 
     assert!(failed.is_empty(), "{failed:?}");
     assert!(failed_after_start.is_empty(), "{failed_after_start:?}");
-    assert_eq!(cluster.held_key_count(), 1 << 16);
+    wait_until_held(&cluster).await;
 }
 
 /// Guards against the same when the entries come from other instances, to one that starts, to
@@ -293,7 +302,7 @@
 
     let failed: Vec<String> = failed.into_iter().flatten().collect();
     assert!(failed.is_empty(), "{failed:?}");
-    assert_eq!(cluster.held_key_count(), 1 << 16);
+    wait_until_held(&cluster).await;
 }
 
 /// Guards against upstreams that stay unknown because they registered before the operators
