--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -217,6 +217,19 @@
     failed
 }
 
+/// Panics if a request fails, or keys are lost, at the running instance or at one that takes
+/// its place and has nobody to get the registrations from.
+async fn check_all_served(mut cluster: TestCluster) {
+    let failed = failed_responses(&mut cluster).await;
+    cluster.instance = start_instance(cluster.store.address()).await;
+    cluster.wait_until_served().await;
+    let failed_after_start = failed_responses(&mut cluster).await;
+
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(failed_after_start.is_empty(), "{failed_after_start:?}");
+    wait_until_held(&cluster).await;
+}
+
 /// Guards against upstreams that are out of use because another writer has left entries with
 /// their addresses, in a running system and after a start of all instances.
 #[tokio::test(flavor = "multi_thread")]
@@ -227,7 +240,7 @@
         json!({"service": ""}),
         json!({"service": "watch", "slots": 0}),
     ];
-    let mut cluster = start_cluster().await;
+    let cluster = start_cluster().await;
     for (variant, fields) in variants.iter().enumerate() {
         for (number, entry) in entries_at_all_addresses(&cluster, fields)
             .iter()
@@ -237,21 +250,14 @@
         }
     }
 
-    let failed = failed_responses(&mut cluster).await;
-    cluster.instance = start_instance(cluster.store.address()).await;
-    cluster.wait_until_served().await;
-    let failed_after_start = failed_responses(&mut cluster).await;
-
-    assert!(failed.is_empty(), "{failed:?}");
-    assert!(failed_after_start.is_empty(), "{failed_after_start:?}");
-    wait_until_held(&cluster).await;
+    check_all_served(cluster).await;
 }
 
 /// Guards against the same by entries of known services: the upstreams themselves say who they
 /// are.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_of_known_services_do_not_end_upstreams() {
-    let mut cluster = start_cluster().await;
+    let cluster = start_cluster().await;
     for service in ["keyed", "plain"] {
         let fields = json!({ "service": service });
         for (number, entry) in entries_at_all_addresses(&cluster, &fields)
@@ -262,14 +268,7 @@
         }
     }
 
-    let failed = failed_responses(&mut cluster).await;
-    cluster.instance = start_instance(cluster.store.address()).await;
-    cluster.wait_until_served().await;
-    let failed_after_start = failed_responses(&mut cluster).await;
-
-    assert!(failed.is_empty(), "{failed:?}");
-    assert!(failed_after_start.is_empty(), "{failed_after_start:?}");
-    wait_until_held(&cluster).await;
+    check_all_served(cluster).await;
 }
 
 /// Guards against the same when the entries come from other instances, to one that starts, to
