Record in one place what a question to an address shows

The leader's probes and the questions at contested addresses each told the directory of the answer, and each caller looked for a rival before it asked. Both are in `identity` now, and `verify_contested` builds a claim only if there is a rival. No change of behaviour.

The tests of odd entries, crashes, restarts and copies pass.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -97,7 +97,6 @@
 pub fn check_abandoned(state: &Rc<State>) {
     let now = state.clock.now();
     let mut ended: Vec<Upstream> = Vec::new();
-    let mut contested: Vec<Upstream> = Vec::new();
     {
         let directory = state.directory.borrow();
         let mut abandoned = state.abandoned.borrow_mut();
@@ -110,11 +109,9 @@
         ended.extend(crashed.map(|request| request.upstream));
         ended.sort();
         ended.dedup();
-        let upstreams = abandoned.iter().map(|request| request.upstream);
-        contested.extend(upstreams.filter(|upstream| directory.has_rival(*upstream)));
-    }
-    for upstream in contested {
-        identity::verify_contested(state, upstream);
+        for request in abandoned.iter() {
+            identity::verify_contested(state, request.upstream);
+        }
     }
     for upstream in ended {
         let requests = take_abandoned(state, upstream, SUCCESSOR_TIMEOUT);
--- a/crates/entry/src/identity.rs
+++ b/crates/entry/src/identity.rs
@@ -37,14 +37,7 @@
 }
 
 impl Claim {
-    /// Asks whether the upstream listens at its address. Returns the connection and the
-    /// header fields of the answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns `Misdirected` if another upstream has answered, and another error if it is not
-    /// known who listens there.
-    pub async fn verify(&self, memory: &Memory) -> Result<(Connection, HeaderMap), Error> {
+    async fn ask(&self, memory: &Memory) -> Result<(Connection, HeaderMap), Error> {
         let mut connection = Connection::connect(self.address, TIMEOUT).await?;
         let request = Request::get(&self.health_path)
             .header(header::HOST, self.address.to_string())
@@ -69,10 +62,35 @@
     }
 }
 
+/// Asks whether an upstream listens at the address of its claim. Returns the connection and
+/// the header fields of the answer. The directory learns what the answer shows.
+///
+/// # Errors
+///
+/// Returns `Misdirected` if another upstream has answered, and another error if it is not
+/// known who listens there.
+pub async fn verify(
+    state: &State,
+    upstream: Upstream,
+    claim: &Claim,
+) -> Result<(Connection, HeaderMap), Error> {
+    let sent = state.clock.now();
+    let answer = claim.ask(&state.memory).await;
+    match &answer {
+        Ok(_) => state.record_answer(upstream, sent),
+        Err(Error::Misdirected) => state.record_displacement(upstream),
+        Err(_) => {}
+    }
+    answer
+}
+
 /// Asks whether an upstream still listens at its address if another one is registered there
-/// as well, unless that was asked a moment ago. The directory learns the answer.
+/// as well, unless that was asked a moment ago.
 pub fn verify_contested(state: &Rc<State>, upstream: Upstream) {
-    let Some(claim) = state.claim(upstream).filter(|claim| claim.is_contested) else {
+    if !state.directory.borrow().has_rival(upstream) {
+        return;
+    }
+    let Some(claim) = state.claim(upstream) else {
         return;
     };
     let now = state.clock.now();
@@ -83,9 +101,8 @@
     }
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
-        match claim.verify(&state.memory).await {
-            Ok(_) => state.record_answer(upstream, now),
-            Err(Error::Misdirected) => state.record_displacement(upstream),
+        match verify(&state, upstream, &claim).await {
+            Ok(_) | Err(Error::Misdirected) => {}
             Err(error) => {
                 let (id, address) = (claim.id, claim.address);
                 tracing::info!(upstream = id, %address, %error, "not known who listens");
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -494,7 +494,7 @@
                     .or_insert_with(|| ledger.holders(&registration.service));
                 let owner = owner_of(registration);
                 let is_holder = holders.binary_search(&owner).is_ok();
-                if is_holder && directory.has_rival(upstream) {
+                if is_holder {
                     identity::verify_contested(&state, upstream);
                 }
                 let is_alive = is_holder
--- a/crates/entry/src/leader/probe.rs
+++ b/crates/entry/src/leader/probe.rs
@@ -10,7 +10,6 @@
 use medlarreel_core::ids::Upstream;
 use medlarreel_core::time::Time;
 
-use crate::error::Error;
 use crate::identity::{self, Claim};
 use crate::platform::headers;
 use crate::state::State;
@@ -49,11 +48,10 @@
         }
         let unanswered = Outcome::Unanswered(now);
         self.outcomes.borrow_mut().insert(upstream, unanswered);
-        let (probes, state, sent) = (Rc::clone(self), Rc::clone(state), now);
+        let (probes, state) = (Rc::clone(self), Rc::clone(state));
         tokio::task::spawn_local(async move {
-            match claim.verify(&state.memory).await {
+            match identity::verify(&state, upstream, &claim).await {
                 Ok((connection, headers)) => {
-                    state.record_answer(upstream, sent);
                     let now = state.clock.now();
                     let answered = Outcome::Answered;
                     probes.outcomes.borrow_mut().insert(upstream, answered);
@@ -67,9 +65,6 @@
                         .put_idle(now, upstream, connection, &headers, 1);
                 }
                 Err(error) => {
-                    if error == Error::Misdirected {
-                        state.record_displacement(upstream);
-                    }
                     let (id, address) = (claim.id, claim.address);
                     tracing::info!(upstream = id, %address, %error, "upstream gets no keys yet");
                 }
