Evict nothing when an instance takes no more memory

Found in reading: what an instance collects for itself is counted anew with each part of a body, each record of a page and each fragment of a message, often without taking more. Each time, while the budget was exceeded, a body of a caller was evicted for it: a request for nothing counted like any other.

Change: a request for nothing returns at once, and a load counts its records once a page. taking_no_more_evicts_nothing failed before (2 evictions in place of 1).

--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -147,6 +147,10 @@
 impl Portion {
     /// Takes `bytes` more.
     pub fn extend(&mut self, bytes: usize) {
+        // Even nothing more evicts a body while the budget is exceeded.
+        if bytes == 0 {
+            return;
+        }
         let now = self.memory.0.clock.now();
         let mut state = self.memory.state();
         let victim = state.budget.take(now, bytes);
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -184,7 +184,6 @@
                 if size > MAX_TOPIC_BYTES {
                     return Err(malformed(format!("topic has over {MAX_TOPIC_BYTES} bytes")));
                 }
-                taken.resize(size);
                 keys.insert(item.key.clone());
                 latest.records.push(KeyedRecord {
                     key: item.key,
@@ -192,6 +191,7 @@
                     offset: item.offset,
                 });
             }
+            taken.resize(size);
             if !page.has_more {
                 return Ok(latest);
             }
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod history;
 mod leaving;
+mod memory;
 mod messages;
 mod metrics;
 mod missed;
