Escape the names of routes when metrics are written

Each count of a request made two copies of the route's name to escape it. The name's own encoding does it now, when the metrics are fetched. No change of what is written; names_of_routes_are_escaped is as it was.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,19 +1,40 @@
 //! Prometheus metrics of one instance.
 
+use std::fmt::{self, Write};
+
 use medlarreel_core::entry::queue::Reason;
 use medlarreel_core::entry::queue::arrival::Arrival;
-use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+/// Name that operators have chosen. It is escaped when it is written, since the library writes
+/// the values of labels as they are.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Name(String);
+
+impl EncodeLabelValue for Name {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        for character in self.0.chars() {
+            match character {
+                '\\' => encoder.write_str("\\\\")?,
+                '"' => encoder.write_str("\\\"")?,
+                '\n' => encoder.write_str("\\n")?,
+                other => encoder.write_char(other)?,
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Labels of a metric of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
     /// Name of the route; `-` if the request was not matched to one.
-    pub route: String,
+    pub route: Name,
     /// How the request ended, why it was refused or sent again, or how it arrived.
     pub outcome: String,
 }
@@ -286,18 +307,12 @@
 impl RequestLabels {
     fn new(route: &str, outcome: &str) -> RequestLabels {
         RequestLabels {
-            route: escape_label(route),
+            route: Name(route.to_owned()),
             outcome: outcome.to_owned(),
         }
     }
 }
 
-/// Escapes a label value that operators have chosen. The library writes values as they are.
-fn escape_label(value: &str) -> String {
-    let escaped = value.replace('\\', "\\\\").replace('"', "\\\"");
-    escaped.replace('\n', "\\n")
-}
-
 impl Metrics {
     /// Counts a finished call to the store or order to an upstream.
     pub fn count_call(&self, kind: &'static str, outcome: &'static str) {
@@ -343,7 +358,7 @@
     /// # Errors
     ///
     /// Returns an error if a metric cannot be encoded.
-    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+    pub fn encode(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
         prometheus_client::encoding::text::encode(&mut text, &self.registry)?;
         Ok(text)
