Update the lists of addresses in one place

Both ways in which a registration changes the list of an address ended in their own calls, one by a variable that only the other way set. A doubt about an upstream also checked what the search for its rivals checks.

--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -280,7 +280,7 @@
     /// answered there, or neither has, and it has started before. Only upstreams of services
     /// that `is_known` names count, since nothing is sent to others that could displace them.
     pub fn is_doubtful(&self, upstream: Upstream, is_known: impl Fn(&str) -> bool) -> bool {
-        let Some(own) = self.get(upstream).filter(|own| own.shares_address) else {
+        let Some(own) = self.get(upstream) else {
             return false;
         };
         let likelihood =
@@ -342,7 +342,7 @@
         let is_current = self.is_current(upstream);
         let record = &mut self.records[upstream.0 as usize];
         if is_current && !record.removed {
-            record.usable = !record.registration.draining && !record.said_leaving;
+            record.usable = !record.registration.draining && !record.is_withheld();
             self.version += u64::from(record.usable);
         }
     }
@@ -412,14 +412,18 @@
         returns.map(move |(registration, at)| (registration.clone(), at.since(now)))
     }
 
-    /// Lists an upstream under its address.
-    fn list_address(&mut self, key: Upstream) {
+    /// Lists an upstream under its address. What is registered under its id was listed under
+    /// `before`.
+    fn list_address(&mut self, key: Upstream, before: Option<SocketAddr>) {
         let address = self.records[key.0 as usize].registration.address;
         let listed = self.by_address.entry(address).or_default();
         if !listed.contains(&key) {
             listed.push(key);
         }
         self.update_address(address);
+        if let Some(before) = before.filter(|before| *before != address) {
+            self.update_address(before);
+        }
     }
 
     /// Removes upstreams from the list of an address that are not registered there any more.
@@ -448,8 +452,9 @@
         let usable = !registration.draining;
         let leaving = (!usable).then_some(since);
         let warm_at = now + registration.warmup;
-        let mut former_address = None;
-        if let Some(key) = self.current.get(&registration.id).copied() {
+        let known = self.current.get(&registration.id).copied();
+        let address_before = known.map(|key| self.records[key.0 as usize].registration.address);
+        if let Some(key) = known {
             let record = &mut self.records[key.0 as usize];
             if registration.born < record.registration.born {
                 return false;
@@ -458,8 +463,7 @@
                 if record.is_newer_than(&registration) {
                     return false;
                 }
-                let address_before = record.registration.address;
-                if address_before != registration.address {
+                if address_before != Some(registration.address) {
                     (record.listed_at, record.displaced_until) = (now, None);
                     record.has_answered = false;
                 }
@@ -482,15 +486,11 @@
                 let absent_until = record.absent.map_or(Time(0), |(_, until)| until);
                 record.warm_at = warm_at.max(record.cold_until).max(absent_until);
                 self.warmth_version += u64::from(was_cold || now < record.warm_at);
-                self.list_address(key);
-                if address_before != self.records[key.0 as usize].registration.address {
-                    self.update_address(address_before);
-                }
+                self.list_address(key, address_before);
                 self.version += u64::from(changed);
                 return changed;
             }
             record.usable = false;
-            former_address = Some(record.registration.address);
         }
         self.returns.remove(&registration.id);
         let key = Upstream(self.records.len() as u32);
@@ -512,10 +512,7 @@
             absent: None,
         });
         self.warmth_version += u64::from(now < warm_at);
-        self.list_address(key);
-        if let Some(address) = former_address {
-            self.update_address(address);
-        }
+        self.list_address(key, address_before);
         self.version += 1;
         true
     }
