Write the optional parameter and the timeout of a call once

A call to the store with an optional parameter built its target in two branches, twice; the two kinds of exchanges on a connection each ended with the same timeout; the settings had their own copy of the length of a key, which is the store's. No change of behaviour.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -228,8 +228,7 @@
                 body: body.map_err(|error| body_error(&error))?,
             })
         };
-        let response = tokio::time::timeout(timeout, round_trip).await;
-        response.unwrap_or_else(|_| Err(Error::NoResponse("the time is up".into())))
+        end_within(timeout, round_trip).await
     }
 
     /// Sends a request of this instance's own and reads what is wanted of the response within
@@ -251,9 +250,7 @@
             let body = self.read_bounded(body, wanted, &mut taken).await;
             Ok((parts, body.map_err(|error| body_error(&error))?))
         };
-        let (parts, body) = tokio::time::timeout(timeout, round_trip)
-            .await
-            .unwrap_or_else(|_| Err(Error::NoResponse("the time is up".into())))?;
+        let (parts, body) = end_within(timeout, round_trip).await?;
         Ok(CallResponse {
             status: parts.status,
             headers: parts.headers,
@@ -321,6 +318,15 @@
     }
 }
 
+/// Waits for the end of an exchange, and gives it up after `timeout`.
+async fn end_within<T>(
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let ended = tokio::time::timeout(timeout, exchange).await;
+    ended.unwrap_or_else(|_| Err(Error::NoResponse("the time is up".into())))
+}
+
 async fn open_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- a/crates/entry/src/platform/store.rs
+++ b/crates/entry/src/platform/store.rs
@@ -30,6 +30,9 @@
 /// Maximum size of the records in one response, in KiB.
 const MAX_READ_KIB: u32 = 1_024;
 
+/// Maximum length of a key, in bytes. A record has one byte for it.
+pub const MAX_KEY_BYTES: usize = u8::MAX as usize;
+
 /// Maximum size of a page of the newest records, in bytes: 1 MB in base64, and the keys, of
 /// which JSON may escape each byte with six.
 const MAX_PAGE_BYTES: usize = 4 << 20;
@@ -159,10 +162,8 @@
         let mut era = None;
         let mut after: Option<String> = None;
         loop {
-            let target = match &after {
-                Some(key) => target("log-newest", topic, &[("after", key)]),
-                None => target("log-newest", topic, &[]),
-            };
+            let parameter = after.as_ref().map(|key| ("after", key as &dyn Display));
+            let target = target("log-newest", topic, parameter.as_slice());
             let response = self
                 .call("GET", &target, Bytes::new(), CALL_TIMEOUT, MAX_PAGE_BYTES)
                 .await?;
@@ -252,10 +253,8 @@
         value: &[u8],
         as_of: Option<u64>,
     ) -> Result<AppendOutcome, Error> {
-        let target = match &as_of {
-            Some(end) => target("log-append", topic, &[("asOf", end)]),
-            None => target("log-append", topic, &[]),
-        };
+        let parameter = as_of.as_ref().map(|end| ("asOf", end as &dyn Display));
+        let target = target("log-append", topic, parameter.as_slice());
         let response = self
             .call(
                 "POST",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,8 @@
 use medlarreel_core::config::value::{self, ValueError};
 use medlarreel_core::config::{Document, Section, SectionSchema};
 
+use crate::platform::store::MAX_KEY_BYTES;
+
 /// Upper bound of the lease duration, even if `hold_max` allows more. Keys of a lost
 /// upstream are unavailable for about this time, and leases are renewed three times within
 /// it.
@@ -60,9 +62,6 @@
 
 const MEGABYTE: u64 = 1_000_000;
 
-/// Maximum length of a key in the store.
-const MAX_KEY_BYTES: usize = 255;
-
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
