--- a/crates/entry/tests/crowd/endless.rs
+++ b/crates/entry/tests/crowd/endless.rs
@@ -1,9 +1,11 @@
 //! Upstream that answers calls to one path without end, and all others soundly.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
+use crate::upstream;
+
 /// Answers without end: what they begin with, and what is repeated until the connection is
 /// closed.
 pub const ANSWERS: [(&str, &str); 6] = [
@@ -42,19 +44,7 @@
 ) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream);
     let mut stream = stream;
-    loop {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            if reader.read_line(&mut head)? == 0 {
-                return Ok(());
-            }
-        }
-        let lowercase = head.to_ascii_lowercase();
-        let length = lowercase
-            .lines()
-            .find_map(|line| line.strip_prefix("content-length: "));
-        let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
-        std::io::copy(&mut Read::take(&mut reader, length), &mut std::io::sink())?;
+    while let Some(head) = upstream::read_request(&mut reader)? {
         if head.contains(path) {
             let repeated = repeated.repeat(4_096);
             stream.write_all(start.as_bytes())?;
@@ -65,4 +55,5 @@
         let sound = format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         stream.write_all(sound.as_bytes())?;
     }
+    Ok(())
 }
--- a/crates/entry/tests/crowd/main.rs
+++ b/crates/entry/tests/crowd/main.rs
@@ -45,7 +45,7 @@
 /// An instance with little memory, a store and upstreams.
 struct Crowded {
     instance: Instance,
-    _store: Server<Store>,
+    store: Server<Store>,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -59,10 +59,10 @@
     let store = store::start(any_port()).await.unwrap();
     for number in 0..3 {
         let address = upstream::start(LARGE_BODY);
-        register(&store, "plain", &format!("p{number}"), address);
+        register(&store, "plain", &format!("p{number}"), address, "ready");
     }
     for (id, address) in keyed {
-        register(&store, "keyed", id, *address);
+        register(&store, "keyed", id, *address, "ready");
     }
     let config = config_text(1, BODY_LIMIT);
     store.service().put("keyed.op", "config", config.as_bytes());
@@ -73,18 +73,19 @@
     let instance = start_instance_with(store.address(), |text| text + &limits).await;
     let crowded = Crowded {
         instance,
-        _store: store,
+        store,
         _turn: turn,
     };
     crowded.wait_until_served().await;
     crowded
 }
 
-fn register(store: &Server<Store>, service: &str, id: &str, address: SocketAddr) {
+fn register(store: &Server<Store>, service: &str, id: &str, address: SocketAddr, state: &str) {
+    let sequence = if state == "ready" { 1 } else { 2 };
     let registration = json!({
         "service": service, "address": address.to_string(),
-        "zone": "a", "version": "v1", "slots": 6, "state": "ready",
-        "warmupLeftS": 0, "sequence": 1, "born": 1000,
+        "zone": "a", "version": "v1", "slots": 6, "state": state,
+        "warmupLeftS": 0, "sequence": sequence, "born": 1000,
     });
     let text = registration.to_string();
     store.service().put("keyed.servers", id, text.as_bytes());
@@ -212,8 +213,9 @@
     drop(crowd);
 }
 
-/// Starts an instance beside upstreams whose answers to `path` have no end. Panics if it ends,
-/// takes more memory than its settings allow, or serves no ordinary request.
+/// Starts an instance beside upstreams whose answers to `path` have no end, and lets half of
+/// the upstreams leave. Panics if it ends, takes more memory than its settings allow, or serves
+/// no ordinary request.
 async fn check_endless_answers(path: &'static str) {
     let upstreams: Vec<(String, SocketAddr)> = (0..24)
         .map(|number| {
@@ -224,6 +226,10 @@
         .collect();
     let mut crowded = start_beside(&upstreams).await;
 
+    crowded.watch().await;
+    for (id, address) in &upstreams[12..] {
+        register(&crowded.store, "keyed", id, *address, "draining");
+    }
     crowded.watch().await;
 
     crowded.wait_until_served().await;
@@ -237,6 +243,12 @@
     check_endless_answers("/medlarreel/grant").await;
 }
 
+/// Guards against the same in replies to releases.
+#[tokio::test]
+async fn endless_replies_to_releases_stay_within_the_memory() {
+    check_endless_answers("/medlarreel/release").await;
+}
+
 /// Guards against the same in answers to health checks.
 #[tokio::test]
 async fn endless_answers_to_health_checks_stay_within_the_memory() {
--- a/crates/entry/tests/crowd/upstream.rs
+++ b/crates/entry/tests/crowd/upstream.rs
@@ -24,22 +24,32 @@
     address
 }
 
+/// Reads a request, drops its body and returns its head; `None` if there is no further one.
+pub fn read_request(reader: &mut impl BufRead) -> std::io::Result<Option<String>> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head)? == 0 {
+            return Ok(None);
+        }
+    }
+    let length = field(&head, "content-length").and_then(|length| length.parse().ok());
+    let mut body = Read::take(reader, length.unwrap_or(0));
+    std::io::copy(&mut body, &mut std::io::sink())?;
+    Ok(Some(head))
+}
+
+/// Value of a field of a head.
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(": "));
+    let found = fields.find(|(found, _)| found.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value)
+}
+
 fn serve(stream: &TcpStream, large: usize) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream);
-    loop {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            if reader.read_line(&mut head)? == 0 {
-                return Ok(());
-            }
-        }
-        let head = head.to_ascii_lowercase();
-        let field = |name| head.lines().find_map(|line| line.strip_prefix(name));
-        let length = field("content-length: ").and_then(|length| length.parse().ok());
-        let mut body = Read::take(&mut reader, length.unwrap_or(0));
-        std::io::copy(&mut body, &mut std::io::sink())?;
+    while let Some(head) = read_request(&mut reader)? {
         thread::sleep(RUN_TIME);
-        let attempt = field("attempt-id: ").unwrap_or("-");
+        let attempt = field(&head, "attempt-id").unwrap_or("-");
         let size = if head.contains(LARGE_PATH) { large } else { 2 };
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: 3e1b.07\r\n\
@@ -49,4 +59,5 @@
         stream.write_all(answer.as_bytes())?;
         stream.write_all(&vec![b'z'; size])?;
     }
+    Ok(())
 }
--- a/crates/entry/tests/path/store_client.rs
+++ b/crates/entry/tests/path/store_client.rs
@@ -101,7 +101,10 @@
         "\u{1f511}",
         &long,
     ];
+    let characters: Vec<String> = ('\0'..='\u{ff}').map(String::from).collect();
+    keys.extend(characters.iter().map(String::as_str));
     keys.sort_unstable();
+    keys.dedup();
     let store = start_store(&keys).await;
     store.service().set_page_items(1);
     let mut client = StoreClient::new(store.address(), memory());
