--- a/crates/core/src/entry/directory.rs
+++ b/crates/core/src/entry/directory.rs
@@ -52,7 +52,7 @@
 pub const ABSENCE_PERIOD: Duration = Duration::from_secs(10);
 
 /// Time for which an upstream is not used after its address has answered as another one. It
-/// is tried again then, in case that the answer was wrong. Most are removed before.
+/// is tried again then, in case the answer was wrong. Most are removed before.
 pub const DISPLACEMENT_PERIOD: Duration = Duration::from_secs(30);
 
 /// Registration that an upstream publishes about itself.
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -4,7 +4,7 @@
 //! A connection that ends under a request shows little: upstreams close connections for many
 //! reasons. It counts as a crash once the address refuses connections, a later incarnation has
 //! registered, or another upstream has answered in its place, unless the upstream was leaving.
-//! If another one is registered at the address, the address is asked.
+//! If another one is registered at the address, a health check shows which of them listens.
 //!
 //! A request may also crash an upstream after its caller has left or its deadline has passed,
 //! when this instance has closed the connection already. Such requests are remembered for a
--- a/crates/entry/src/identity.rs
+++ b/crates/entry/src/identity.rs
@@ -1,4 +1,4 @@
-//! Questions to addresses which upstream listens there.
+//! Verification of which upstream listens at an address.
 //!
 //! A registration may name an address where nothing listens, or another upstream does. Every
 //! upstream refuses what is addressed to another one, and health checks cost it least.
@@ -17,13 +17,13 @@
 use crate::platform::headers::{self, Sender};
 use crate::state::State;
 
-/// Timeout of each step of a question.
+/// Timeout of each step of a health check.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Minimum interval between two questions to an upstream.
+/// Minimum interval between two health checks of an upstream.
 pub const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Upstream that a question is about.
+/// Address at which an upstream is registered, and how to verify that it listens there.
 #[derive(Clone, Debug)]
 pub struct Claim {
     /// Id of the upstream.
@@ -37,7 +37,8 @@
 }
 
 impl Claim {
-    async fn ask(&self, memory: &Memory) -> Result<(Connection, HeaderMap), Error> {
+    /// Sends a health check that is addressed to the upstream. The result is that of `verify`.
+    async fn check(&self, memory: &Memory) -> Result<(Connection, HeaderMap), Error> {
         let mut connection = Connection::connect(self.address, TIMEOUT).await?;
         let request = Request::get(&self.health_path)
             .header(header::HOST, self.address.to_string())
@@ -48,7 +49,7 @@
             .call(request, TIMEOUT, Wanted::Head, memory)
             .await?;
         let sender = match headers::sender(response.status, &response.headers, &self.id) {
-            // A refusal without a name may come from the other one.
+            // A refusal without a name may come from the rival.
             Sender::Addressee if self.is_contested => {
                 headers::named_sender(&response.headers, &self.id)
             }
@@ -62,30 +63,30 @@
     }
 }
 
-/// Asks whether an upstream listens at the address of its claim. Returns the connection and
-/// the header fields of the answer. The directory learns what the answer shows.
+/// Verifies by a health check that an upstream listens at its address, and records the result in
+/// the directory. Returns the connection and the header fields of the response.
 ///
 /// # Errors
 ///
-/// Returns `Misdirected` if another upstream has answered, and another error if it is not
-/// known who listens there.
+/// Returns `Misdirected` if another upstream has responded, and another error if it is not
+/// known which one listens there.
 pub async fn verify(
     state: &State,
     upstream: Upstream,
     claim: &Claim,
 ) -> Result<(Connection, HeaderMap), Error> {
     let sent = state.clock.now();
-    let answer = claim.ask(&state.memory).await;
-    match &answer {
+    let response = claim.check(&state.memory).await;
+    match &response {
         Ok(_) => state.record_answer(upstream, sent),
         Err(Error::Misdirected) => state.record_displacement(upstream),
         Err(_) => {}
     }
-    answer
+    response
 }
 
-/// Asks whether an upstream still listens at its address if another one is registered there
-/// as well, unless that was asked a moment ago.
+/// Verifies that an upstream still listens at its address if another one is registered there
+/// as well, at most once in `INTERVAL`.
 pub fn verify_contested(state: &Rc<State>, upstream: Upstream) {
     if !state.directory.borrow().has_rival(upstream) {
         return;
--- a/crates/entry/src/leader/order.rs
+++ b/crates/entry/src/leader/order.rs
@@ -191,7 +191,7 @@
         return Ok(Reply::Unknown);
     };
     if reply == Reply::Misdirected && connection.has_refused() {
-        // Owners refuse keys that they do not hold in the same way, and it may be a copy.
+        // It may be a copy of a refusal of a request for a key that the upstream does not hold.
         return Ok(Reply::Unknown);
     }
     if let Some(upstream) = upstream {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -164,7 +164,7 @@
     /// Versions of the warm-ups and of the configuration from which the cold upstreams of
     /// the queue were taken.
     cold_versions: Cell<(u64, u64)>,
-    /// Upstreams that were asked lately whether they listen at a contested address, and when.
+    /// Upstreams whose claim to a contested address was verified lately, and when.
     pub claims_verified: RefCell<HashMap<Upstream, Time>>,
     /// Wakes the task that exchanges permits.
     pub permits_wanted: Notify,
@@ -665,7 +665,7 @@
         }
     }
 
-    /// What an upstream is registered as; `None` if its service has no health checks.
+    /// The claim of an upstream to its address; `None` if its service has no health checks.
     pub fn claim(&self, upstream: Upstream) -> Option<Claim> {
         let directory = self.directory.borrow();
         let registration = &directory.get(upstream)?.registration;
--- a/crates/entry/tests/path/odd_entries.rs
+++ b/crates/entry/tests/path/odd_entries.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use medlarreel_entry::platform::registry;
-use medlarreel_standin::platform::upstream::{self, Upstream};
-use medlarreel_standin::server::{Server, any_port};
+use medlarreel_standin::platform::upstream;
+use medlarreel_standin::server::any_port;
 use serde_json::{Value, json};
 use tokio::time::{Duration, sleep};
 
@@ -180,17 +180,16 @@
     cluster.wait_until_served().await;
 }
 
-/// Entries at the addresses of all upstreams, which started later than these, with `fields` in
-/// place of their own.
-fn entries_at_all_addresses(cluster: &TestCluster, fields: &Value) -> Vec<String> {
+/// Puts an entry at the address of each upstream, which started later than this one, with
+/// `fields` in place of its own. The keys of the entries begin with `prefix`.
+fn put_at_all_addresses(cluster: &TestCluster, prefix: &str, fields: &Value) {
     let upstreams = cluster.keyed.iter().chain(&cluster.plain);
-    let with_address = |upstream: &Server<Upstream>| {
+    for (number, upstream) in upstreams.enumerate() {
         let mut fields = fields.clone();
         fields["address"] = json!(upstream.address().to_string());
         fields["born"] = json!(2000);
-        entry(&fields)
-    };
-    upstreams.map(with_address).collect()
+        put(cluster, &format!("{prefix}-{number}"), &entry(&fields));
+    }
 }
 
 /// Sends requests to both services for some seconds while the upstreams register again and
@@ -242,12 +241,7 @@
     ];
     let cluster = start_cluster().await;
     for (variant, fields) in variants.iter().enumerate() {
-        for (number, entry) in entries_at_all_addresses(&cluster, fields)
-            .iter()
-            .enumerate()
-        {
-            put(&cluster, &format!("watch-{variant}-{number}"), entry);
-        }
+        put_at_all_addresses(&cluster, &format!("watch-{variant}"), fields);
     }
 
     check_all_served(cluster).await;
@@ -259,13 +253,7 @@
 async fn entries_of_known_services_do_not_end_upstreams() {
     let cluster = start_cluster().await;
     for service in ["keyed", "plain"] {
-        let fields = json!({ "service": service });
-        for (number, entry) in entries_at_all_addresses(&cluster, &fields)
-            .iter()
-            .enumerate()
-        {
-            put(&cluster, &format!("{service}-{number}"), entry);
-        }
+        put_at_all_addresses(&cluster, service, &json!({ "service": service }));
     }
 
     check_all_served(cluster).await;
@@ -278,13 +266,7 @@
     let mut cluster = start_cluster().await;
     let mut followers = start_followers(&cluster, 1).await;
     for service in ["watch", "keyed", "plain"] {
-        let fields = json!({ "service": service });
-        for (number, entry) in entries_at_all_addresses(&cluster, &fields)
-            .iter()
-            .enumerate()
-        {
-            put(&cluster, &format!("{service}-{number}"), entry);
-        }
+        put_at_all_addresses(&cluster, service, &json!({ "service": service }));
     }
     followers.extend(start_followers(&cluster, 1).await);
 
@@ -312,12 +294,7 @@
     let renamed = config_text(2, 1 << 20).replace("\"plain\"", "\"another\"");
     let renamed = renamed.replace("\"keyed\"", "\"further\"");
     let store = cluster.store.service();
-    for (number, entry) in entries_at_all_addresses(&cluster, &json!({"service": "another"}))
-        .iter()
-        .enumerate()
-    {
-        put(&cluster, &format!("odd-{number}"), entry);
-    }
+    put_at_all_addresses(&cluster, "odd", &json!({"service": "another"}));
 
     store.put("keyed.op", "config", renamed.as_bytes());
     wait_until("no upstream is used", async || {
